state: fold of the log's records, and its wire schema

Cause: everything that must last lives on the platform's log, and every reader has to reach the same verdict about each record. So the fold comes first and the other packages build on its interfaces: a version is made from the offset, a record is accepted or refused by the version it expects, and a key carries its time so that a late copy of a begin record cannot be granted after the key was forgotten.

--- /dev/null
+++ b/internal/ledger/attempt.go
@@ -0,0 +1,76 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/mastwinch/mastwinch/internal/fold"
+	"github.com/mastwinch/mastwinch/internal/wire"
+)
+
+// Attempt is the one submission of a key that was granted the right to be
+// dispatched, and how it ended. It is immutable.
+type Attempt struct {
+	Key       Key
+	RequestID string
+	// Owner is the incarnation of the entry that holds the right. No other
+	// ever gets it for this attempt.
+	Owner string
+	// Version changes with each accepted record about the attempt. While
+	// Outcome is unspecified it is the fencing token of the dispatch.
+	Version       fold.Version
+	Time          time.Duration
+	ContentDigest uint64
+	// Outcome is unspecified while the attempt may still be running.
+	Outcome wire.Outcome
+	Reason  string
+	Server  string
+}
+
+// Running reports whether the attempt has no outcome yet.
+func (attempt Attempt) Running() bool {
+	return attempt.Outcome == wire.Outcome_OUTCOME_UNSPECIFIED
+}
+
+// Released reports whether the key may be granted again, because it is
+// certain that nothing ran.
+func (attempt Attempt) Released() bool {
+	return attempt.Outcome == wire.Outcome_OUTCOME_FAILED_NOT_RUN
+}
+
+// WithOutcome returns the attempt as it ended by finish at version.
+func (attempt Attempt) WithOutcome(finish *wire.Finish, version fold.Version) Attempt {
+	attempt.Outcome = finish.GetOutcome()
+	attempt.Reason = finish.GetReason()
+	attempt.Server = finish.GetServer()
+	attempt.Version = version
+	return attempt
+}
+
+// Wire returns the attempt as it stands in a checkpoint.
+func (attempt Attempt) Wire() *wire.Attempt {
+	return &wire.Attempt{
+		Key:           attempt.Key.Wire(),
+		RequestId:     attempt.RequestID,
+		Owner:         attempt.Owner,
+		Version:       uint64(attempt.Version),
+		TimeMs:        uint64(attempt.Time.Milliseconds()), //nolint:gosec // never negative
+		Outcome:       attempt.Outcome,
+		Reason:        attempt.Reason,
+		Server:        attempt.Server,
+		ContentDigest: attempt.ContentDigest,
+	}
+}
+
+func newAttempt(key Key, record *wire.Attempt) Attempt {
+	return Attempt{
+		Key:           key,
+		RequestID:     record.GetRequestId(),
+		Owner:         record.GetOwner(),
+		Version:       fold.Version(record.GetVersion()),
+		Time:          time.Duration(record.GetTimeMs()) * time.Millisecond, //nolint:gosec // bounded by the API
+		ContentDigest: record.GetContentDigest(),
+		Outcome:       record.GetOutcome(),
+		Reason:        record.GetReason(),
+		Server:        record.GetServer(),
+	}
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,130 @@
+// Package state is the fold of all records on the log: the same on every VM
+// that has read to the same offset. It does no I/O and reads no clock.
+package state
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/mastwinch/mastwinch/internal/configuration"
+	"github.com/mastwinch/mastwinch/internal/fold"
+	"github.com/mastwinch/mastwinch/internal/ledger"
+	"github.com/mastwinch/mastwinch/internal/session"
+	"github.com/mastwinch/mastwinch/internal/wire"
+)
+
+// State is the fold of all log entries before Next. It is used by one
+// goroutine at a time.
+type State struct {
+	Ledger        *ledger.Ledger
+	Configuration configuration.Configuration
+	Sessions      session.Sessions
+	// Next is the offset of the next entry to apply. It never decreases.
+	Next uint64
+}
+
+// Result is the verdict on the record with an ID.
+type Result struct {
+	RecordID string
+	Verdict  fold.Verdict
+}
+
+// OrderError says that an entry was applied out of order.
+type OrderError struct {
+	Offset uint64
+	Next   uint64
+}
+
+// Error implements error.
+func (e *OrderError) Error() string {
+	return fmt.Sprintf("state: entry at offset %d cannot follow: next is %d", e.Offset, e.Next)
+}
+
+// New returns the state before the first entry.
+func New() *State {
+	return &State{
+		Ledger:        ledger.New(),
+		Configuration: configuration.New(),
+		Sessions:      session.New(),
+	}
+}
+
+// Apply folds the batch at offset and returns a result for each record. An
+// entry already applied changes nothing and gives no results.
+func (state *State) Apply(offset uint64, batch *wire.Batch) ([]Result, error) {
+	if offset < state.Next {
+		return nil, nil
+	}
+	if offset > state.Next {
+		return nil, &OrderError{Offset: offset, Next: state.Next}
+	}
+	state.Next = offset + 1
+	records := batch.GetRecords()
+	if len(records) > fold.MaxBatch {
+		// No keeper writes this; a longer entry would break version order.
+		records = records[:fold.MaxBatch]
+	}
+	results := make([]Result, 0, len(records))
+	for index, record := range records {
+		verdict := state.apply(fold.VersionAt(offset, index), record)
+		results = append(results, Result{RecordID: record.GetId(), Verdict: verdict})
+	}
+	return results, nil
+}
+
+func (state *State) apply(version fold.Version, record *wire.Record) (verdict fold.Verdict) {
+	switch body := record.GetBody().(type) {
+	case *wire.Record_Begin:
+		return state.Ledger.Begin(version, body.Begin)
+	case *wire.Record_Finish:
+		return state.Ledger.Finish(version, body.Finish)
+	case *wire.Record_AdvanceHorizon:
+		return state.Ledger.AdvanceHorizon(version, body.AdvanceHorizon)
+	case *wire.Record_PutOrganisation:
+		state.Configuration, verdict = state.Configuration.WithOrganisation(version, body.PutOrganisation)
+	case *wire.Record_RemoveOrganisation:
+		state.Configuration, verdict = state.Configuration.WithoutOrganisation(version, body.RemoveOrganisation)
+	case *wire.Record_CreateSession:
+		state.Sessions, verdict = state.Sessions.With(version, body.CreateSession)
+	case *wire.Record_EndSession:
+		state.Sessions, verdict = state.Sessions.Without(version, body.EndSession)
+	default:
+		return fold.Refuse(fold.ReasonUnknownKind)
+	}
+	return verdict
+}
+
+// Encode returns the state in its wire form.
+func (state *State) Encode() *wire.State {
+	encoded := &wire.State{NextOffset: state.Next}
+	state.Ledger.Encode(encoded)
+	state.Configuration.Encode(encoded)
+	state.Sessions.Encode(encoded)
+	return encoded
+}
+
+// Decode returns the state that Encode wrote.
+func Decode(encoded *wire.State) (*State, error) {
+	decoded, err := ledger.Decode(encoded)
+	if err != nil {
+		return nil, err
+	}
+	return &State{
+		Ledger:        decoded,
+		Configuration: configuration.Decode(encoded),
+		Sessions:      session.Decode(encoded),
+		Next:          encoded.GetNextOffset(),
+	}, nil
+}
+
+// DecodeBatch returns the batch in a log entry. An entry that is none counts
+// as an empty one, the same for every reader.
+func DecodeBatch(data []byte) *wire.Batch {
+	batch := &wire.Batch{}
+	err := proto.Unmarshal(data, batch)
+	if err != nil {
+		return &wire.Batch{}
+	}
+	return batch
+}
