standin: log service, VM list, weight store, engines and services

The engine computes in steps with a token budget, chunked prefill that grows with context, KV memory in blocks with a prefix cache, priorities with preemption, streams that can be resumed and reservations that lapse. Reservations of a group are bound before the leading engine is locked, since two engines may lead groups that contain each other.

Conclusion: backend servers are reached through two small interfaces with one HTTP adapter; only adapters know the protocol.

--- /dev/null
+++ b/internal/backend/httpbackend.go
@@ -0,0 +1,287 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Bounds on what is read from and kept open to backend servers.
+const (
+	dialTimeout      = time.Second
+	idleConnsPerHost = 256
+	idleTimeout      = 30 * time.Second
+	maxCallBody      = 16 << 20
+	maxErrorBody     = 64 << 10
+	frameBufferBytes = 4 << 10
+)
+
+var (
+	_ Engine  = (*HTTPBackend)(nil)
+	_ Service = (*HTTPBackend)(nil)
+)
+
+// HTTPBackend reaches engines and services over HTTP.
+type HTTPBackend struct {
+	pooled *http.Client
+	// fresh uses each connection once. A dispatch that may not be repeated
+	// goes over it, so that a dead server shows when connecting, before
+	// anything is sent.
+	fresh *http.Client
+}
+
+// NewHTTPBackend returns an adapter with its own connections.
+func NewHTTPBackend() *HTTPBackend {
+	return &HTTPBackend{
+		pooled: newClient(false),
+		fresh:  newClient(true),
+	}
+}
+
+func newClient(disableKeepAlives bool) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnsPerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+		DisableKeepAlives:   disableKeepAlives,
+	}}
+}
+
+// Generate implements Engine.
+func (httpbackend *HTTPBackend) Generate(ctx context.Context, address string, dispatch Dispatch) (Stream, error) {
+	response, err := httpbackend.dispatch(ctx, address, "/v1/streams", dispatch)
+	if err != nil {
+		return nil, err
+	}
+	return newHTTPStream(response), nil
+}
+
+// Call implements Service.
+func (httpbackend *HTTPBackend) Call(ctx context.Context, address string, dispatch Dispatch) ([]byte, error) {
+	response, err := httpbackend.dispatch(ctx, address, "/v1/calls", dispatch)
+	if err != nil {
+		return nil, err
+	}
+	defer closeBody(response)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxCallBody))
+	return body, errors.Wrapf(err, "backend server %s: read answer", address)
+}
+
+// dispatch sends a request that makes a server run something. The transport
+// repeats a POST only if nothing of it was written.
+func (httpbackend *HTTPBackend) dispatch(
+	ctx context.Context, address, path string, dispatch Dispatch,
+) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(dispatch.Body))
+	if err != nil {
+		return nil, &NotRunError{Address: address, Reason: err.Error()}
+	}
+	dispatch.setHeaders(request.Header)
+	client := httpbackend.pooled
+	if dispatch.Key != "" {
+		client = httpbackend.fresh
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, newDispatchError(address, err)
+	}
+	if response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+	defer closeBody(response)
+	return nil, newStatusError(address, response)
+}
+
+func (dispatch Dispatch) setHeaders(header http.Header) {
+	header.Set(HeaderAttempt, dispatch.Attempt)
+	header.Set(HeaderRequest, dispatch.Request)
+	header.Set(HeaderOrganisation, dispatch.Organisation)
+	header.Set(HeaderOwner, dispatch.Owner)
+	header.Set(HeaderTimeLeft, strconv.FormatInt(dispatch.TimeLeft.Milliseconds(), 10))
+	setOptional(header, HeaderSession, dispatch.Session)
+	setOptional(header, HeaderGroup, dispatch.Group)
+	if dispatch.Model != "" {
+		header.Set(HeaderModel, dispatch.Model)
+		header.Set(HeaderMaxTokens, strconv.Itoa(dispatch.MaxTokens))
+		header.Set(HeaderFrom, strconv.Itoa(dispatch.From))
+		header.Set(HeaderPriority, strconv.Itoa(dispatch.Priority))
+	}
+	if dispatch.Key != "" {
+		header.Set(HeaderKey, dispatch.Key)
+		header.Set(HeaderFence, strconv.FormatUint(dispatch.Fence, 10))
+	}
+}
+
+func setOptional(header http.Header, name, value string) {
+	if value != "" {
+		header.Set(name, value)
+	}
+}
+
+// newDispatchError tells an error before the connection, after which nothing
+// ran, from all others.
+func newDispatchError(address string, err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return &NotRunError{Address: address, Reason: err.Error(), Unreachable: true}
+	}
+	return errors.Wrapf(err, "backend server %s", address)
+}
+
+func newStatusError(address string, response *http.Response) error {
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
+	var refusal Refusal
+	err := json.Unmarshal(body, &refusal)
+	if err == nil && refusal.NotRun {
+		return &NotRunError{Address: address, Reason: refusal.Reason, Leaving: refusal.Leaving}
+	}
+	return errors.Newf("backend server %s: status %d: %s", address, response.StatusCode, bytes.TrimSpace(body))
+}
+
+// Resume implements Engine.
+func (httpbackend *HTTPBackend) Resume(ctx context.Context, address, attempt string, from int) (Stream, error) {
+	path := "/v1/streams/" + url.PathEscape(attempt) + "?from=" + strconv.Itoa(from)
+	response, err := httpbackend.send(ctx, http.MethodGet, address, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode == http.StatusOK {
+		return newHTTPStream(response), nil
+	}
+	defer closeBody(response)
+	if response.StatusCode == http.StatusNotFound {
+		return nil, &NotFoundError{Address: address, Attempt: attempt}
+	}
+	return nil, newStatusError(address, response)
+}
+
+// Cancel implements Engine.
+func (httpbackend *HTTPBackend) Cancel(ctx context.Context, address, attempt string) error {
+	return httpbackend.order(ctx, http.MethodDelete, address, "/v1/streams/"+url.PathEscape(attempt), nil)
+}
+
+// Streams implements Engine.
+func (httpbackend *HTTPBackend) Streams(ctx context.Context, address string) ([]StreamInfo, error) {
+	var infos []StreamInfo
+	err := httpbackend.get(ctx, address, "/v1/streams", &infos)
+	return infos, err
+}
+
+// Reserve implements Engine.
+func (httpbackend *HTTPBackend) Reserve(ctx context.Context, address, id string, reservation Reservation) error {
+	body, err := json.Marshal(reservation)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return httpbackend.order(ctx, http.MethodPut, address, "/v1/reservations/"+url.PathEscape(id), body)
+}
+
+// Release implements Engine.
+func (httpbackend *HTTPBackend) Release(ctx context.Context, address, id string) error {
+	return httpbackend.order(ctx, http.MethodDelete, address, "/v1/reservations/"+url.PathEscape(id), nil)
+}
+
+// Load implements Engine.
+func (httpbackend *HTTPBackend) Load(ctx context.Context, address string) (Load, error) {
+	var load Load
+	err := httpbackend.get(ctx, address, "/v1/load", &load)
+	return load, err
+}
+
+func (httpbackend *HTTPBackend) get(ctx context.Context, address, path string, value any) error {
+	response, err := httpbackend.send(ctx, http.MethodGet, address, path, nil)
+	if err != nil {
+		return err
+	}
+	defer closeBody(response)
+	if response.StatusCode != http.StatusOK {
+		return newStatusError(address, response)
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, maxCallBody)).Decode(value)
+	return errors.Wrapf(err, "backend server %s", address)
+}
+
+// order sends a request whose repeat changes nothing.
+func (httpbackend *HTTPBackend) order(ctx context.Context, method, address, path string, body []byte) error {
+	response, err := httpbackend.send(ctx, method, address, path, body)
+	if err != nil {
+		return err
+	}
+	defer closeBody(response)
+	if response.StatusCode == http.StatusOK || response.StatusCode == http.StatusNotFound {
+		return nil
+	}
+	return newStatusError(address, response)
+}
+
+func (httpbackend *HTTPBackend) send(
+	ctx context.Context, method, address, path string, body []byte,
+) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrapf(err, "backend server %s", address)
+	}
+	response, err := httpbackend.pooled.Do(request)
+	return response, errors.Wrapf(err, "backend server %s", address)
+}
+
+func closeBody(response *http.Response) {
+	_, _ = io.CopyN(io.Discard, response.Body, maxErrorBody)
+	_ = response.Body.Close()
+}
+
+// httpStream reads frames from lines of JSON.
+type httpStream struct {
+	response *http.Response
+	decoder  *json.Decoder
+}
+
+func newHTTPStream(response *http.Response) *httpStream {
+	return &httpStream{
+		response: response,
+		decoder:  json.NewDecoder(bufio.NewReaderSize(response.Body, frameBufferBytes)),
+	}
+}
+
+// Next implements Stream.
+func (httpstream *httpStream) Next() (Frame, error) {
+	var frame Frame
+	err := httpstream.decoder.Decode(&frame)
+	if err == nil && frame.End != EndNone {
+		// Reading to the end lets the connection be used again.
+		_, _ = io.CopyN(io.Discard, httpstream.response.Body, maxErrorBody)
+	}
+	return frame, errors.Wrap(err, "stream")
+}
+
+// Organisation implements Stream.
+func (httpstream *httpStream) Organisation() string {
+	return httpstream.response.Header.Get(HeaderOrganisation)
+}
+
+// Request implements Stream.
+func (httpstream *httpStream) Request() string {
+	return httpstream.response.Header.Get(HeaderRequest)
+}
+
+// TimeLeft implements Stream.
+func (httpstream *httpStream) TimeLeft() time.Duration {
+	milliseconds, _ := strconv.ParseInt(httpstream.response.Header.Get(HeaderTimeLeft), 10, 64)
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
+// Close implements Stream.
+func (httpstream *httpStream) Close() {
+	_ = httpstream.response.Body.Close()
+}
--- /dev/null
+++ b/internal/standin/engine/calls.go
@@ -0,0 +1,368 @@
+package engine
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/mastwinch/mastwinch/internal/backend"
+	"github.com/mastwinch/mastwinch/internal/standin/execution"
+)
+
+// housekeeping is how often an idle engine looks for what has expired and
+// writes a load report.
+const housekeeping = 50 * time.Millisecond
+
+// RefusalError says that an order was not carried out, and nothing ran.
+type RefusalError struct {
+	Reason  string
+	Leaving bool
+}
+
+// Error implements error.
+func (e *RefusalError) Error() string {
+	return e.Reason
+}
+
+// Submit starts a stream. It returns a *RefusalError when nothing was run.
+func (engine *Engine) Submit(submission Submission) error {
+	// Members are bound one by one, before this engine is locked, since two
+	// engines may lead groups that contain each other.
+	members := engine.group(submission.Group)
+	held := 0
+	for _, member := range members {
+		held += member.bind(submission.Group, submission.Attempt)
+	}
+	err := engine.start(submission, members, held)
+	if err != nil {
+		for _, member := range members {
+			member.Release(submission.Group)
+		}
+	}
+	return err
+}
+
+func (engine *Engine) start(submission Submission, members []*Engine, held int) error {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	err := engine.check(submission, held)
+	if err != nil {
+		return err
+	}
+	engine.sequence++
+	stream := newStream(submission, engine.sequence, engine.settings.BlockTokens, time.Now())
+	stream.members = members
+	engine.streams[submission.Attempt] = stream
+	engine.executions.Add(execution.Execution{
+		Attempt:      submission.Attempt,
+		Request:      submission.Request,
+		Organisation: submission.Organisation,
+		Key:          submission.Key,
+		Server:       engine.id,
+	})
+	engine.wake.Broadcast()
+	return nil
+}
+
+// check returns why the submission is refused, or nil. A group holds held
+// tokens of memory.
+func (engine *Engine) check(submission Submission, held int) error {
+	tokens := PromptTokens(submission.Prompt) + submission.MaxTokens
+	switch {
+	case engine.closed:
+		return &RefusalError{Reason: "engine died"}
+	case engine.leaving:
+		return &RefusalError{Reason: "leaving", Leaving: true}
+	case !slices.Contains(engine.models, submission.Model):
+		return &RefusalError{Reason: fmt.Sprintf("model %q is not loaded", submission.Model)}
+	case engine.streams[submission.Attempt] != nil:
+		return &RefusalError{Reason: "attempt exists"}
+	case submission.Group != "" && held < tokens:
+		return &RefusalError{Reason: fmt.Sprintf("group holds %d tokens of %d", held, tokens)}
+	case submission.Group == "" && engine.roundUp(tokens) > engine.settings.MemoryTokens:
+		return &RefusalError{Reason: "prompt is longer than the engine's memory"}
+	case rand.Float64() < engine.faults.ErrorRate: //nolint:gosec // no secret
+		return &RefusalError{Reason: "internal error"}
+	case !engine.passesFence(submission):
+		return &RefusalError{Reason: "fencing token is old"}
+	}
+	return nil
+}
+
+// passesFence checks the token of a submission with a key, where the engine
+// checks at all.
+func (engine *Engine) passesFence(submission Submission) bool {
+	if !engine.checksFencing || submission.Key == "" {
+		return true
+	}
+	key := submission.Organisation + "\x00" + submission.Key
+	if submission.Fence < engine.fences[key] {
+		return false
+	}
+	engine.fences[key] = submission.Fence
+	return true
+}
+
+// group returns the engines of a group, named as "id@engine,engine,...".
+// Engines that are not there are left out.
+func (engine *Engine) group(name string) []*Engine {
+	if name == "" {
+		return nil
+	}
+	_, list, _ := strings.Cut(name, "@")
+	var members []*Engine
+	for id := range strings.SplitSeq(list, ",") {
+		if member := engine.peer(id); member != nil {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
+func (engine *Engine) bind(id, attempt string) int {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	reservation := engine.reservations[id]
+	if reservation == nil || engine.closed {
+		return 0
+	}
+	reservation.bound = attempt
+	return reservation.tokens
+}
+
+// Reserve holds memory for a group. It lapses unless it is bound in time; its
+// repeat renews that time.
+func (engine *Engine) Reserve(id string, tokens int, ttl time.Duration) error {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	engine.expire(time.Now())
+	tokens = engine.roundUp(tokens)
+	switch {
+	case engine.closed:
+		return &RefusalError{Reason: "engine died"}
+	case engine.leaving:
+		return &RefusalError{Reason: "leaving", Leaving: true}
+	case engine.reservations[id] != nil:
+		engine.reservations[id].expires = time.Now().Add(ttl)
+		return nil
+	case engine.free() < tokens:
+		return &RefusalError{Reason: "no memory"}
+	}
+	engine.reservations[id] = &reservation{tokens: tokens, expires: time.Now().Add(ttl)}
+	engine.used += tokens
+	engine.fitCache()
+	return nil
+}
+
+// Release gives back a reservation.
+func (engine *Engine) Release(id string) {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	engine.releaseLocked(id)
+}
+
+func (engine *Engine) releaseLocked(id string) {
+	reservation := engine.reservations[id]
+	if reservation == nil {
+		return
+	}
+	engine.used -= reservation.tokens
+	delete(engine.reservations, id)
+	engine.wake.Broadcast()
+}
+
+// Cancel ends a stream. It reports whether there was one.
+func (engine *Engine) Cancel(attempt string) bool {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	stream := engine.streams[attempt]
+	if stream == nil {
+		return false
+	}
+	engine.end(stream, backend.EndCancelled, "cancelled")
+	engine.wake.Broadcast()
+	return true
+}
+
+// Info describes the stream of an attempt, if the engine holds it.
+func (engine *Engine) Info(attempt string) (backend.StreamInfo, bool) {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	stream := engine.streams[attempt]
+	if stream == nil {
+		return backend.StreamInfo{}, false
+	}
+	return stream.info(), true
+}
+
+// List describes all streams that the engine holds.
+func (engine *Engine) List() []backend.StreamInfo {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	infos := make([]backend.StreamInfo, 0, len(engine.streams))
+	for _, stream := range engine.streams {
+		infos = append(infos, stream.info())
+	}
+	slices.SortFunc(infos, func(a, b backend.StreamInfo) int { return cmp.Compare(a.Attempt, b.Attempt) })
+	return infos
+}
+
+func (stream *stream) info() backend.StreamInfo {
+	return backend.StreamInfo{
+		Attempt:      stream.Attempt,
+		Request:      stream.Request,
+		Organisation: stream.Organisation,
+		Owner:        stream.Owner,
+		Tokens:       stream.From + len(stream.tokens),
+		End:          stream.end,
+		Attached:     stream.readers > 0,
+		TimeLeftMS:   time.Until(stream.deadline).Milliseconds(),
+	}
+}
+
+// Read sends the frames of a stream from token from on, until it ends, ctx is
+// done or send fails. It reports whether there was such a stream.
+func (engine *Engine) Read(ctx context.Context, attempt string, from int, send func([]backend.Frame) error) bool {
+	engine.mu.Lock()
+	stream := engine.streams[attempt]
+	if stream == nil || from < stream.From {
+		engine.mu.Unlock()
+		return false
+	}
+	stream.readers++
+	engine.mu.Unlock()
+	defer engine.detach(stream)
+	for {
+		frames, changed := engine.frames(stream, from)
+		from += len(frames)
+		if len(frames) > 0 && send(frames) != nil {
+			return true
+		}
+		if changed == nil {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return true
+		}
+	}
+}
+
+// frames returns the frames from token from on, and a channel that is closed
+// when there are more, or nil after the last.
+func (engine *Engine) frames(stream *stream, from int) ([]backend.Frame, <-chan struct{}) {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	var frames []backend.Frame
+	for seq := from; seq < stream.From+len(stream.tokens); seq++ {
+		frames = append(frames, backend.Frame{Seq: seq, Text: stream.tokens[seq-stream.From]})
+	}
+	if stream.live() {
+		return frames, stream.changed
+	}
+	end := backend.Frame{
+		Seq:    stream.From + len(stream.tokens),
+		End:    stream.end,
+		Reason: stream.reason,
+	}
+	return append(frames, end), nil
+}
+
+func (engine *Engine) detach(stream *stream) {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	stream.readers--
+	stream.detached = time.Now()
+}
+
+// Load returns the newest report that is older than the lag.
+func (engine *Engine) Load() backend.Load {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	cutoff := time.Now().Add(-engine.settings.LoadLag)
+	for len(engine.reports) > 1 && engine.reports[1].at.Before(cutoff) {
+		engine.reports = engine.reports[1:]
+	}
+	if len(engine.reports) == 0 {
+		return engine.load()
+	}
+	return engine.reports[0].load
+}
+
+// Truth returns the load as it is now.
+func (engine *Engine) Truth() backend.Load {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	return engine.load()
+}
+
+func (engine *Engine) load() backend.Load {
+	load := backend.Load{FreeTokens: engine.free(), Leaving: engine.leaving}
+	for _, stream := range engine.streams {
+		if !stream.live() {
+			continue
+		}
+		if stream.reserved > 0 || stream.Group != "" {
+			load.Running++
+		} else {
+			load.Waiting++
+		}
+		left := max(0, stream.total-stream.computed) / stream.width()
+		load.QueuedPrefillTokens += left
+		if stream.Priority <= 0 {
+			load.QueuedLongTokens += left
+		}
+	}
+	return load
+}
+
+// Housekeep expires what is late and writes load reports until ctx is done.
+func (engine *Engine) Housekeep(ctx context.Context) {
+	ticker := time.NewTicker(housekeeping)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			engine.tick(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (engine *Engine) tick(now time.Time) {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	engine.expire(now)
+	engine.reports = append(engine.reports, report{at: now, load: engine.load()})
+	for _, stream := range engine.streams {
+		if stream.live() && slices.ContainsFunc(stream.members, func(member *Engine) bool {
+			return member != engine && member.lost(stream.Group)
+		}) {
+			go engine.failGroup(stream.Attempt)
+		}
+	}
+	engine.wake.Broadcast()
+}
+
+// lost reports whether a group can no longer use the engine.
+func (engine *Engine) lost(group string) bool {
+	if !engine.mu.TryLock() {
+		return false // two leaders of groups must not wait for each other
+	}
+	defer engine.mu.Unlock()
+	return engine.closed || engine.reservations[group] == nil
+}
+
+func (engine *Engine) failGroup(attempt string) {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	if stream := engine.streams[attempt]; stream != nil {
+		engine.end(stream, backend.EndFailed, "an engine of the group died")
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/settings.go
@@ -0,0 +1,61 @@
+package engine
+
+import "time"
+
+// Settings are the constants of the cost model, which docs/STANDIN.md
+// explains.
+type Settings struct {
+	// BlockTokens is the unit of KV memory and of prefix caching.
+	BlockTokens int `yaml:"block_tokens" validate:"min=1"`
+	// MemoryTokens is the KV memory of one engine.
+	MemoryTokens int `yaml:"memory_tokens" validate:"min=1"`
+	// StepTokens is the most tokens computed in one step.
+	StepTokens int `yaml:"step_tokens" validate:"min=1"`
+	// DecodeSlots is the most streams that get a token in one step.
+	DecodeSlots int `yaml:"decode_slots" validate:"min=1"`
+	// StepBase is the time of an empty step.
+	StepBase time.Duration `yaml:"step_base" validate:"min=0"`
+	// PrefillToken is the time to compute one prompt token.
+	PrefillToken time.Duration `yaml:"prefill_token" validate:"min=0"`
+	// PrefillPairNS is the time, in nanoseconds, that each token of context
+	// adds to each prompt token computed.
+	PrefillPairNS float64 `yaml:"prefill_pair_ns" validate:"min=0"`
+	// DecodeToken is the time to generate one token.
+	DecodeToken time.Duration `yaml:"decode_token" validate:"min=0"`
+	// DecodeContextNS is the time, in nanoseconds, that each token of context
+	// adds to each token generated.
+	DecodeContextNS float64 `yaml:"decode_context_ns" validate:"min=0"`
+	// LoadLag is how old load reports are.
+	LoadLag time.Duration `yaml:"load_lag" validate:"min=0"`
+	// DetachGrace is how long a stream goes on that nobody reads.
+	DetachGrace time.Duration `yaml:"detach_grace" validate:"min=0"`
+	// KeepEnded is how long the answer of an ended stream can be read.
+	KeepEnded time.Duration `yaml:"keep_ended" validate:"min=0"`
+}
+
+// DefaultSettings returns constants under which a run takes seconds: about
+// twenty times as fast as a real engine.
+func DefaultSettings() Settings {
+	return Settings{
+		BlockTokens:     256,
+		MemoryTokens:    448 << 10,
+		StepTokens:      4096,
+		DecodeSlots:     64,
+		StepBase:        1500 * time.Microsecond,
+		PrefillToken:    4 * time.Microsecond,
+		PrefillPairNS:   0.004,
+		DecodeToken:     30 * time.Microsecond,
+		DecodeContextNS: 0.5,
+		LoadLag:         200 * time.Millisecond,
+		DetachGrace:     10 * time.Second,
+		KeepEnded:       30 * time.Second,
+	}
+}
+
+// bytesPerToken is the length of a token of a prompt.
+const bytesPerToken = 4
+
+// PromptTokens returns the length of prompt in tokens.
+func PromptTokens(prompt []byte) int {
+	return (len(prompt) + bytesPerToken - 1) / bytesPerToken
+}
--- /dev/null
+++ b/internal/standin/logservice/logservice.go
@@ -0,0 +1,229 @@
+// Package logservice stands in for the platform's log service: streams of
+// entries with offsets, a limited rate, retention, and faults.
+package logservice
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
+
+	"github.com/mastwinch/mastwinch/internal/platform"
+)
+
+// Bounds of the service.
+const (
+	maxEntryBytes = 1 << 20
+	maxPage       = 512
+	maxWait       = 30 * time.Second
+)
+
+// Settings of the service.
+type Settings struct {
+	// AppendsPerSecond is the rate over all streams.
+	AppendsPerSecond float64 `yaml:"appends_per_second" validate:"gt=0"`
+	// Retention is how long an entry is held.
+	Retention time.Duration `yaml:"retention" validate:"min=100ms"`
+	// AppendDelay is how long an append takes.
+	AppendDelay time.Duration `yaml:"append_delay" validate:"min=0"`
+}
+
+// Faults that can be switched while the service runs.
+type Faults struct {
+	// Outage makes every call fail.
+	Outage bool `json:"outage"`
+	// LostAnswers is the part of appends that take effect but whose answer
+	// is an error, from 0 to 1.
+	LostAnswers float64 `json:"lost_answers"`
+	// LateAppends is the part of appends that are answered with an error at
+	// once and take effect after LateBy.
+	LateAppends float64 `json:"late_appends"`
+	LateByMS    int64   `json:"late_by_ms"`
+}
+
+// LogService is the stand-in.
+type LogService struct {
+	settings Settings
+	limiter  *rate.Limiter
+
+	mu      sync.Mutex
+	faults  Faults
+	streams map[string]*stream
+}
+
+// stream is one stream of entries.
+type stream struct {
+	// entries has consecutive offsets, the first of which is first.
+	entries []entry
+	first   uint64
+	// grown is closed, and replaced, when an entry is added.
+	grown chan struct{}
+}
+
+type entry struct {
+	data     []byte
+	appended time.Time
+}
+
+// New returns a service without entries.
+func New(settings Settings) *LogService {
+	burst := max(1, int(settings.AppendsPerSecond/10))
+	return &LogService{
+		settings: settings,
+		limiter:  rate.NewLimiter(rate.Limit(settings.AppendsPerSecond), burst),
+		streams:  make(map[string]*stream),
+	}
+}
+
+// Register adds the routes of the service to router.
+func (logservice *LogService) Register(router *mux.Router) {
+	router.HandleFunc("/v1/log/{stream}", logservice.handleAppend).Methods(http.MethodPost)
+	router.HandleFunc("/v1/log/{stream}", logservice.handleRead).Methods(http.MethodGet)
+}
+
+// SetFaults replaces the faults.
+func (logservice *LogService) SetFaults(faults Faults) {
+	logservice.mu.Lock()
+	defer logservice.mu.Unlock()
+	logservice.faults = faults
+}
+
+// Append adds an entry to the stream named name, subject to the faults.
+func (logservice *LogService) Append(ctx context.Context, name string, data []byte) bool {
+	if !logservice.limiter.Allow() {
+		return false
+	}
+	if !sleep(ctx, logservice.settings.AppendDelay) {
+		return false
+	}
+	logservice.mu.Lock()
+	defer logservice.mu.Unlock()
+	faults := logservice.faults
+	switch {
+	case faults.Outage:
+		return false
+	case rand.Float64() < faults.LateAppends: //nolint:gosec // no secret
+		delay := time.Duration(faults.LateByMS) * time.Millisecond
+		time.AfterFunc(delay, func() { logservice.add(name, data) })
+		return false
+	}
+	logservice.addLocked(name, data)
+	return rand.Float64() >= faults.LostAnswers //nolint:gosec // no secret
+}
+
+// Read returns a page from offset from on, and false in an outage.
+func (logservice *LogService) Read(ctx context.Context, name string, from uint64, wait time.Duration) (platform.Page, bool) {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		page, grown, ok := logservice.page(name, from)
+		if !ok || len(page.Entries) > 0 || from < page.First {
+			return page, ok
+		}
+		select {
+		case <-grown:
+		case <-timeout.C:
+			return page, true
+		case <-ctx.Done():
+			return page, true
+		}
+	}
+}
+
+func (logservice *LogService) page(name string, from uint64) (platform.Page, <-chan struct{}, bool) {
+	logservice.mu.Lock()
+	defer logservice.mu.Unlock()
+	if logservice.faults.Outage {
+		return platform.Page{}, nil, false
+	}
+	stream := logservice.stream(name)
+	stream.expire(time.Now().Add(-logservice.settings.Retention))
+	page := platform.Page{First: stream.first, Next: stream.next()}
+	for offset := max(from, stream.first); offset < stream.next() && len(page.Entries) < maxPage; offset++ {
+		data := stream.entries[offset-stream.first].data
+		page.Entries = append(page.Entries, platform.Entry{Offset: offset, Data: data})
+	}
+	return page, stream.grown, true
+}
+
+func (logservice *LogService) add(name string, data []byte) {
+	logservice.mu.Lock()
+	defer logservice.mu.Unlock()
+	logservice.addLocked(name, data)
+}
+
+func (logservice *LogService) addLocked(name string, data []byte) {
+	stream := logservice.stream(name)
+	stream.entries = append(stream.entries, entry{data: data, appended: time.Now()})
+	close(stream.grown)
+	stream.grown = make(chan struct{})
+}
+
+func (logservice *LogService) stream(name string) *stream {
+	found, ok := logservice.streams[name]
+	if !ok {
+		found = &stream{grown: make(chan struct{})}
+		logservice.streams[name] = found
+	}
+	return found
+}
+
+func (stream *stream) next() uint64 {
+	return stream.first + uint64(len(stream.entries))
+}
+
+func (stream *stream) expire(before time.Time) {
+	for len(stream.entries) > 0 && stream.entries[0].appended.Before(before) {
+		stream.entries = stream.entries[1:]
+		stream.first++
+	}
+}
+
+func (logservice *LogService) handleAppend(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxEntryBytes))
+	if err != nil {
+		http.Error(w, "entry too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	if !logservice.Append(r.Context(), mux.Vars(r)["stream"], data) {
+		http.Error(w, "log unavailable", http.StatusServiceUnavailable)
+	}
+}
+
+func (logservice *LogService) handleRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from: must be an offset", http.StatusBadRequest)
+		return
+	}
+	milliseconds, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+	wait := min(time.Duration(milliseconds)*time.Millisecond, maxWait)
+	page, ok := logservice.Read(r.Context(), mux.Vars(r)["stream"], from, wait)
+	if !ok {
+		http.Error(w, "log unavailable", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(page)
+}
+
+func sleep(ctx context.Context, duration time.Duration) bool {
+	if duration <= 0 {
+		return true
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,276 @@
+// Package standin runs small stand-ins for the platform and for backend
+// servers in one process, with faults that can be switched at run time.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+
+	"github.com/mastwinch/mastwinch/internal/backend"
+	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/standin/engine"
+	"github.com/mastwinch/mastwinch/internal/standin/execution"
+	"github.com/mastwinch/mastwinch/internal/standin/logservice"
+	"github.com/mastwinch/mastwinch/internal/standin/service"
+	"github.com/mastwinch/mastwinch/internal/standin/vmlist"
+	"github.com/mastwinch/mastwinch/internal/standin/weights"
+)
+
+// Probing of the system's VMs for the VM list.
+const (
+	probeInterval = 500 * time.Millisecond
+	probeTimeout  = 2 * time.Second
+)
+
+// Standin is all stand-ins of one process.
+type Standin struct {
+	settings   Settings
+	logger     *slog.Logger
+	executions *execution.Log
+	log        *logservice.LogService
+	vms        *vmlist.VMList
+	weights    *weights.Store
+	// servers has all backend servers, dead ones too.
+	servers map[string]*server
+}
+
+// New returns the stand-ins that settings describe, not yet started.
+func New(settings Settings, logger *slog.Logger) *Standin {
+	standin := &Standin{
+		settings:   settings,
+		logger:     logger,
+		executions: execution.New(),
+		log:        logservice.New(settings.Log),
+		weights:    weights.New(settings.Weights.BytesPerSecond, settings.Weights.Sizes),
+		servers:    make(map[string]*server),
+	}
+	host, _, _ := net.SplitHostPort(settings.Address)
+	for _, group := range settings.Engines {
+		standin.addEngines(host, group)
+	}
+	for _, group := range settings.Services {
+		standin.addServices(host, group)
+	}
+	vms := make([]platform.VM, 0, len(standin.servers))
+	for _, server := range standin.servers {
+		vms = append(vms, server.vm)
+	}
+	standin.vms = vmlist.New(settings.VMList.Lag, vms)
+	return standin
+}
+
+func (standin *Standin) addEngines(host string, group EngineGroup) {
+	for i := range group.Count {
+		vm := platform.VM{
+			ID:            fmt.Sprintf("%s-%02d", group.Name, i),
+			Address:       net.JoinHostPort(host, strconv.Itoa(group.FirstPort+i)),
+			DataCentre:    group.DataCentre,
+			Kind:          platform.KindEngine,
+			Models:        group.Models,
+			ChecksFencing: group.ChecksFencing,
+			MemoryTokens:  uint64(standin.settings.Engine.MemoryTokens), //nolint:gosec // checked to be positive
+		}
+		standin.servers[vm.ID] = &server{vm: vm, build: func() parts {
+			return parts{engine: engine.New(
+				vm.ID, vm.Models, vm.ChecksFencing, standin.settings.Engine, standin.executions, standin.engine,
+			)}
+		}}
+	}
+}
+
+func (standin *Standin) addServices(host string, group ServiceGroup) {
+	for i := range group.Count {
+		vm := platform.VM{
+			ID:            fmt.Sprintf("%s-%02d", group.Name, i),
+			Address:       net.JoinHostPort(host, strconv.Itoa(group.FirstPort+i)),
+			DataCentre:    group.DataCentre,
+			Kind:          platform.KindService,
+			Models:        []string{group.Service},
+			ChecksFencing: group.ChecksFencing,
+		}
+		standin.servers[vm.ID] = &server{vm: vm, build: func() parts {
+			return parts{service: service.New(vm.ID, vm.ChecksFencing, group.Duration, standin.executions)}
+		}}
+	}
+}
+
+func (standin *Standin) engine(id string) *engine.Engine {
+	server := standin.servers[id]
+	if server == nil {
+		return nil
+	}
+	return server.engine()
+}
+
+// Run serves until ctx is done.
+func (standin *Standin) Run(ctx context.Context) error {
+	for _, server := range standin.servers {
+		err := server.start()
+		if err != nil {
+			return err
+		}
+		defer server.kill()
+	}
+	for _, vm := range standin.settings.SystemVMs {
+		go standin.probe(ctx, vm)
+	}
+	http := &http.Server{Addr: standin.settings.Address, Handler: standin.Handler()} //nolint:gosec // a stand-in, on loopback
+	stop := context.AfterFunc(ctx, func() { _ = http.Close() })
+	defer stop()
+	standin.logger.Info("stand-ins serve", "address", standin.settings.Address, "backend_servers", len(standin.servers))
+	err := http.ListenAndServe()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrap(err, "stand-ins")
+}
+
+// Handler returns the HTTP interface of the platform, and of the faults.
+func (standin *Standin) Handler() http.Handler {
+	router := mux.NewRouter()
+	standin.log.Register(router)
+	standin.vms.Register(router)
+	standin.weights.Register(router)
+	router.HandleFunc("/admin/faults", standin.handleFaults).Methods(http.MethodPost)
+	router.HandleFunc("/admin/executions", standin.handleExecutions).Methods(http.MethodGet)
+	router.HandleFunc("/admin/loads", standin.handleLoads).Methods(http.MethodGet)
+	return router
+}
+
+// probe keeps the VM in the list while its entry answers.
+func (standin *Standin) probe(ctx context.Context, vm SystemVM) {
+	client := &http.Client{Timeout: probeTimeout}
+	listed := false
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		alive := answers(ctx, client, "http://"+vm.Address+"/healthz")
+		switch {
+		case alive && !listed:
+			standin.vms.Put(platform.VM{
+				ID:            vm.ID,
+				Address:       vm.Address,
+				DataCentre:    vm.DataCentre,
+				Kind:          platform.KindSystem,
+				KeeperAddress: vm.KeeperAddress,
+			})
+		case !alive && listed:
+			standin.vms.Remove(vm.ID)
+		}
+		listed = alive
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func answers(ctx context.Context, client *http.Client, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (standin *Standin) handleFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&faults)
+	if err == nil {
+		err = standin.apply(faults)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	standin.logger.Info("faults changed", "faults", faults)
+}
+
+func (standin *Standin) apply(faults Faults) error {
+	if faults.Log != nil {
+		standin.log.SetFaults(*faults.Log)
+	}
+	if faults.VMList != nil {
+		standin.vms.SetFaults(*faults.VMList)
+	}
+	for id, fault := range faults.Engine {
+		if engine := standin.engine(id); engine != nil {
+			engine.SetFaults(fault)
+		}
+	}
+	for id, fault := range faults.Service {
+		if server := standin.servers[id]; server != nil && server.service() != nil {
+			server.service().SetFaults(fault)
+		}
+	}
+	return errors.CombineErrors(
+		standin.each(faults.Kill, standin.kill),
+		errors.CombineErrors(
+			standin.each(faults.Start, standin.start),
+			standin.each(faults.Leave, standin.leave),
+		),
+	)
+}
+
+func (standin *Standin) each(ids []string, apply func(*server) error) error {
+	for _, id := range ids {
+		server := standin.servers[id]
+		if server == nil {
+			return errors.Newf("no backend server %q", id)
+		}
+		err := apply(server)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (standin *Standin) kill(server *server) error {
+	server.kill()
+	standin.vms.Remove(server.vm.ID)
+	return nil
+}
+
+func (standin *Standin) start(server *server) error {
+	standin.vms.Put(server.vm)
+	return server.start()
+}
+
+func (standin *Standin) leave(server *server) error {
+	server.leave()
+	standin.vms.Leave(server.vm.ID)
+	return nil
+}
+
+func (standin *Standin) handleExecutions(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(standin.executions.All())
+}
+
+// handleLoads shows the true load of all engines, without the lag.
+func (standin *Standin) handleLoads(w http.ResponseWriter, _ *http.Request) {
+	loads := make(map[string]backend.Load)
+	for id := range standin.servers {
+		if engine := standin.engine(id); engine != nil {
+			loads[id] = engine.Truth()
+		}
+	}
+	_ = json.NewEncoder(w).Encode(loads)
+}
