--- /dev/null
+++ b/internal/entry/active.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/mastwinch/mastwinch/internal/relay"
+	"github.com/mastwinch/mastwinch/internal/request"
+)
+
+// active is a request that this entry answers for, or the answer of which it
+// keeps.
+type active struct {
+	request request.Request
+	buffer  *relay.Buffer
+	// deadline is when the outcome must have been told.
+	deadline time.Time
+	cancel   context.CancelCauseFunc
+}
+
+// registry has the running and the recently ended requests.
+type registry struct {
+	mu      sync.Mutex
+	running map[string]*active
+	// ended drops the oldest when it is full.
+	ended *simplelru.LRU[string, *active]
+}
+
+func newRegistry(maxEnded int) *registry {
+	ended, err := simplelru.NewLRU[string, *active](maxEnded, nil)
+	if err != nil {
+		panic(err) // only for a size below one
+	}
+	return &registry{
+		running: make(map[string]*active),
+		ended:   ended,
+	}
+}
+
+func (registry *registry) add(active *active) {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	registry.running[active.request.ID] = active
+}
+
+// addOnce adds active unless there is a request with its ID, and returns the
+// one that is there then.
+func (registry *registry) addOnce(added *active) (*active, bool) {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	if found := registry.get(added.request.ID); found != nil {
+		return found, false
+	}
+	registry.running[added.request.ID] = added
+	return added, true
+}
+
+func (registry *registry) find(id string) *active {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	return registry.get(id)
+}
+
+func (registry *registry) get(id string) *active {
+	if found, ok := registry.running[id]; ok {
+		return found
+	}
+	found, _ := registry.ended.Get(id)
+	return found
+}
+
+// end keeps the answer of a request that has ended, but not its prompt.
+func (registry *registry) end(ended *active) {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	delete(registry.running, ended.request.ID)
+	kept := *ended
+	kept.request = ended.request.WithoutBody()
+	registry.ended.Add(ended.request.ID, &kept)
+}
+
+func (registry *registry) list() []*active {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	list := make([]*active, 0, len(registry.running))
+	for _, active := range registry.running {
+		list = append(list, active)
+	}
+	return list
+}
+
+func (registry *registry) len() int {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	return len(registry.running)
+}
+
+// forget drops what ended before that time.
+func (registry *registry) forget(before time.Time) {
+	registry.mu.Lock()
+	defer registry.mu.Unlock()
+	for {
+		_, oldest, ok := registry.ended.GetOldest()
+		if !ok || !oldest.buffer.EndedBefore(before) {
+			return
+		}
+		registry.ended.RemoveOldest()
+	}
+}
--- /dev/null
+++ b/internal/entry/admin.go
@@ -0,0 +1,209 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+
+	"github.com/mastwinch/mastwinch/internal/configuration"
+	"github.com/mastwinch/mastwinch/internal/fleet"
+	"github.com/mastwinch/mastwinch/internal/fold"
+	"github.com/mastwinch/mastwinch/internal/session"
+	"github.com/mastwinch/mastwinch/internal/state"
+	"github.com/mastwinch/mastwinch/internal/wire"
+)
+
+// adminTime is how long an operator waits for the log.
+const adminTime = 10 * time.Second
+
+// Organisation is an organisation in the operators' interface.
+type Organisation struct {
+	Name          string `json:"name"`
+	Weight        uint32 `json:"weight"`
+	MaxConcurrent uint32 `json:"max_concurrent"`
+	Version       uint64 `json:"version"`
+}
+
+// Session is a session in the operators' interface.
+type Session struct {
+	ID           string `json:"id"`
+	Organisation string `json:"organisation"`
+	Version      uint64 `json:"version"`
+}
+
+// EntryStatus is what an entry says of itself.
+type EntryStatus struct {
+	VM                   string            `json:"vm"`
+	Incarnation          string            `json:"incarnation"`
+	Stopping             bool              `json:"stopping"`
+	KeeperConnected      bool              `json:"keeper_connected"`
+	NextOffset           uint64            `json:"next_offset"`
+	ConfigurationVersion uint64            `json:"configuration_version"`
+	Keys                 int               `json:"keys"`
+	Running              int               `json:"running"`
+	Listed               []fleet.KindCount `json:"listed"`
+}
+
+// Change is the answer to a change of the configuration.
+type Change struct {
+	Accepted bool   `json:"accepted"`
+	Reason   string `json:"reason,omitempty"`
+	Version  uint64 `json:"version,omitempty"`
+}
+
+func (entry *Entry) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	status := EntryStatus{
+		VM:              entry.settings.VM,
+		Incarnation:     entry.incarnation,
+		Stopping:        entry.stopping.Load(),
+		KeeperConnected: entry.proposer.Connected(),
+		Running:         entry.registry.len(),
+		Listed:          entry.fleet.Counts(),
+	}
+	entry.replica.View(func(state *state.State) {
+		status.NextOffset = state.Next
+		status.ConfigurationVersion = uint64(state.Configuration.Version())
+		status.Keys = state.Ledger.Len()
+	})
+	writeJSON(w, http.StatusOK, status)
+}
+
+func (entry *Entry) handleListOrganisations(w http.ResponseWriter, _ *http.Request) {
+	var organisations []configuration.Organisation
+	entry.replica.View(func(state *state.State) { organisations = state.Configuration.Organisations() })
+	list := make([]Organisation, 0, len(organisations))
+	for _, organisation := range organisations {
+		list = append(list, Organisation{
+			Name:          organisation.Name,
+			Weight:        organisation.Weight,
+			MaxConcurrent: organisation.MaxConcurrent,
+			Version:       uint64(organisation.Version),
+		})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (entry *Entry) handlePutOrganisation(w http.ResponseWriter, r *http.Request) {
+	var put Organisation
+	if !entry.readBody(w, r, &put) {
+		return
+	}
+	name := mux.Vars(r)["name"]
+	switch {
+	case len(name) > entry.settings.Limits.MaxNameLength:
+		writeProblem(w, http.StatusBadRequest, "name", "is too long")
+		return
+	case put.Weight == 0:
+		writeProblem(w, http.StatusBadRequest, "weight", "must be at least 1")
+		return
+	case put.MaxConcurrent == 0:
+		writeProblem(w, http.StatusBadRequest, "max_concurrent", "must be at least 1")
+		return
+	}
+	entry.change(w, r, &wire.Record{Body: &wire.Record_PutOrganisation{PutOrganisation: &wire.PutOrganisation{
+		Organisation:    &wire.Organisation{Name: name, Weight: put.Weight, MaxConcurrent: put.MaxConcurrent},
+		ExpectedVersion: put.Version,
+	}}})
+}
+
+func (entry *Entry) handleRemoveOrganisation(w http.ResponseWriter, r *http.Request) {
+	version, ok := expectedVersion(w, r)
+	if !ok {
+		return
+	}
+	entry.change(w, r, &wire.Record{Body: &wire.Record_RemoveOrganisation{RemoveOrganisation: &wire.RemoveOrganisation{
+		Name:            mux.Vars(r)["name"],
+		ExpectedVersion: version,
+	}}})
+}
+
+func (entry *Entry) handleListSessions(w http.ResponseWriter, _ *http.Request) {
+	var sessions []session.Session
+	entry.replica.View(func(state *state.State) { sessions = state.Sessions.All() })
+	list := make([]Session, 0, len(sessions))
+	for _, session := range sessions {
+		list = append(list, Session{
+			ID:           session.ID,
+			Organisation: session.Organisation,
+			Version:      uint64(session.Version),
+		})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (entry *Entry) handleCreateSession(w http.ResponseWriter, r *http.Request) {
+	var created Session
+	if !entry.readBody(w, r, &created) {
+		return
+	}
+	var known bool
+	entry.replica.View(func(state *state.State) {
+		_, known = state.Configuration.Organisation(created.Organisation)
+	})
+	if !known {
+		writeProblem(w, http.StatusBadRequest, "organisation", "is not known")
+		return
+	}
+	entry.change(w, r, &wire.Record{Body: &wire.Record_CreateSession{CreateSession: &wire.CreateSession{
+		SessionId:    mux.Vars(r)["id"],
+		Organisation: created.Organisation,
+	}}})
+}
+
+func (entry *Entry) handleEndSession(w http.ResponseWriter, r *http.Request) {
+	version, ok := expectedVersion(w, r)
+	if !ok {
+		return
+	}
+	entry.change(w, r, &wire.Record{Body: &wire.Record_EndSession{EndSession: &wire.EndSession{
+		SessionId:       mux.Vars(r)["id"],
+		ExpectedVersion: version,
+	}}})
+}
+
+func expectedVersion(w http.ResponseWriter, r *http.Request) (uint64, bool) {
+	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, "version", "must be the version that is to be changed")
+		return 0, false
+	}
+	return version, true
+}
+
+// change proposes a record, and answers with the verdict that was read back.
+func (entry *Entry) change(w http.ResponseWriter, r *http.Request, record *wire.Record) {
+	record.Id = "change/" + uuid.NewString()
+	ctx, cancel := context.WithTimeout(r.Context(), adminTime)
+	defer cancel()
+	verdict, err := entry.proposer.Propose(ctx, record)
+	if err != nil {
+		w.Header().Set(headerRetry, "1")
+		writeJSON(w, http.StatusServiceUnavailable, Change{
+			Reason: "the log gave no answer in time; the change may still be made: look before trying again",
+		})
+		return
+	}
+	answer := Change{
+		Accepted: verdict.Accepted,
+		Reason:   string(verdict.Reason),
+		Version:  uint64(verdict.Version),
+	}
+	entry.logger.Info("change decided", "record_id", record.GetId(), "accepted", verdict.Accepted, "reason", verdict.Reason)
+	writeJSON(w, changeStatus(verdict), answer)
+}
+
+func changeStatus(verdict fold.Verdict) int {
+	switch {
+	case verdict.Accepted:
+		return http.StatusOK
+	case verdict.Reason == fold.ReasonNotFound:
+		return http.StatusNotFound
+	default:
+		return http.StatusConflict
+	}
+}
+
--- /dev/null
+++ b/internal/entry/api.go
@@ -0,0 +1,270 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/mastwinch/mastwinch/internal/configuration"
+	"github.com/mastwinch/mastwinch/internal/request"
+	"github.com/mastwinch/mastwinch/internal/state"
+)
+
+// Headers of the callers' interface.
+const (
+	HeaderOrganisation = "Mastwinch-Organisation"
+	HeaderRequestID    = "Mastwinch-Request-Id"
+	// HeaderForwarded is set by an entry that asks another one for a caller.
+	HeaderForwarded = "Mastwinch-Forwarded"
+	headerEventID   = "Last-Event-ID"
+	headerRetry     = "Retry-After"
+)
+
+// Problem is the body of an answer that says what is wrong with a call.
+type Problem struct {
+	Error  string               `json:"error"`
+	Fields []request.FieldError `json:"fields,omitempty"`
+}
+
+// Status is the body of an answer about one request.
+type Status struct {
+	RequestID string `json:"request_id"`
+	// Running says that there is no outcome yet.
+	Running bool           `json:"running"`
+	Outcome request.Kind   `json:"outcome,omitempty"`
+	Reason  request.Reason `json:"reason,omitempty"`
+	// RetryAfterMS is when to come back, if that is worth it.
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+	Tokens       int   `json:"tokens"`
+	// Text is the answer so far, if AnswerAvailable.
+	Text string `json:"text,omitempty"`
+	// AnswerAvailable says that the answer is held from its first token on.
+	AnswerAvailable bool `json:"answer_available"`
+	// Duplicate says that the key was submitted before, and that this is
+	// about the request that runs or ran for it.
+	Duplicate bool `json:"duplicate,omitempty"`
+}
+
+// Handler returns the HTTP interface for callers, operators and the platform.
+func (entry *Entry) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/requests", entry.handleSubmit).Methods(http.MethodPost)
+	router.HandleFunc("/v1/requests/{id}", entry.handleFetch).Methods(http.MethodGet)
+	router.HandleFunc("/v1/requests/{id}", entry.handleCancel).Methods(http.MethodDelete)
+	router.HandleFunc("/v1/requests/{id}/stream", entry.handleResume).Methods(http.MethodGet)
+	router.HandleFunc("/v1/services/{service}", entry.handleCall).Methods(http.MethodPost)
+	router.HandleFunc("/v1/admin/organisations", entry.handleListOrganisations).Methods(http.MethodGet)
+	router.HandleFunc("/v1/admin/organisations/{name}", entry.handlePutOrganisation).Methods(http.MethodPut)
+	router.HandleFunc("/v1/admin/organisations/{name}", entry.handleRemoveOrganisation).Methods(http.MethodDelete)
+	router.HandleFunc("/v1/admin/sessions", entry.handleListSessions).Methods(http.MethodGet)
+	router.HandleFunc("/v1/admin/sessions/{id}", entry.handleCreateSession).Methods(http.MethodPut)
+	router.HandleFunc("/v1/admin/sessions/{id}", entry.handleEndSession).Methods(http.MethodDelete)
+	router.HandleFunc("/v1/admin/status", entry.handleStatus).Methods(http.MethodGet)
+	router.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
+	router.HandleFunc("/readyz", entry.handleReady)
+	router.Handle("/metrics", promhttp.HandlerFor(entry.prometheus, promhttp.HandlerOpts{}))
+	return router
+}
+
+func (entry *Entry) handleReady(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case entry.stopping.Load():
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+	case len(entry.fleet.Engines()) == 0:
+		http.Error(w, "no backend servers known yet", http.StatusServiceUnavailable)
+	}
+}
+
+func (entry *Entry) handleSubmit(w http.ResponseWriter, r *http.Request) {
+	organisation, ok := entry.organisation(w, r)
+	if !ok {
+		return
+	}
+	var submission request.Submission
+	if !entry.readBody(w, r, &submission) {
+		return
+	}
+	submitted, problems := request.New(entry.settings.VM, organisation.Name, submission, entry.settings.Limits, entry.now())
+	problems = append(problems, entry.checkSession(submitted)...)
+	entry.submit(w, r, organisation, submitted, problems)
+}
+
+func (entry *Entry) handleCall(w http.ResponseWriter, r *http.Request) {
+	organisation, ok := entry.organisation(w, r)
+	if !ok {
+		return
+	}
+	var call request.Call
+	if !entry.readBody(w, r, &call) {
+		return
+	}
+	submitted, problems := request.NewCall(
+		entry.settings.VM, organisation.Name, mux.Vars(r)["service"], call, entry.settings.Limits, entry.now())
+	entry.submit(w, r, organisation, submitted, problems)
+}
+
+// submit admits a checked request and answers it.
+func (entry *Entry) submit(
+	w http.ResponseWriter, r *http.Request,
+	organisation configuration.Organisation, submitted request.Request, problems []request.FieldError,
+) {
+	if len(problems) > 0 {
+		writeJSON(w, http.StatusBadRequest, Problem{Error: "invalid request", Fields: problems})
+		return
+	}
+	w.Header().Set(HeaderRequestID, submitted.ID)
+	if !submitted.Repeatable {
+		if earlier, ok := entry.earlier(submitted.Key); ok {
+			entry.answerDuplicate(w, submitted, earlier)
+			return
+		}
+	}
+	if entry.closed.Load() {
+		entry.refuse(w, submitted, request.ReasonStopping)
+		return
+	}
+	release, reason := entry.admission.admit(organisation, int64(len(submitted.Body)))
+	if reason != request.ReasonNone {
+		entry.refuse(w, submitted, reason)
+		return
+	}
+	started := entry.start(submitted, release)
+	switch {
+	case submitted.Mode == request.ModeDeferred:
+		w.Header().Set("Location", "/v1/requests/"+submitted.ID)
+		writeJSON(w, http.StatusAccepted, Status{RequestID: submitted.ID, Running: true})
+	case submitted.Service:
+		entry.answerCall(w, r, started)
+	default:
+		entry.answerStream(w, r, started, 0)
+	}
+}
+
+// refuse answers a request that is not admitted.
+func (entry *Entry) refuse(w http.ResponseWriter, refused request.Request, reason request.Reason) {
+	entry.metrics.refusals.WithLabelValues(string(reason)).Inc()
+	entry.logger.Info("refused", "request_id", refused.ID, "organisation", refused.Organisation, "reason", reason)
+	outcome := request.NotRun(reason, entry.settings.Admission.RetryAfter)
+	writeOutcome(w, Status{RequestID: refused.ID}, outcome)
+}
+
+// organisation returns the organisation that the caller names.
+func (entry *Entry) organisation(w http.ResponseWriter, r *http.Request) (configuration.Organisation, bool) {
+	name := r.Header.Get(HeaderOrganisation)
+	var organisation configuration.Organisation
+	var ok bool
+	entry.replica.View(func(state *state.State) {
+		organisation, ok = state.Configuration.Organisation(name)
+	})
+	if !ok {
+		writeProblem(w, http.StatusForbidden, HeaderOrganisation, fmt.Sprintf("organisation %q is not known", name))
+	}
+	return organisation, ok
+}
+
+func (entry *Entry) checkSession(submitted request.Request) []request.FieldError {
+	if submitted.Session == "" {
+		return nil
+	}
+	var owner string
+	entry.replica.View(func(state *state.State) {
+		session, _ := state.Sessions.Get(submitted.Session)
+		owner = session.Organisation
+	})
+	if owner == submitted.Organisation {
+		return nil
+	}
+	return []request.FieldError{{
+		Field:   "session",
+		Problem: fmt.Sprintf("no session %q of this organisation", submitted.Session),
+	}}
+}
+
+// readBody reads a body of JSON, or answers what is wrong with it.
+func (entry *Entry) readBody(w http.ResponseWriter, r *http.Request, value any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, entry.settings.Limits.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		writeProblem(w, http.StatusRequestEntityTooLarge, "(body)",
+			fmt.Sprintf("must have at most %d bytes", entry.settings.Limits.MaxBodyBytes))
+		return false
+	}
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, "(body)", "could not be read")
+		return false
+	}
+	err = json.Unmarshal(body, value)
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		writeProblem(w, http.StatusBadRequest, wrongType.Field, "must be "+wrongType.Type.String()+", is "+wrongType.Value)
+		return false
+	}
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, "(body)", "must be JSON: "+err.Error())
+		return false
+	}
+	return true
+}
+
+// statusCode maps an outcome to HTTP, for answers that are not streams.
+func statusCode(outcome request.Outcome) int {
+	switch {
+	case outcome.Kind == request.KindCompleted:
+		return http.StatusOK
+	case outcome.Kind == request.KindFailedMayHaveRun:
+		return http.StatusBadGateway
+	}
+	switch outcome.Reason {
+	case request.ReasonKeyConflict, request.ReasonKeyContent, request.ReasonKeyExpired:
+		return http.StatusConflict
+	case request.ReasonTooLong:
+		return http.StatusRequestEntityTooLarge
+	case request.ReasonOrganisation:
+		return http.StatusTooManyRequests
+	case request.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func writeOutcome(w http.ResponseWriter, status Status, outcome request.Outcome) {
+	setRetryAfter(w.Header(), outcome.RetryAfter)
+	writeJSON(w, statusCode(outcome), withOutcome(status, outcome))
+}
+
+func withOutcome(status Status, outcome request.Outcome) Status {
+	status.Running = false
+	status.Outcome = outcome.Kind
+	status.Reason = outcome.Reason
+	status.RetryAfterMS = outcome.RetryAfter.Milliseconds()
+	return status
+}
+
+// setRetryAfter states whole seconds, rounded up, as HTTP has it.
+func setRetryAfter(header http.Header, after time.Duration) {
+	if after > 0 {
+		header.Set(headerRetry, strconv.Itoa(int(math.Ceil(after.Seconds()))))
+	}
+}
+
+func writeProblem(w http.ResponseWriter, status int, field, problem string) {
+	writeJSON(w, status, Problem{
+		Error:  "invalid request",
+		Fields: []request.FieldError{{Field: field, Problem: problem}},
+	})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,226 @@
+// Package entry is the side of the system that callers see: it admits
+// requests, routes them to backend servers, relays the answers and answers for
+// the outcome of each.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mastwinch/mastwinch/internal/backend"
+	"github.com/mastwinch/mastwinch/internal/fleet"
+	"github.com/mastwinch/mastwinch/internal/fold"
+	"github.com/mastwinch/mastwinch/internal/keeperclient"
+	"github.com/mastwinch/mastwinch/internal/link"
+	"github.com/mastwinch/mastwinch/internal/replica"
+	"github.com/mastwinch/mastwinch/internal/routing"
+	"github.com/mastwinch/mastwinch/internal/wire"
+)
+
+// Bounds of the HTTP server.
+const (
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+	shutdownTime   = 5 * time.Second
+	janitorTick    = 250 * time.Millisecond
+)
+
+// Backends is what an entry uses of backend servers.
+type Backends interface {
+	backend.Engine
+	backend.Service
+}
+
+// Proposer puts records on the log.
+type Proposer interface {
+	// Propose returns the verdict that was read back, or
+	// keeperclient.ErrUnsettled when ctx ends first.
+	Propose(ctx context.Context, record *wire.Record) (fold.Verdict, error)
+	Connected() bool
+}
+
+// Entry is one entry process.
+type Entry struct {
+	settings Settings
+	// incarnation is unique to this run of the process.
+	incarnation string
+	backends    Backends
+	replica     *replica.Replica
+	fleet       *fleet.Fleet
+	proposer    Proposer
+	policy      routing.Policy
+	admission   *admission
+	retries     *retryBudget
+	registry    *registry
+	metrics     *metrics
+	prometheus  *prometheus.Registry
+	logger      *slog.Logger
+	now         func() time.Time
+	peers       *http.Client
+
+	// stopping says that the entry is not ready any more.
+	stopping atomic.Bool
+	// closed says that it takes nothing new.
+	closed atomic.Bool
+	// background counts goroutines that outlive the request they serve.
+	background sync.WaitGroup
+	// life is done when the process ends.
+	life context.Context //nolint:containedctx // requests outlive the calls that make them
+	end  context.CancelFunc
+}
+
+// New returns an entry with its own connection to keepers.
+func New(settings Settings, backends Backends, logger *slog.Logger) (*Entry, *keeperclient.Client, error) {
+	credentials, err := link.NewCredentials(settings.Secret)
+	if err != nil {
+		return nil, nil, err
+	}
+	replica := replica.New()
+	fleet := fleet.New(settings.Fleet, time.Now)
+	client := keeperclient.New(settings.VM, settings.Keepers, credentials,
+		link.Options{PlainDatagrams: settings.PlainDatagrams}, replica, fleet, logger)
+	return NewWith(settings, backends, replica, fleet, client, logger), client, nil
+}
+
+// NewWith returns an entry that uses the given state and proposer.
+func NewWith(
+	settings Settings, backends Backends, replica *replica.Replica, fleet *fleet.Fleet,
+	proposer Proposer, logger *slog.Logger,
+) *Entry {
+	life, end := context.WithCancel(context.Background())
+	registry := newRegistry(settings.Relay.MaxEnded)
+	prometheus := prometheus.NewRegistry()
+	return &Entry{
+		settings:    settings,
+		incarnation: settings.VM + "/" + uuid.NewString(),
+		backends:    backends,
+		replica:     replica,
+		fleet:       fleet,
+		proposer:    proposer,
+		policy:      newPolicy(settings.Routing),
+		admission:   newAdmission(settings.Admission),
+		retries:     newRetryBudget(settings.Retry.Ratio, settings.Retry.Burst),
+		registry:    registry,
+		metrics:     newMetrics(prometheus, registry.len, replica.Next),
+		prometheus:  prometheus,
+		logger:      logger,
+		now:         time.Now,
+		peers:       &http.Client{},
+		life:        life,
+		end:         end,
+	}
+}
+
+// Run serves callers until ctx is done, and then until the requests in
+// progress have ended or the drain time is over.
+func (entry *Entry) Run(ctx context.Context, follow func(context.Context)) error {
+	defer entry.end()
+	server := &http.Server{
+		Addr:              entry.settings.Address,
+		Handler:           entry.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	group := &errgroup.Group{}
+	group.Go(func() error {
+		follow(entry.life)
+		return nil
+	})
+	group.Go(func() error {
+		entry.clean(entry.life)
+		return nil
+	})
+	group.Go(func() error {
+		err := server.ListenAndServe()
+		entry.end()
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return errors.Wrap(err, "entry")
+	})
+	stop := context.AfterFunc(ctx, func() { entry.drain(server) })
+	defer stop()
+	entry.logger.Info("entry serves", "vm", entry.settings.VM, "address", entry.settings.Address,
+		"incarnation", entry.incarnation, "policy", entry.settings.Routing.Policy)
+	return group.Wait()
+}
+
+// drain says that the entry is not ready, waits for the balancer to notice,
+// takes nothing new, and stops when all requests have ended.
+func (entry *Entry) drain(server *http.Server) {
+	entry.stopping.Store(true)
+	entry.logger.Info("entry drains", "running", entry.registry.len())
+	pause(entry.life, entry.settings.Admission.DrainNotice)
+	entry.closed.Store(true)
+	deadline := entry.now().Add(entry.settings.Admission.DrainTime)
+	for entry.registry.len() > 0 && entry.now().Before(deadline) {
+		pause(entry.life, janitorTick)
+	}
+	entry.waitBackground(shutdownTime)
+	entry.logger.Info("entry stops", "running", entry.registry.len())
+	stopping, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	defer cancel()
+	_ = server.Shutdown(stopping)
+	_ = server.Close()
+}
+
+func (entry *Entry) waitBackground(limit time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		entry.background.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(limit):
+	}
+}
+
+// clean cancels requests that no caller reads, and forgets old answers.
+func (entry *Entry) clean(ctx context.Context) {
+	ticker := time.NewTicker(janitorTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			entry.cleanOnce(entry.now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (entry *Entry) cleanOnce(now time.Time) {
+	for _, active := range entry.registry.list() {
+		if active.mayBeDropped() && active.buffer.Unread(now.Add(-entry.settings.Relay.DetachGrace)) {
+			active.cancel(errCallerGone)
+		}
+	}
+	entry.registry.forget(now.Add(-entry.settings.Relay.KeepEnded))
+}
+
+// random returns a number generator for one decision.
+func (entry *Entry) random() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // no secret
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,463 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastwinch/mastwinch/internal/backend"
+	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/relay"
+	"github.com/mastwinch/mastwinch/internal/request"
+	"github.com/mastwinch/mastwinch/internal/routing"
+)
+
+// Causes for which a request is cut short.
+var (
+	errCancelled  = errors.New("cancelled by the caller")
+	errCallerGone = errors.New("no caller reads the answer")
+)
+
+// Part of the stated time that is kept for telling the outcome.
+const (
+	marginPart = 20
+	marginMin  = 10 * time.Millisecond
+	marginMax  = 200 * time.Millisecond
+)
+
+// Opening a stream again after a cut to the engine.
+const (
+	reopenTries = 2
+	reopenPause = 50 * time.Millisecond
+	orderTime   = 2 * time.Second
+)
+
+// run is the life of one request, from admission to outcome. It is used by
+// one goroutine.
+type run struct {
+	*active
+
+	entry *Entry
+	// fence is the token of the right to dispatch, for a request with a key.
+	fence uint64
+	// attempts counts the dispatches so far.
+	attempts int
+	// tried has the servers that failed since there was last any choice.
+	tried []string
+	// mayHaveRun says that a server may have run the request, in part or
+	// whole. It never goes back to false.
+	mayHaveRun bool
+}
+
+// margin is how long before its time is over a request gets its outcome.
+func margin(stated time.Duration) time.Duration {
+	return min(max(stated/marginPart, marginMin), marginMax)
+}
+
+// start runs an admitted request. release is called once it has ended.
+func (entry *Entry) start(admitted request.Request, release func()) *active {
+	now := entry.now()
+	deadline := now.Add(admitted.Time)
+	cancellable, cancel := context.WithCancelCause(entry.life)
+	ctx, stop := context.WithDeadline(cancellable, deadline.Add(-margin(admitted.Time)))
+	started := &active{
+		request:  admitted,
+		buffer:   relay.NewBuffer(0, now),
+		deadline: deadline,
+		cancel:   cancel,
+	}
+	entry.retries.earn()
+	entry.registry.add(started)
+	entry.background.Go(func() {
+		defer cancel(nil)
+		defer stop()
+		defer release()
+		run := &run{active: started, entry: entry}
+		entry.settle(started, run.execute(ctx))
+	})
+	return started
+}
+
+// settle tells the outcome to the callers and keeps the answer.
+func (entry *Entry) settle(ended *active, outcome request.Outcome) {
+	ended.buffer.End(outcome, entry.now())
+	entry.registry.end(ended)
+	entry.metrics.end(outcome)
+	if !ended.request.Repeatable {
+		entry.recordFinish(ended.request, outcome)
+	}
+	entry.logger.Info("ended", "request_id", ended.request.ID, "outcome", outcome.Kind,
+		"reason", outcome.Reason, "tokens", ended.buffer.Next())
+}
+
+// execute dispatches the request until it has an outcome.
+func (run *run) execute(ctx context.Context) request.Outcome {
+	if !run.request.Repeatable {
+		outcome, granted := run.begin(ctx)
+		if !granted {
+			return outcome
+		}
+	}
+	for {
+		if ctx.Err() != nil {
+			return run.interrupted(ctx)
+		}
+		decision := run.decide()
+		if decision.Refusal != routing.RefusalNone {
+			if outcome, final := run.refused(decision.Refusal); final {
+				return outcome
+			}
+			pause(ctx, run.entry.settings.Retry.Pause)
+			continue
+		}
+		result := run.attempt(ctx, decision)
+		if outcome, final := run.conclude(ctx, result); final {
+			return outcome
+		}
+	}
+}
+
+// decide asks the policy, and logs what it answers.
+func (run *run) decide() routing.Decision {
+	entry := run.entry
+	kind := platform.KindEngine
+	policy := entry.policy
+	if run.request.Service {
+		kind = platform.KindService
+		policy = routing.LeastOutstanding{}
+	}
+	started := time.Now()
+	decision := policy.Decide(entry.fleet.Snapshot(kind), run.routingRequest(), entry.random())
+	entry.metrics.decisionTime.Observe(time.Since(started).Seconds())
+	entry.logger.Info("routed", "request_id", run.request.ID, "attempt", run.attempts,
+		"organisation", run.request.Organisation, "model", run.request.Model, "tokens", run.request.Tokens(),
+		"servers", serverIDs(decision.Servers), "refusal", decision.Refusal, "reason", decision.Reason)
+	return decision
+}
+
+func serverIDs(servers []routing.Server) []string {
+	ids := make([]string, 0, len(servers))
+	for _, server := range servers {
+		ids = append(ids, server.ID)
+	}
+	return ids
+}
+
+// routingRequest describes the request to the policy. A call to a service
+// takes no memory that is known of.
+func (run *run) routingRequest() routing.Request {
+	if run.request.Service {
+		return routing.Request{Model: run.request.Model, TimeLeft: run.timeLeft(), Tried: run.tried}
+	}
+	return routing.Request{
+		Model:     run.request.Model,
+		Tokens:    run.request.Tokens() + run.buffer.Next(),
+		MaxTokens: max(0, run.request.MaxTokens-run.buffer.Next()),
+		TimeLeft:  run.timeLeft(),
+		Tried:     run.tried,
+	}
+}
+
+func (run *run) timeLeft() time.Duration {
+	return run.deadline.Sub(run.entry.now())
+}
+
+// refused returns the outcome when no server was chosen, unless it is worth
+// looking again since other servers failed before.
+func (run *run) refused(refusal routing.Refusal) (request.Outcome, bool) {
+	if refusal == routing.RefusalNoServer && len(run.tried) > 0 {
+		run.tried = nil
+		return request.Outcome{}, false
+	}
+	retryAfter := run.entry.settings.Admission.RetryAfter
+	switch refusal {
+	case routing.RefusalNoTime:
+		return run.failed(request.ReasonNoTime, retryAfter), true
+	case routing.RefusalTooLong:
+		return run.failed(request.ReasonTooLong, 0), true
+	default:
+		return run.failed(request.ReasonNoServer, retryAfter), true
+	}
+}
+
+// failed returns the true outcome of a request that ends without an answer.
+func (run *run) failed(reason request.Reason, retryAfter time.Duration) request.Outcome {
+	if run.mayHaveRun {
+		return request.MayHaveRun(reason)
+	}
+	return request.NotRun(reason, retryAfter)
+}
+
+// interrupted returns the outcome of a request whose time is over or that was
+// cut short.
+func (run *run) interrupted(ctx context.Context) request.Outcome {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errCancelled):
+		return run.failed(request.ReasonCancelled, 0)
+	case errors.Is(cause, errCallerGone):
+		return run.failed(request.ReasonCallerGone, 0)
+	case errors.Is(cause, context.DeadlineExceeded):
+		return run.failed(request.ReasonDeadline, run.entry.settings.Admission.RetryAfter)
+	default:
+		return run.failed(request.ReasonStopping, run.entry.settings.Admission.RetryAfter)
+	}
+}
+
+// resultKind says how one attempt came out.
+type resultKind string
+
+const (
+	resultCompleted   resultKind = "completed"
+	resultInterrupted resultKind = "interrupted"
+	// resultNotRun: the server certainly did not run it.
+	resultNotRun resultKind = "not_run"
+	// resultUncertain: the server may have run it, in part or whole.
+	resultUncertain resultKind = "uncertain"
+	// resultEnded: the server ended it of its own accord, for its time was
+	// over or nobody read it.
+	resultEnded resultKind = "ended"
+)
+
+type result struct {
+	kind   resultKind
+	reason request.Reason
+	// server is the one that answered or failed.
+	server string
+	err    error
+}
+
+// conclude returns the outcome after an attempt, unless another one follows.
+func (run *run) conclude(ctx context.Context, result result) (request.Outcome, bool) {
+	entry := run.entry
+	entry.metrics.attempts.WithLabelValues(string(result.kind)).Inc()
+	switch result.kind {
+	case resultCompleted:
+		entry.fleet.Succeeded(result.server)
+		return request.Completed(result.server), true
+	case resultInterrupted:
+		return run.interrupted(ctx), true
+	case resultEnded:
+		return run.failed(result.reason, entry.settings.Admission.RetryAfter), true
+	}
+	ejected := entry.fleet.Failed(result.server)
+	entry.logger.Warn("attempt failed", "request_id", run.request.ID, "attempt", run.attempts-1,
+		"server", result.server, "result", result.kind, "ejected", ejected, "error", result.err)
+	run.tried = append(run.tried, result.server)
+	retryAfter := entry.settings.Admission.RetryAfter
+	switch {
+	case result.kind == resultUncertain && !run.request.Repeatable:
+		return run.failed(result.reason, retryAfter), true
+	case run.attempts >= entry.settings.Retry.MaxAttempts:
+		return run.failed(result.reason, retryAfter), true
+	case !entry.retries.spend():
+		return run.failed(request.ReasonRetryBudget, retryAfter), true
+	}
+	return request.Outcome{}, false
+}
+
+// attempt sends the request to the servers of a decision once.
+func (run *run) attempt(ctx context.Context, decision routing.Decision) result {
+	over := run.entry.fleet.Sent(decision, run.routingRequest())
+	defer over()
+	attempt := run.attempts
+	run.attempts++
+	group := ""
+	if len(decision.Servers) > 1 {
+		reserved, failure := run.reserve(ctx, decision.Servers)
+		if failure != nil {
+			return *failure
+		}
+		group = reserved.name
+		defer reserved.release()
+	}
+	// The right to dispatch may have lapsed while this process did not run.
+	if ctx.Err() != nil {
+		return result{kind: resultInterrupted}
+	}
+	server := decision.Servers[0]
+	dispatch := run.dispatch(attempt, decision.Long, group)
+	if run.request.Service {
+		return run.call(ctx, server, dispatch)
+	}
+	stream, err := run.entry.backends.Generate(ctx, server.Address, dispatch)
+	if err != nil {
+		return run.dispatchFailed(ctx, server, err)
+	}
+	run.mayHaveRun = true
+	return run.relay(ctx, stream, source{attempt: attempt, id: dispatch.Attempt, server: server})
+}
+
+func (run *run) dispatch(attempt int, long bool, group string) backend.Dispatch {
+	priority := run.entry.settings.Routing.ShortPriority
+	if long {
+		priority = run.entry.settings.Routing.LongPriority
+	}
+	return backend.Dispatch{
+		Attempt:      attemptID(run.request.ID, attempt),
+		Request:      run.request.ID,
+		Organisation: run.request.Organisation,
+		Owner:        run.entry.incarnation,
+		Session:      run.request.Session,
+		Model:        run.request.Model,
+		Body:         run.request.Body,
+		Priority:     priority,
+		From:         run.buffer.Next(),
+		MaxTokens:    run.request.MaxTokens,
+		TimeLeft:     run.timeLeft(),
+		Group:        group,
+		Key:          run.request.Key.Value,
+		Fence:        run.fence,
+	}
+}
+
+// attemptID names one dispatch of a request.
+func attemptID(requestID string, attempt int) string {
+	return fmt.Sprintf("%s~%d", requestID, attempt)
+}
+
+// dispatchFailed tells whether a dispatch that failed may have run.
+func (run *run) dispatchFailed(ctx context.Context, server routing.Server, err error) result {
+	var notRun *backend.NotRunError
+	if errors.As(err, &notRun) {
+		if notRun.Leaving {
+			run.entry.fleet.Leaving(server.ID)
+		}
+		return result{kind: resultNotRun, reason: request.ReasonEngineRefused, server: server.ID, err: err}
+	}
+	run.mayHaveRun = true
+	if ctx.Err() != nil {
+		return result{kind: resultInterrupted, server: server.ID, err: err}
+	}
+	return result{kind: resultUncertain, reason: request.ReasonEngineFailed, server: server.ID, err: err}
+}
+
+// call sends a call to a plain service.
+func (run *run) call(ctx context.Context, server routing.Server, dispatch backend.Dispatch) result {
+	answer, err := run.entry.backends.Call(ctx, server.Address, dispatch)
+	if err != nil {
+		return run.dispatchFailed(ctx, server, err)
+	}
+	run.mayHaveRun = true
+	run.buffer.Start()
+	run.buffer.Add(relay.Token{Text: string(answer), Server: server.ID})
+	return result{kind: resultCompleted, server: server.ID}
+}
+
+// source is the stream that an answer comes from.
+type source struct {
+	// attempt is the number of the dispatch, and id its name.
+	attempt int
+	id      string
+	server  routing.Server
+}
+
+// relay passes on the frames of a stream until it ends.
+func (run *run) relay(ctx context.Context, stream backend.Stream, source source) result {
+	defer func() { stream.Close() }()
+	run.buffer.Start()
+	for {
+		frame, err := stream.Next()
+		if err != nil {
+			reopened, failure := run.reopen(ctx, source, err)
+			if failure != nil {
+				return *failure
+			}
+			stream.Close()
+			stream = reopened
+			continue
+		}
+		if frame.End != backend.EndNone {
+			return run.streamEnded(frame, source)
+		}
+		run.add(frame, source)
+	}
+}
+
+func (run *run) add(frame backend.Frame, source source) {
+	token := relay.Token{
+		Seq:     frame.Seq,
+		Text:    frame.Text,
+		Attempt: source.attempt,
+		Server:  source.server.ID,
+	}
+	if !run.buffer.Add(token) {
+		run.entry.metrics.dropped.Inc()
+		return
+	}
+	if frame.Seq == 0 {
+		run.observeFirstToken()
+	}
+}
+
+func (run *run) observeFirstToken() {
+	since := run.request.Time - run.timeLeft()
+	length := "short"
+	if run.request.Tokens() >= run.entry.settings.Routing.LengthAware.LongTokens {
+		length = "long"
+	}
+	run.entry.metrics.firstToken.WithLabelValues(length).Observe(since.Seconds())
+}
+
+// streamEnded returns the result that the last frame states. An answer is
+// whole only if it has every token up to its end.
+func (run *run) streamEnded(frame backend.Frame, source source) result {
+	server := source.server.ID
+	switch {
+	case frame.End == backend.EndCompleted && frame.Seq == run.buffer.Next():
+		return result{kind: resultCompleted, server: server}
+	case frame.End == backend.EndDeadline:
+		return result{kind: resultEnded, reason: request.ReasonDeadline, server: server}
+	case frame.End == backend.EndCancelled:
+		return result{kind: resultEnded, reason: request.ReasonCancelled, server: server}
+	default:
+		err := errors.Newf("stream ended with %s at token %d of %d: %s", frame.End, run.buffer.Next(), frame.Seq, frame.Reason)
+		return result{kind: resultUncertain, reason: request.ReasonEngineFailed, server: server, err: err}
+	}
+}
+
+// reopen opens the stream again after a cut, or returns how the attempt ends.
+func (run *run) reopen(ctx context.Context, source source, cut error) (backend.Stream, *result) {
+	entry := run.entry
+	for range reopenTries {
+		if ctx.Err() != nil {
+			entry.cancelAt(source.server.Address, source.id)
+			return nil, &result{kind: resultInterrupted, server: source.server.ID}
+		}
+		stream, err := entry.backends.Resume(ctx, source.server.Address, source.id, run.buffer.Next())
+		if err == nil {
+			entry.metrics.resumed.Inc()
+			return stream, nil
+		}
+		cut = errors.CombineErrors(cut, err)
+		pause(ctx, reopenPause)
+	}
+	if ctx.Err() != nil {
+		entry.cancelAt(source.server.Address, source.id)
+		return nil, &result{kind: resultInterrupted, server: source.server.ID}
+	}
+	return nil, &result{kind: resultUncertain, reason: request.ReasonEngineFailed, server: source.server.ID, err: cut}
+}
+
+// cancelAt cancels a stream without waiting for it. Engines end what they are
+// not told of when its time is over.
+func (entry *Entry) cancelAt(address, attempt string) {
+	entry.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), orderTime)
+		defer cancel()
+		err := entry.backends.Cancel(ctx, address, attempt)
+		if err != nil {
+			entry.logger.Warn("stream not cancelled", "attempt", attempt, "address", address, "error", err)
+		}
+	})
+}
+
+// mayBeDropped reports whether the request may be cancelled because nobody
+// reads its answer.
+func (active *active) mayBeDropped() bool {
+	streamed := active.request.Mode == request.ModeStream
+	return streamed && active.request.Repeatable && !active.request.Service
+}
+
--- /dev/null
+++ b/internal/entry/stream.go
@@ -0,0 +1,191 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/mastwinch/mastwinch/internal/relay"
+	"github.com/mastwinch/mastwinch/internal/request"
+)
+
+// TokenEvent is the data of a token event.
+type TokenEvent struct {
+	Seq  int    `json:"seq"`
+	Text string `json:"text"`
+}
+
+// Names of server-sent events.
+const (
+	EventAdmitted = "admitted"
+	EventToken    = "token"
+	EventOutcome  = "outcome"
+)
+
+// answerStream sends the answer from token from on as server-sent events. A
+// request that fails before a server took it gets a plain answer instead.
+func (entry *Entry) answerStream(w http.ResponseWriter, r *http.Request, active *active, from int) {
+	detach := active.buffer.Attach(entry.now)
+	defer detach()
+	if !entry.awaitStart(r, active) {
+		entry.answerUnstarted(w, active)
+		return
+	}
+	entry.sendEvents(w, r, active, from)
+}
+
+// answerUnstarted answers for a request that ended before a server took it. If
+// another submission of its key came first, the answer is about that one.
+func (entry *Entry) answerUnstarted(w http.ResponseWriter, active *active) {
+	outcome := active.buffer.From(0).Outcome
+	if outcome == nil {
+		return // the caller has gone
+	}
+	if outcome.Reason == request.ReasonKeyConflict {
+		if earlier, ok := entry.earlier(active.request.Key); ok {
+			entry.answerDuplicate(w, active.request, earlier)
+			return
+		}
+	}
+	writeOutcome(w, Status{RequestID: active.request.ID}, *outcome)
+}
+
+// awaitStart waits until there is something to stream, and reports whether
+// there is. The caller is not left without a sign for longer than a heartbeat.
+func (entry *Entry) awaitStart(r *http.Request, active *active) bool {
+	heartbeat := time.NewTimer(entry.settings.Relay.Heartbeat)
+	defer heartbeat.Stop()
+	for {
+		view := active.buffer.From(0)
+		switch {
+		case view.Started || len(view.Tokens) > 0:
+			return true
+		case view.Outcome != nil:
+			return false
+		}
+		select {
+		case <-view.Changed:
+		case <-heartbeat.C:
+			return true
+		case <-r.Context().Done():
+			return false
+		}
+	}
+}
+
+func (entry *Entry) sendEvents(w http.ResponseWriter, r *http.Request, active *active, from int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	w.Header().Set(HeaderRequestID, active.request.ID)
+	w.WriteHeader(http.StatusOK)
+	controller := http.NewResponseController(w)
+	events := &eventWriter{}
+	events.event(EventAdmitted, "", Status{RequestID: active.request.ID, Running: true})
+	heartbeat := time.NewTicker(entry.settings.Relay.Heartbeat)
+	defer heartbeat.Stop()
+	for {
+		view := active.buffer.From(from)
+		for _, token := range view.Tokens {
+			events.token(token)
+			from = token.Seq + 1
+		}
+		if view.Outcome != nil {
+			status := Status{RequestID: active.request.ID, Tokens: from}
+			events.event(EventOutcome, "", withOutcome(status, *view.Outcome))
+		}
+		if !events.flush(w, controller) || view.Outcome != nil {
+			return
+		}
+		select {
+		case <-view.Changed:
+		case <-heartbeat.C:
+			events.heartbeat()
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// eventWriter collects server-sent events between two flushes.
+type eventWriter struct {
+	pending bytes.Buffer
+}
+
+func (eventwriter *eventWriter) token(token relay.Token) {
+	eventwriter.event(EventToken, token.Position().String(), TokenEvent{Seq: token.Seq, Text: token.Text})
+}
+
+func (eventwriter *eventWriter) event(name, id string, data any) {
+	encoded, err := json.Marshal(data)
+	if err != nil {
+		panic(err) // the types above always can be encoded
+	}
+	if id != "" {
+		fmt.Fprintf(&eventwriter.pending, "id: %s\n", id)
+	}
+	fmt.Fprintf(&eventwriter.pending, "event: %s\ndata: %s\n\n", name, encoded)
+}
+
+func (eventwriter *eventWriter) heartbeat() {
+	eventwriter.pending.WriteString(": heartbeat\n\n")
+}
+
+func (eventwriter *eventWriter) flush(w http.ResponseWriter, controller *http.ResponseController) bool {
+	if eventwriter.pending.Len() == 0 {
+		return true
+	}
+	_, err := eventwriter.pending.WriteTo(w)
+	return err == nil && controller.Flush() == nil
+}
+
+// answerCall waits for the answer of a plain service.
+func (entry *Entry) answerCall(w http.ResponseWriter, r *http.Request, active *active) {
+	detach := active.buffer.Attach(entry.now)
+	defer detach()
+	for {
+		view := active.buffer.From(0)
+		switch {
+		case view.Outcome != nil && !view.Started:
+			entry.answerUnstarted(w, active)
+			return
+		case view.Outcome != nil:
+			writeOutcome(w, statusOf(active), *view.Outcome)
+			return
+		}
+		select {
+		case <-view.Changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// statusOf describes a request whose answer is held here.
+func statusOf(active *active) Status {
+	view := active.buffer.From(0)
+	var text strings.Builder
+	for _, token := range view.Tokens {
+		text.WriteString(token.Text)
+	}
+	status := Status{
+		RequestID:       active.request.ID,
+		Running:         view.Outcome == nil,
+		Tokens:          active.buffer.Next(),
+		AnswerAvailable: active.buffer.Base == 0,
+	}
+	if status.AnswerAvailable {
+		status.Text = text.String()
+	}
+	if view.Outcome != nil {
+		return withOutcome(status, *view.Outcome)
+	}
+	return status
+}
+
+// statusOfOutcome describes a request of which only the outcome is known.
+func statusOfOutcome(id string, outcome request.Outcome) Status {
+	return withOutcome(Status{RequestID: id}, outcome)
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,318 @@
+// Package fleet holds what an entry knows of the backend servers: the VM list
+// and the load reports that its keeper sends, what the entry itself sent since
+// then, and how the servers' own answers came out.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/routing"
+	"github.com/mastwinch/mastwinch/internal/wire"
+)
+
+// Settings tune what the fleet makes of answers.
+type Settings struct {
+	// ReportLag is how old load reports are taken to be; what was sent in
+	// that time is added to them.
+	ReportLag time.Duration `yaml:"report_lag" validate:"min=0,max=1m"`
+	// EjectAfter is how many failures in a row eject a server.
+	EjectAfter int `yaml:"eject_after" validate:"min=1"`
+	// EjectTime is how long the first ejection lasts; each further failure
+	// doubles it up to EjectTimeMax.
+	EjectTime    time.Duration `yaml:"eject_time" validate:"min=10ms"`
+	EjectTimeMax time.Duration `yaml:"eject_time_max" validate:"min=10ms"`
+	// LeavingTime is how long a server counts as leaving that said so itself.
+	LeavingTime time.Duration `yaml:"leaving_time" validate:"min=1s"`
+}
+
+// DefaultSettings returns settings for today's fleets.
+func DefaultSettings() Settings {
+	return Settings{
+		ReportLag:    500 * time.Millisecond,
+		EjectAfter:   3,
+		EjectTime:    time.Second,
+		EjectTimeMax: 30 * time.Second,
+		LeavingTime:  30 * time.Second,
+	}
+}
+
+// Fleet is the backend servers and the system's own VMs.
+type Fleet struct {
+	settings Settings
+	now      func() time.Time
+
+	mu sync.Mutex
+	// servers has all listed VMs by ID.
+	servers map[string]*server
+	// order has the IDs of servers, sorted.
+	order []string
+}
+
+type server struct {
+	listed *wire.Server
+	load   *wire.Load
+	// sent has what was sent within the report lag, oldest first.
+	sent            []sent
+	outstanding     int
+	outstandingLong int
+	// failures counts failures since the last good answer.
+	failures     int
+	ejectedUntil time.Time
+	leavingUntil time.Time
+}
+
+type sent struct {
+	at     time.Time
+	memory int
+	prompt int
+	long   bool
+}
+
+// New returns an empty fleet. The clock is now.
+func New(settings Settings, now func() time.Time) *Fleet {
+	return &Fleet{
+		settings: settings,
+		now:      now,
+		servers:  make(map[string]*server),
+	}
+}
+
+// SetFleet takes over a VM list. What is known of VMs that stay is kept.
+func (fleet *Fleet) SetFleet(listed *wire.Fleet) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	servers := make(map[string]*server, len(listed.GetServers()))
+	order := make([]string, 0, len(listed.GetServers()))
+	for _, vm := range listed.GetServers() {
+		known := fleet.servers[vm.GetId()]
+		if known == nil {
+			known = &server{}
+		}
+		known.listed = vm
+		servers[vm.GetId()] = known
+		order = append(order, vm.GetId())
+	}
+	slices.Sort(order)
+	fleet.servers = servers
+	fleet.order = order
+}
+
+// SetLoads takes over load reports. A server without one keeps its last.
+func (fleet *Fleet) SetLoads(loads *wire.Loads) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	for _, load := range loads.GetLoads() {
+		known := fleet.servers[load.GetServerId()]
+		if known == nil {
+			continue
+		}
+		known.load = load
+		if load.GetLeaving() {
+			known.leavingUntil = fleet.now().Add(fleet.settings.LeavingTime)
+		}
+	}
+}
+
+// KeeperAddresses returns the keepers of the live VMs of the system.
+func (fleet *Fleet) KeeperAddresses() []string {
+	var addresses []string
+	for _, vm := range fleet.list(platform.KindSystem) {
+		if vm.GetKeeperAddress() != "" {
+			addresses = append(addresses, vm.GetKeeperAddress())
+		}
+	}
+	return addresses
+}
+
+// SystemVM returns the VM of the system with that ID while it is listed.
+func (fleet *Fleet) SystemVM(id string) (*wire.Server, bool) {
+	for _, vm := range fleet.list(platform.KindSystem) {
+		if vm.GetId() == id {
+			return vm, true
+		}
+	}
+	return nil, false
+}
+
+// Engines returns all listed engines, by ID.
+func (fleet *Fleet) Engines() []*wire.Server {
+	return fleet.list(platform.KindEngine)
+}
+
+func (fleet *Fleet) list(kind string) []*wire.Server {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	var found []*wire.Server
+	for _, id := range fleet.order {
+		if listed := fleet.servers[id].listed; listed.GetKind() == kind {
+			found = append(found, listed)
+		}
+	}
+	return found
+}
+
+// Snapshot returns the servers of that kind as they are known now.
+func (fleet *Fleet) Snapshot(kind string) routing.Snapshot {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	now := fleet.now()
+	servers := make([]routing.Server, 0, len(fleet.order))
+	for _, id := range fleet.order {
+		server := fleet.servers[id]
+		if server.listed.GetKind() == kind {
+			servers = append(servers, server.view(now, fleet.settings.ReportLag))
+		}
+	}
+	return routing.Snapshot{Servers: servers}
+}
+
+func (server *server) view(now time.Time, lag time.Duration) routing.Server {
+	listed := server.listed
+	memory := int(listed.GetMemoryTokens()) //nolint:gosec // bounded by any machine's memory
+	view := routing.Server{
+		ID:              listed.GetId(),
+		Address:         listed.GetAddress(),
+		DataCentre:      listed.GetDataCentre(),
+		Models:          listed.GetModels(),
+		ChecksFencing:   listed.GetChecksFencing(),
+		Memory:          memory,
+		Free:            memory,
+		Outstanding:     server.outstanding,
+		OutstandingLong: server.outstandingLong,
+		Leaving:         listed.GetLeaving() || now.Before(server.leavingUntil),
+		Ejected:         now.Before(server.ejectedUntil),
+	}
+	if load := server.load; load != nil {
+		view.Free = int(load.GetFreeTokens())                                        //nolint:gosec // as above
+		view.QueuedLong = int(load.GetQueuedLongTokens())                            //nolint:gosec // as above
+		view.QueuedShort = int(load.GetQueuedPrefillTokens()) - view.QueuedLong //nolint:gosec // as above
+	}
+	server.forget(now.Add(-lag))
+	for _, sent := range server.sent {
+		view.Free -= sent.memory
+		if sent.long {
+			view.QueuedLong += sent.prompt
+		} else {
+			view.QueuedShort += sent.prompt
+		}
+	}
+	return view
+}
+
+func (server *server) forget(before time.Time) {
+	keep := slices.IndexFunc(server.sent, func(sent sent) bool { return !sent.at.Before(before) })
+	if keep < 0 {
+		keep = len(server.sent)
+	}
+	server.sent = server.sent[keep:]
+}
+
+// Sent notes that a request goes to the servers of a decision, and returns a
+// function to call once when it is over.
+func (fleet *Fleet) Sent(decision routing.Decision, request routing.Request) func() {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	width := max(1, len(decision.Servers))
+	for _, chosen := range decision.Servers {
+		server := fleet.servers[chosen.ID]
+		if server == nil {
+			continue
+		}
+		server.outstanding++
+		if decision.Long {
+			server.outstandingLong++
+		}
+		server.sent = append(server.sent, sent{
+			at:     fleet.now(),
+			memory: request.Need() / width,
+			prompt: request.Tokens / width,
+			long:   decision.Long,
+		})
+		if now := fleet.now(); server.failures >= fleet.settings.EjectAfter && !now.Before(server.ejectedUntil) {
+			// A trial: no other request until it has come out.
+			server.ejectedUntil = now.Add(fleet.settings.EjectTime)
+		}
+	}
+	return sync.OnceFunc(func() { fleet.over(decision) })
+}
+
+func (fleet *Fleet) over(decision routing.Decision) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	for _, chosen := range decision.Servers {
+		server := fleet.servers[chosen.ID]
+		if server == nil {
+			continue
+		}
+		server.outstanding = max(0, server.outstanding-1)
+		if decision.Long {
+			server.outstandingLong = max(0, server.outstandingLong-1)
+		}
+	}
+}
+
+// Succeeded notes a good answer of the server.
+func (fleet *Fleet) Succeeded(id string) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	if server := fleet.servers[id]; server != nil {
+		server.failures = 0
+		server.ejectedUntil = time.Time{}
+	}
+}
+
+// Failed notes a failure of the server, and reports whether it is ejected.
+func (fleet *Fleet) Failed(id string) bool {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	server := fleet.servers[id]
+	if server == nil {
+		return false
+	}
+	server.failures++
+	over := server.failures - fleet.settings.EjectAfter
+	if over < 0 {
+		return false
+	}
+	duration := fleet.settings.EjectTime
+	for range over {
+		duration = min(2*duration, fleet.settings.EjectTimeMax)
+	}
+	server.ejectedUntil = fleet.now().Add(duration)
+	return true
+}
+
+// Leaving notes that the server itself said that it is leaving.
+func (fleet *Fleet) Leaving(id string) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	if server := fleet.servers[id]; server != nil {
+		server.leavingUntil = fleet.now().Add(fleet.settings.LeavingTime)
+	}
+}
+
+// Counts returns how many servers of each kind are listed, by kind.
+func (fleet *Fleet) Counts() []KindCount {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	counts := make(map[string]int)
+	for _, server := range fleet.servers {
+		counts[server.listed.GetKind()]++
+	}
+	list := make([]KindCount, 0, len(counts))
+	for kind, count := range counts {
+		list = append(list, KindCount{Kind: kind, Count: count})
+	}
+	slices.SortFunc(list, func(a, b KindCount) int { return cmp.Compare(a.Kind, b.Kind) })
+	return list
+}
+
+// KindCount is how many servers of a kind are listed.
+type KindCount struct {
+	Kind  string `json:"kind"`
+	Count int    `json:"count"`
+}
--- /dev/null
+++ b/internal/keeper/hub.go
@@ -0,0 +1,149 @@
+package keeper
+
+import (
+	"sync"
+
+	"github.com/mastwinch/mastwinch/internal/replica"
+	"github.com/mastwinch/mastwinch/internal/wire"
+)
+
+// Bounds of the hub.
+const (
+	// recentEntries is how many entries are kept for subscribers that were
+	// away for a short time.
+	recentEntries = 4096
+	// subscriberFrames is how many frames a subscriber may be behind.
+	subscriberFrames = 1024
+)
+
+// hub applies log entries to the replica and hands them to subscribers, so
+// that each sees every entry after its state exactly once.
+type hub struct {
+	replica *replica.Replica
+
+	mu sync.Mutex
+	// recent has the entries just before the replica's next, in order.
+	recent      []*wire.Committed
+	fleet       *wire.Fleet
+	loads       *wire.Loads
+	subscribers map[*subscriber]struct{}
+}
+
+// subscriber gets frames until its channel is closed.
+type subscriber struct {
+	frames chan *wire.ServerFrame
+}
+
+func newHub(replica *replica.Replica) *hub {
+	return &hub{
+		replica:     replica,
+		fleet:       &wire.Fleet{},
+		loads:       &wire.Loads{},
+		subscribers: make(map[*subscriber]struct{}),
+	}
+}
+
+// commit applies an entry that was read from the log.
+func (hub *hub) commit(committed *wire.Committed) error {
+	hub.mu.Lock()
+	defer hub.mu.Unlock()
+	err := hub.replica.Apply(committed.GetOffset(), committed.GetBatch())
+	if err != nil {
+		return err
+	}
+	hub.recent = append(hub.recent, committed)
+	if len(hub.recent) > 2*recentEntries {
+		hub.recent = append([]*wire.Committed(nil), hub.recent[recentEntries:]...)
+	}
+	hub.publish(&wire.ServerFrame{Body: &wire.ServerFrame_Committed{Committed: committed}})
+	return nil
+}
+
+// replace takes over a state from a checkpoint or a peer if it is ahead.
+func (hub *hub) replace(encoded *wire.State) (bool, error) {
+	hub.mu.Lock()
+	defer hub.mu.Unlock()
+	replaced, err := hub.replica.Replace(encoded)
+	if err != nil || !replaced {
+		return false, err
+	}
+	hub.recent = nil
+	hub.publish(&wire.ServerFrame{Body: &wire.ServerFrame_State{State: encoded}})
+	return true, nil
+}
+
+func (hub *hub) setFleet(fleet *wire.Fleet) {
+	hub.mu.Lock()
+	defer hub.mu.Unlock()
+	hub.fleet = fleet
+	hub.publish(&wire.ServerFrame{Body: &wire.ServerFrame_Fleet{Fleet: fleet}})
+}
+
+func (hub *hub) setLoads(loads *wire.Loads) {
+	hub.mu.Lock()
+	defer hub.mu.Unlock()
+	hub.loads = loads
+	hub.publish(&wire.ServerFrame{Body: &wire.ServerFrame_Loads{Loads: loads}})
+}
+
+// subscribe adds a subscriber that has the state up to next.
+func (hub *hub) subscribe(next uint64) *subscriber {
+	hub.mu.Lock()
+	defer hub.mu.Unlock()
+	backlog := hub.backlog(next)
+	subscriber := &subscriber{
+		frames: make(chan *wire.ServerFrame, len(backlog)+subscriberFrames),
+	}
+	for _, frame := range backlog {
+		subscriber.frames <- frame
+	}
+	subscriber.frames <- &wire.ServerFrame{Body: &wire.ServerFrame_Fleet{Fleet: hub.fleet}}
+	subscriber.frames <- &wire.ServerFrame{Body: &wire.ServerFrame_Loads{Loads: hub.loads}}
+	hub.subscribers[subscriber] = struct{}{}
+	return subscriber
+}
+
+// backlog returns what leads from next to the state of the replica: the
+// entries between if they are at hand, and otherwise the whole state.
+func (hub *hub) backlog(next uint64) []*wire.ServerFrame {
+	have := hub.replica.Next()
+	switch {
+	case next >= have:
+		return nil // nothing, or the subscriber is ahead
+	case len(hub.recent) > 0 && hub.recent[0].GetOffset() <= next:
+		missed := hub.recent[next-hub.recent[0].GetOffset():]
+		frames := make([]*wire.ServerFrame, 0, len(missed))
+		for _, committed := range missed {
+			frames = append(frames, &wire.ServerFrame{Body: &wire.ServerFrame_Committed{Committed: committed}})
+		}
+		return frames
+	default:
+		return []*wire.ServerFrame{{Body: &wire.ServerFrame_State{State: hub.replica.Encode()}}}
+	}
+}
+
+func (hub *hub) unsubscribe(subscriber *subscriber) {
+	hub.mu.Lock()
+	defer hub.mu.Unlock()
+	hub.drop(subscriber)
+}
+
+// publish hands a frame to all, and drops those that are too far behind; they
+// subscribe again and get what they lack.
+func (hub *hub) publish(frame *wire.ServerFrame) {
+	for subscriber := range hub.subscribers {
+		select {
+		case subscriber.frames <- frame:
+		default:
+			hub.drop(subscriber)
+		}
+	}
+}
+
+func (hub *hub) drop(subscriber *subscriber) {
+	if _, ok := hub.subscribers[subscriber]; !ok {
+		return
+	}
+	delete(hub.subscribers, subscriber)
+	close(subscriber.frames)
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,216 @@
+// Package keeper follows the platform's log and VM list for the processes of
+// its VM: it folds the state, appends records in batches, writes checkpoints,
+// and serves all this to entries and to keepers that join.
+package keeper
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mastwinch/mastwinch/internal/backend"
+	"github.com/mastwinch/mastwinch/internal/link"
+	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/replica"
+	"github.com/mastwinch/mastwinch/internal/wire"
+)
+
+const headerTimeout = 5 * time.Second
+
+// Platform is what a keeper uses of the platform and of the engines.
+type Platform struct {
+	Log         platform.Log
+	Checkpoints platform.Log
+	VMList      platform.VMList
+	Engines     backend.Engine
+}
+
+// Keeper is one keeper process.
+type Keeper struct {
+	settings Settings
+	logger   *slog.Logger
+	registry *prometheus.Registry
+	metrics  *metrics
+	hub      *hub
+	follower *follower
+	appender *appender
+	watch    *watch
+	duties   *duties
+	listener *link.Listener
+}
+
+// New returns a keeper that listens but does not yet serve.
+func New(settings Settings, uses Platform, logger *slog.Logger) (*Keeper, error) {
+	credentials, err := link.NewCredentials(settings.Secret)
+	if err != nil {
+		return nil, err
+	}
+	options := link.Options{PlainDatagrams: settings.PlainDatagrams}
+	listener, err := link.Listen(settings.Address, credentials, options)
+	if err != nil {
+		return nil, err
+	}
+	registry := prometheus.NewRegistry()
+	metrics := newMetrics(registry)
+	replica := replica.New()
+	keeper := &Keeper{
+		settings: settings,
+		logger:   logger,
+		registry: registry,
+		metrics:  metrics,
+		hub:      newHub(replica),
+		listener: listener,
+	}
+	keeper.appender = newAppender(uses.Log, replica, settings.Log, metrics, logger)
+	keeper.watch = &watch{
+		vmlist:   uses.VMList,
+		engines:  uses.Engines,
+		hub:      keeper.hub,
+		settings: settings.Intervals,
+		metrics:  metrics,
+		logger:   logger,
+	}
+	keeper.follower = &follower{
+		log:         uses.Log,
+		checkpoints: uses.Checkpoints,
+		hub:         keeper.hub,
+		peers:       keeper.peers,
+		credentials: credentials,
+		options:     options,
+		metrics:     metrics,
+		logger:      logger,
+	}
+	keeper.duties = &duties{
+		vm:          settings.VM,
+		settings:    settings,
+		replica:     replica,
+		appender:    keeper.appender,
+		checkpoints: uses.Checkpoints,
+		vms:         keeper.vms,
+		metrics:     metrics,
+		logger:      logger,
+	}
+	return keeper, nil
+}
+
+// Run serves until ctx is done.
+func (keeper *Keeper) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, run := range []func(context.Context){
+		keeper.appender.run,
+		keeper.duties.run,
+		keeper.duties.runCheckpoints,
+		keeper.follower.run,
+		keeper.watch.runFleet,
+		keeper.watch.runLoads,
+	} {
+		group.Go(func() error {
+			run(ctx)
+			return nil
+		})
+	}
+	group.Go(func() error { return keeper.listener.Serve(ctx, keeper.serve) })
+	group.Go(func() error { return keeper.serveHTTP(ctx) })
+	keeper.logger.Info("keeper serves", "vm", keeper.settings.VM, "address", keeper.listener.Address())
+	return group.Wait()
+}
+
+// vms returns the live VMs of the system, this one among them.
+func (keeper *Keeper) vms() []string {
+	names := []string{keeper.settings.VM}
+	for _, server := range keeper.watch.servers(platform.KindSystem) {
+		if server.GetId() != keeper.settings.VM && !server.GetLeaving() {
+			names = append(names, server.GetId())
+		}
+	}
+	return names
+}
+
+// peers returns the addresses of other keepers, listed ones first.
+func (keeper *Keeper) peers() []string {
+	var addresses []string
+	for _, server := range keeper.watch.servers(platform.KindSystem) {
+		if server.GetId() != keeper.settings.VM && server.GetKeeperAddress() != "" {
+			addresses = append(addresses, server.GetKeeperAddress())
+		}
+	}
+	return append(addresses, keeper.settings.Peers...)
+}
+
+// serve serves one subscriber.
+func (keeper *Keeper) serve(_ context.Context, peer *link.Peer) {
+	first := &wire.ClientFrame{}
+	err := peer.Receive(first)
+	if err != nil || first.GetSubscribe() == nil {
+		return
+	}
+	name := first.GetSubscribe().GetNode()
+	subscriber := keeper.hub.subscribe(first.GetSubscribe().GetNextOffset())
+	defer keeper.hub.unsubscribe(subscriber)
+	keeper.metrics.subscribers.Inc()
+	defer keeper.metrics.subscribers.Dec()
+	keeper.logger.Info("subscriber joined", "node", name, "next_offset", first.GetSubscribe().GetNextOffset())
+	go keeper.receive(peer, name)
+	for frame := range subscriber.frames {
+		err = peer.Send(frame)
+		if err != nil {
+			keeper.logger.Info("subscriber left", "node", name, "error", err)
+			return
+		}
+	}
+	keeper.logger.Warn("subscriber was too slow", "node", name)
+}
+
+// receive takes proposals until the link ends, and then ends it here too.
+func (keeper *Keeper) receive(peer *link.Peer, name string) {
+	defer peer.Close()
+	for {
+		frame := &wire.ClientFrame{}
+		err := peer.Receive(frame)
+		if err != nil {
+			return
+		}
+		if record := frame.GetPropose(); record != nil {
+			err = keeper.appender.propose(record)
+		}
+		if err != nil {
+			// The proposer tries again until its time is over.
+			keeper.logger.Warn("proposal dropped", "node", name, "error", err)
+		}
+	}
+}
+
+// Handler returns the HTTP interface for health and metrics.
+func (keeper *Keeper) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
+	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !keeper.follower.ready.Load() {
+			http.Error(w, "no state yet", http.StatusServiceUnavailable)
+		}
+	})
+	router.Handle("/metrics", promhttp.HandlerFor(keeper.registry, promhttp.HandlerOpts{}))
+	return router
+}
+
+func (keeper *Keeper) serveHTTP(ctx context.Context) error {
+	server := &http.Server{
+		Addr:              keeper.settings.HTTPAddress,
+		Handler:           keeper.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.ListenAndServe()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "keeper")
+}
--- /dev/null
+++ b/internal/link/credentials.go
@@ -0,0 +1,87 @@
+package link
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"crypto/hkdf"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	protocolName  = "mastwinch/1"
+	keyInfo       = "mastwinch link key"
+	serverName    = "mastwinch"
+	certificateIn = -24 * time.Hour
+	certificateTo = 10 * 365 * 24 * time.Hour
+)
+
+// Credentials prove to the other end that a process belongs to the system.
+type Credentials struct {
+	certificate tls.Certificate
+	public      ed25519.PublicKey
+}
+
+// NewCredentials derives the key pair that all processes with secret share.
+func NewCredentials(secret string) (Credentials, error) {
+	seed, err := hkdf.Key(sha256.New, []byte(secret), nil, keyInfo, ed25519.SeedSize)
+	if err != nil {
+		return Credentials{}, errors.Wrap(err, "link credentials")
+	}
+	private := ed25519.NewKeyFromSeed(seed)
+	public, ok := private.Public().(ed25519.PublicKey)
+	if !ok {
+		return Credentials{}, errors.AssertionFailedf("ed25519 key of another kind")
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		Subject:      pkix.Name{CommonName: serverName},
+		DNSNames:     []string{serverName},
+		NotBefore:    time.Now().Add(certificateIn),
+		NotAfter:     time.Now().Add(certificateTo),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
+	if err != nil {
+		return Credentials{}, errors.Wrap(err, "link credentials")
+	}
+	return Credentials{
+		certificate: tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private},
+		public:      public,
+	}, nil
+}
+
+// config returns settings under which each end accepts only the shared key.
+// Certificates are checked by that key alone, since VMs' clocks differ.
+func (credentials Credentials) config() *tls.Config {
+	return &tls.Config{
+		MinVersion:            tls.VersionTLS13,
+		Certificates:          []tls.Certificate{credentials.certificate},
+		ClientAuth:            tls.RequireAnyClientCert,
+		InsecureSkipVerify:    true, //nolint:gosec // VerifyPeerCertificate pins the key
+		VerifyPeerCertificate: credentials.verify,
+		NextProtos:            []string{protocolName},
+		ServerName:            serverName,
+	}
+}
+
+func (credentials Credentials) verify(certificates [][]byte, _ [][]*x509.Certificate) error {
+	if len(certificates) == 0 {
+		return errors.New("link: no certificate")
+	}
+	certificate, err := x509.ParseCertificate(certificates[0])
+	if err != nil {
+		return errors.Wrap(err, "link")
+	}
+	public, ok := certificate.PublicKey.(ed25519.PublicKey)
+	if !ok || !bytes.Equal(public, credentials.public) {
+		return errors.New("link: the other end has another secret")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/request/outcome.go
@@ -0,0 +1,91 @@
+package request
+
+import (
+	"time"
+
+	"github.com/mastwinch/mastwinch/internal/wire"
+)
+
+// Kind says how a request ended.
+type Kind string
+
+// Kinds of outcome. Every admitted request ends in exactly one.
+const (
+	KindCompleted        Kind = "completed"
+	KindFailedNotRun     Kind = "failed_not_run"
+	KindFailedMayHaveRun Kind = "failed_may_have_run"
+)
+
+// Reason says why a request did not complete.
+type Reason string
+
+// Reasons.
+const (
+	ReasonNone           Reason = ""
+	ReasonCancelled      Reason = "cancelled"
+	ReasonCallerGone     Reason = "caller_gone"
+	ReasonDeadline       Reason = "deadline"
+	ReasonEngineFailed   Reason = "backend_server_failed"
+	ReasonEngineRefused  Reason = "backend_server_refused"
+	ReasonKeyConflict    Reason = "key_in_use"
+	ReasonKeyContent     Reason = "key_of_other_content"
+	ReasonKeyExpired     Reason = "key_expired"
+	ReasonLogUnavailable Reason = "log_unavailable"
+	ReasonNoServer       Reason = "no_backend_server"
+	ReasonNoTime         Reason = "stated_time_cannot_be_met"
+	ReasonOrganisation   Reason = "organisation_limit"
+	ReasonOverload       Reason = "overload"
+	ReasonOwnerLost      Reason = "owner_lost"
+	ReasonRetryBudget    Reason = "retry_budget_spent"
+	ReasonStopping       Reason = "vm_stopping"
+	ReasonTooLong        Reason = "prompt_too_long"
+)
+
+// Outcome is how a request ended.
+type Outcome struct {
+	Kind   Kind   `json:"outcome"`
+	Reason Reason `json:"reason,omitempty"`
+	// RetryAfter is when to come back, if that is worth it; else zero.
+	RetryAfter time.Duration `json:"-"`
+	// Server is the backend server that has the answer, if there is one.
+	Server string `json:"-"`
+}
+
+// Completed returns the outcome of a whole answer by server.
+func Completed(server string) Outcome {
+	return Outcome{Kind: KindCompleted, Server: server}
+}
+
+// NotRun returns the outcome of what was certainly not run.
+func NotRun(reason Reason, retryAfter time.Duration) Outcome {
+	return Outcome{Kind: KindFailedNotRun, Reason: reason, RetryAfter: retryAfter}
+}
+
+// MayHaveRun returns the outcome of what may have been run.
+func MayHaveRun(reason Reason) Outcome {
+	return Outcome{Kind: KindFailedMayHaveRun, Reason: reason}
+}
+
+// Wire returns the kind as it stands in records.
+func (outcome Outcome) Wire() wire.Outcome {
+	switch outcome.Kind {
+	case KindCompleted:
+		return wire.Outcome_OUTCOME_COMPLETED
+	case KindFailedNotRun:
+		return wire.Outcome_OUTCOME_FAILED_NOT_RUN
+	default:
+		return wire.Outcome_OUTCOME_FAILED_MAY_HAVE_RUN
+	}
+}
+
+// OutcomeOf returns the outcome that a record states.
+func OutcomeOf(kind wire.Outcome, reason, server string) Outcome {
+	outcome := Outcome{Kind: KindFailedMayHaveRun, Reason: Reason(reason), Server: server}
+	switch kind {
+	case wire.Outcome_OUTCOME_COMPLETED:
+		outcome.Kind = KindCompleted
+	case wire.Outcome_OUTCOME_FAILED_NOT_RUN:
+		outcome.Kind = KindFailedNotRun
+	}
+	return outcome
+}
--- /dev/null
+++ b/internal/routing/leastoutstanding.go
@@ -0,0 +1,29 @@
+package routing
+
+import "math/rand/v2"
+
+var _ Policy = LeastOutstanding{}
+
+// LeastOutstanding takes the server with fewest requests of this entry. It is
+// a baseline.
+type LeastOutstanding struct{}
+
+// Decide implements Policy.
+func (LeastOutstanding) Decide(snapshot Snapshot, request Request, random *rand.Rand) Decision {
+	servers := usable(snapshot, request)
+	if len(servers) == 0 {
+		return refuse(RefusalNoServer, "no server has the model")
+	}
+	if !fitsOne(servers, request) {
+		return groupFor(servers, request)
+	}
+	start := random.IntN(len(servers))
+	best := servers[start]
+	for i := range servers {
+		server := servers[(start+i)%len(servers)]
+		if server.Outstanding < best.Outstanding {
+			best = server
+		}
+	}
+	return choose(best, "least outstanding")
+}
--- /dev/null
+++ b/internal/routing/roundrobin.go
@@ -0,0 +1,31 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+)
+
+var _ Policy = (*RoundRobin)(nil)
+
+// RoundRobin takes servers in turn. It is a baseline.
+type RoundRobin struct {
+	next atomic.Uint64
+}
+
+// NewRoundRobin returns the policy.
+func NewRoundRobin() *RoundRobin {
+	return &RoundRobin{}
+}
+
+// Decide implements Policy.
+func (roundrobin *RoundRobin) Decide(snapshot Snapshot, request Request, _ *rand.Rand) Decision {
+	servers := usable(snapshot, request)
+	if len(servers) == 0 {
+		return refuse(RefusalNoServer, "no server has the model")
+	}
+	if !fitsOne(servers, request) {
+		return groupFor(servers, request)
+	}
+	turn := roundrobin.next.Add(1)
+	return choose(servers[turn%uint64(len(servers))], "round robin")
+}
