--- /dev/null
+++ b/cmd/mastwinch/main.go
@@ -0,0 +1,12 @@
+// Command mastwinch is described by its --help.
+package main
+
+import (
+	"os"
+
+	"github.com/mastwinch/mastwinch/internal/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Run(cmd.NewMastwinchCommand(), os.Args))
+}
--- /dev/null
+++ b/internal/cmd/keepercmd.go
@@ -0,0 +1,37 @@
+package cmd
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/mastwinch/mastwinch/internal/backend"
+	"github.com/mastwinch/mastwinch/internal/keeper"
+	"github.com/mastwinch/mastwinch/internal/platform"
+)
+
+// readWait is how long the log may wait for an entry before it answers.
+const readWait = 5 * time.Second
+
+// NewKeeperCommand returns the command line of mw-keeper.
+func NewKeeperCommand() *cli.Command {
+	return newServerCommand("mw-keeper", "follow the platform's log and VM list for the processes of this VM",
+		keeper.DefaultSettings(), runKeeper)
+}
+
+func runKeeper(ctx context.Context, settings keeper.Settings) error {
+	logger := newLogger("mw-keeper", settings.VM, settings.Logging)
+	client := &http.Client{}
+	kept, err := keeper.New(settings, keeper.Platform{
+		Log:         platform.NewHTTPLog(client, settings.Platform, settings.Log.Stream, readWait),
+		Checkpoints: platform.NewHTTPLog(client, settings.Platform, settings.Log.CheckpointStream, settings.Intervals.Duty/2),
+		VMList:      platform.NewHTTPVMList(client, settings.Platform),
+		Engines:     backend.NewHTTPBackend(),
+	}, logger)
+	if err != nil {
+		return err
+	}
+	return kept.Run(ctx)
+}
--- /dev/null
+++ b/internal/cmd/mastwinchcmd.go
@@ -0,0 +1,231 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/mastwinch/mastwinch/internal/entry"
+)
+
+// Flags of mastwinch.
+const (
+	flagEntry  = "entry"
+	flagOutput = "output"
+	outputJSON = "json"
+)
+
+// NewMastwinchCommand returns the command line of mastwinch, for operators.
+func NewMastwinchCommand() *cli.Command {
+	return &cli.Command{
+		Name:                  "mastwinch",
+		Usage:                 "operate the system",
+		EnableShellCompletion: true,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagEntry, Value: "http://127.0.0.1:7001", Usage: "base `ADDRESS` of any entry", Sources: cli.EnvVars("MASTWINCH_ENTRY")},
+			&cli.StringFlag{Name: flagOutput, Value: "table", Usage: "table or json"},
+		},
+		Commands: []*cli.Command{
+			newStatusCommand(),
+			newReadyCommand(),
+			newOrganisationCommand(),
+			newSessionCommand(),
+		},
+	}
+}
+
+func newStatusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show what an entry says of itself",
+		Action: func(ctx context.Context, command *cli.Command) error {
+			var status entry.EntryStatus
+			return show(ctx, command, "/v1/admin/status", &status, func(w io.Writer) {
+				fmt.Fprintf(w, "VM\t%s\nstopping\t%t\nkeeper connected\t%t\nnext offset\t%d\nconfiguration version\t%d\nkeys\t%d\nrunning\t%d\n",
+					status.VM, status.Stopping, status.KeeperConnected, status.NextOffset,
+					status.ConfigurationVersion, status.Keys, status.Running)
+				for _, listed := range status.Listed {
+					fmt.Fprintf(w, "listed %s VMs\t%d\n", listed.Kind, listed.Count)
+				}
+			})
+		},
+	}
+}
+
+func newReadyCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "ready",
+		Usage: "tell by the exit code whether an entry is ready",
+		Action: func(ctx context.Context, command *cli.Command) error {
+			body, status, err := ask(ctx, command, http.MethodGet, "/readyz", nil)
+			if err == nil && status != http.StatusOK {
+				err = errors.Newf("not ready: %s", bytes.TrimSpace(body))
+			}
+			return err
+		},
+	}
+}
+
+func newOrganisationCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "organisation",
+		Usage: "list, put and remove organisations",
+		Commands: []*cli.Command{
+			{Name: "list", Usage: "list organisations", Action: listOrganisations},
+			{
+				Name:      "put",
+				Usage:     "add an organisation, or change the one with the expected version",
+				ArgsUsage: "NAME",
+				Flags: []cli.Flag{
+					&cli.Uint32Flag{Name: "weight", Value: 1, Usage: "part of the fleet relative to others"},
+					&cli.Uint32Flag{Name: "max-concurrent", Value: 256, Usage: "requests that one entry runs at a time"},
+					&cli.Uint64Flag{Name: "version", Usage: "the version that is to be changed, 0 for a new one"},
+				},
+				Action: putOrganisation,
+			},
+			{
+				Name:      "remove",
+				Usage:     "remove an organisation",
+				ArgsUsage: "NAME",
+				Flags:     []cli.Flag{&cli.Uint64Flag{Name: "version", Usage: "the version that is to be removed", Required: true}},
+				Action: func(ctx context.Context, command *cli.Command) error {
+					return remove(ctx, command, "/v1/admin/organisations/")
+				},
+			},
+		},
+	}
+}
+
+func newSessionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "session",
+		Usage: "list, create and end sessions",
+		Commands: []*cli.Command{
+			{Name: "list", Usage: "list sessions", Action: listSessions},
+			{
+				Name:      "create",
+				Usage:     "create a session",
+				ArgsUsage: "ID",
+				Flags:     []cli.Flag{&cli.StringFlag{Name: "organisation", Usage: "whose session it is", Required: true}},
+				Action: func(ctx context.Context, command *cli.Command) error {
+					created := entry.Session{Organisation: command.String("organisation")}
+					return change(ctx, command, http.MethodPut, "/v1/admin/sessions/", "", created)
+				},
+			},
+			{
+				Name:      "end",
+				Usage:     "end a session",
+				ArgsUsage: "ID",
+				Flags:     []cli.Flag{&cli.Uint64Flag{Name: "version", Usage: "the version that is to be ended", Required: true}},
+				Action: func(ctx context.Context, command *cli.Command) error {
+					return remove(ctx, command, "/v1/admin/sessions/")
+				},
+			},
+		},
+	}
+}
+
+func listOrganisations(ctx context.Context, command *cli.Command) error {
+	var organisations []entry.Organisation
+	return show(ctx, command, "/v1/admin/organisations", &organisations, func(w io.Writer) {
+		fmt.Fprintln(w, "NAME\tWEIGHT\tMAX CONCURRENT\tVERSION")
+		for _, organisation := range organisations {
+			fmt.Fprintf(w, "%s\t%d\t%d\t%d\n", organisation.Name, organisation.Weight,
+				organisation.MaxConcurrent, organisation.Version)
+		}
+	})
+}
+
+func listSessions(ctx context.Context, command *cli.Command) error {
+	var sessions []entry.Session
+	return show(ctx, command, "/v1/admin/sessions", &sessions, func(w io.Writer) {
+		fmt.Fprintln(w, "ID\tORGANISATION\tVERSION")
+		for _, session := range sessions {
+			fmt.Fprintf(w, "%s\t%s\t%d\n", session.ID, session.Organisation, session.Version)
+		}
+	})
+}
+
+func putOrganisation(ctx context.Context, command *cli.Command) error {
+	return change(ctx, command, http.MethodPut, "/v1/admin/organisations/", "", entry.Organisation{
+		Weight:        command.Uint32("weight"),
+		MaxConcurrent: command.Uint32("max-concurrent"),
+		Version:       command.Uint64("version"),
+	})
+}
+
+func remove(ctx context.Context, command *cli.Command, path string) error {
+	query := "?version=" + strconv.FormatUint(command.Uint64("version"), 10)
+	return change(ctx, command, http.MethodDelete, path, query, nil)
+}
+
+// show gets what is at path and prints it as asked.
+func show(ctx context.Context, command *cli.Command, path string, value any, table func(io.Writer)) error {
+	body, status, err := ask(ctx, command, http.MethodGet, path, nil)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return errors.Newf("%s", bytes.TrimSpace(body))
+	}
+	if command.String(flagOutput) == outputJSON {
+		_, err = command.Root().Writer.Write(body)
+		return errors.WithStack(err)
+	}
+	err = json.Unmarshal(body, value)
+	if err != nil {
+		return errors.Wrap(err, "answer")
+	}
+	writer := tabwriter.NewWriter(command.Root().Writer, 0, 0, 2, ' ', 0)
+	table(writer)
+	return errors.WithStack(writer.Flush())
+}
+
+// change orders a change of what the first argument names.
+func change(ctx context.Context, command *cli.Command, method, path, query string, value any) error {
+	if command.NArg() != 1 {
+		return &exitError{code: exitUsage, err: errors.New("one argument is needed: " + command.ArgsUsage)}
+	}
+	body, status, err := ask(ctx, command, method, path+url.PathEscape(command.Args().First())+query, value)
+	if err != nil {
+		return err
+	}
+	switch status {
+	case http.StatusOK:
+		_, err = command.Root().Writer.Write(body)
+		return errors.WithStack(err)
+	case http.StatusConflict, http.StatusNotFound:
+		return &exitError{code: exitConflict, err: errors.Newf("%s", bytes.TrimSpace(body))}
+	case http.StatusBadRequest:
+		return &exitError{code: exitUsage, err: errors.Newf("%s", bytes.TrimSpace(body))}
+	default:
+		return errors.Newf("status %d: %s", status, bytes.TrimSpace(body))
+	}
+}
+
+func ask(ctx context.Context, command *cli.Command, method, path string, value any) ([]byte, int, error) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return nil, 0, errors.WithStack(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, command.String(flagEntry)+path, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, 0, errors.WithStack(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, 0, errors.WithStack(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return body, response.StatusCode, errors.WithStack(err)
+}
