--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,42 @@
 programs := mw-entry mw-keeper mw-standin mw-load mastwinch
+tools := $(CURDIR)/.tools
+linter := $(tools)/golangci-lint
 
-.PHONY: build demo test
+.PHONY: build check demo fmt generate test tools
 
+# build builds all programs into bin.
 build:
 	@mkdir -p bin
 	go build -o bin/ $(addprefix ./cmd/,$(programs))
 
+# demo runs the system with stand-ins and a mixed load.
 demo: build
 	@scripts/demo.sh
 
+# test runs all tests.
 test:
 	go test -race ./...
+
+# check vets, lints, and tells whether files are formatted and generated code
+# is current.
+check: tools
+	go vet ./...
+	$(linter) run ./...
+	$(linter) fmt --diff ./...
+	scripts/check-generated.sh
+
+# fmt formats all files.
+fmt: tools
+	$(linter) fmt ./...
+
+# generate makes the wire types anew; it needs protoc.
+generate: tools
+	PATH="$(tools):$$PATH" protoc -I proto --go_out=. --go_opt=module=github.com/mastwinch/mastwinch proto/wire.proto
+
+# tools builds the tools that tools/go.mod declares.
+tools: $(linter)
+
+$(linter): tools/go.mod tools/go.sum
+	@mkdir -p $(tools)
+	cd tools && go build -o $(tools)/ tool
+	@touch $(linter)
--- a/internal/backend/httpbackend.go
+++ b/internal/backend/httpbackend.go
@@ -60,7 +60,7 @@
 
 // Generate implements Engine.
 func (httpbackend *HTTPBackend) Generate(ctx context.Context, address string, dispatch Dispatch) (Stream, error) {
-	response, err := httpbackend.dispatch(ctx, address, "/v1/streams", dispatch)
+	response, err := httpbackend.dispatch(ctx, address, "/v1/streams", dispatch) //nolint:bodyclose // the stream closes it
 	if err != nil {
 		return nil, err
 	}
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -7,7 +7,7 @@
 	HeaderFrom         = "Backend-From"
 	HeaderGroup        = "Backend-Group"
 	HeaderKey          = "Backend-Key"
-	HeaderMaxTokens    = "Backend-Max-Tokens"
+	HeaderMaxTokens    = "Backend-Max-Tokens" //nolint:gosec // no credential
 	HeaderModel        = "Backend-Model"
 	HeaderOrganisation = "Backend-Organisation"
 	HeaderOwner        = "Backend-Owner"
--- a/internal/cmd/mastwinchcmd.go
+++ b/internal/cmd/mastwinchcmd.go
@@ -19,9 +19,10 @@
 
 // Flags of mastwinch.
 const (
-	flagEntry  = "entry"
-	flagOutput = "output"
-	outputJSON = "json"
+	flagEntry   = "entry"
+	flagOutput  = "output"
+	flagVersion = "version"
+	outputJSON  = "json"
 )
 
 // NewMastwinchCommand returns the command line of mastwinch, for operators.
@@ -48,7 +49,7 @@
 		Name:  "status",
 		Usage: "show what an entry says of itself",
 		Action: func(ctx context.Context, command *cli.Command) error {
-			var status entry.EntryStatus
+			var status entry.VMStatus
 			return show(ctx, command, "/v1/admin/status", &status, func(w io.Writer) {
 				fmt.Fprintf(w, "VM\t%s\nstopping\t%t\nkeeper connected\t%t\nnext offset\t%d\nconfiguration version\t%d\nkeys\t%d\nrunning\t%d\n",
 					status.VM, status.Stopping, status.KeeperConnected, status.NextOffset,
@@ -88,7 +89,7 @@
 				Flags: []cli.Flag{
 					&cli.Uint32Flag{Name: "weight", Value: 1, Usage: "part of the fleet relative to others"},
 					&cli.Uint32Flag{Name: "max-concurrent", Value: 256, Usage: "requests that one entry runs at a time"},
-					&cli.Uint64Flag{Name: "version", Usage: "the version that is to be changed, 0 for a new one"},
+					&cli.Uint64Flag{Name: flagVersion, Usage: "the version that is to be changed, 0 for a new one"},
 				},
 				Action: putOrganisation,
 			},
@@ -96,7 +97,7 @@
 				Name:      "remove",
 				Usage:     "remove an organisation",
 				ArgsUsage: "NAME",
-				Flags:     []cli.Flag{&cli.Uint64Flag{Name: "version", Usage: "the version that is to be removed", Required: true}},
+				Flags:     []cli.Flag{&cli.Uint64Flag{Name: flagVersion, Usage: "the version that is to be removed", Required: true}},
 				Action: func(ctx context.Context, command *cli.Command) error {
 					return remove(ctx, command, "/v1/admin/organisations/")
 				},
@@ -125,7 +126,7 @@
 				Name:      "end",
 				Usage:     "end a session",
 				ArgsUsage: "ID",
-				Flags:     []cli.Flag{&cli.Uint64Flag{Name: "version", Usage: "the version that is to be ended", Required: true}},
+				Flags:     []cli.Flag{&cli.Uint64Flag{Name: flagVersion, Usage: "the version that is to be ended", Required: true}},
 				Action: func(ctx context.Context, command *cli.Command) error {
 					return remove(ctx, command, "/v1/admin/sessions/")
 				},
@@ -159,12 +160,12 @@
 	return change(ctx, command, http.MethodPut, "/v1/admin/organisations/", "", entry.Organisation{
 		Weight:        command.Uint32("weight"),
 		MaxConcurrent: command.Uint32("max-concurrent"),
-		Version:       command.Uint64("version"),
+		Version:       command.Uint64(flagVersion),
 	})
 }
 
 func remove(ctx context.Context, command *cli.Command, path string) error {
-	query := "?version=" + strconv.FormatUint(command.Uint64("version"), 10)
+	query := "?version=" + strconv.FormatUint(command.Uint64(flagVersion), 10)
 	return change(ctx, command, http.MethodDelete, path, query, nil)
 }
 
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -35,8 +35,8 @@
 	Version      uint64 `json:"version"`
 }
 
-// EntryStatus is what an entry says of itself.
-type EntryStatus struct {
+// VMStatus is what an entry says of itself.
+type VMStatus struct {
 	VM                   string            `json:"vm"`
 	Incarnation          string            `json:"incarnation"`
 	Stopping             bool              `json:"stopping"`
@@ -56,7 +56,7 @@
 }
 
 func (entry *Entry) handleStatus(w http.ResponseWriter, _ *http.Request) {
-	status := EntryStatus{
+	status := VMStatus{
 		VM:              entry.settings.VM,
 		Incarnation:     entry.incarnation,
 		Stopping:        entry.stopping.Load(),
@@ -206,4 +206,3 @@
 		return http.StatusConflict
 	}
 }
-
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -216,10 +216,10 @@
 
 // statusCode maps an outcome to HTTP, for answers that are not streams.
 func statusCode(outcome request.Outcome) int {
-	switch {
-	case outcome.Kind == request.KindCompleted:
+	switch outcome.Kind {
+	case request.KindCompleted:
 		return http.StatusOK
-	case outcome.Kind == request.KindFailedMayHaveRun:
+	case request.KindFailedMayHaveRun:
 		return http.StatusBadGateway
 	}
 	switch outcome.Reason {
--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -136,7 +136,7 @@
 	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	asked, err := http.NewRequestWithContext(ctx, r.Method, "http://"+vm.GetAddress()+r.URL.RequestURI(), http.NoBody)
+	asked, err := http.NewRequestWithContext(ctx, r.Method, "http://"+vm.GetAddress()+r.URL.RequestURI(), http.NoBody) //nolint:gosec // the host is from the VM list
 	if err != nil {
 		return false
 	}
@@ -146,7 +146,7 @@
 		asked.Header.Set(headerEventID, eventID)
 	}
 	slow := time.AfterFunc(ownerTimeout, cancel)
-	response, err := entry.peers.Do(asked)
+	response, err := entry.peers.Do(asked) //nolint:gosec // as above
 	if err != nil || !slow.Stop() {
 		return false
 	}
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -114,4 +114,3 @@
 		})
 	}
 }
-
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -7,6 +7,8 @@
 	"github.com/mastwinch/mastwinch/internal/request"
 )
 
+const metricsNamespace = "mastwinch_entry"
+
 // metrics are those of an entry.
 type metrics struct {
 	outcomes     *prometheus.CounterVec
@@ -22,16 +24,16 @@
 func newMetrics(registerer prometheus.Registerer, running func() int, nextOffset func() uint64) *metrics {
 	factory := promauto.With(registerer)
 	counter := func(name, help string) prometheus.Counter {
-		return factory.NewCounter(prometheus.CounterOpts{Namespace: "mastwinch_entry", Name: name, Help: help})
+		return factory.NewCounter(prometheus.CounterOpts{Namespace: metricsNamespace, Name: name, Help: help})
 	}
 	vector := func(name, help string, labels ...string) *prometheus.CounterVec {
-		return factory.NewCounterVec(prometheus.CounterOpts{Namespace: "mastwinch_entry", Name: name, Help: help}, labels)
+		return factory.NewCounterVec(prometheus.CounterOpts{Namespace: metricsNamespace, Name: name, Help: help}, labels)
 	}
 	factory.NewGaugeFunc(prometheus.GaugeOpts{
-		Namespace: "mastwinch_entry", Name: "requests_running", Help: "Requests that have not ended.",
+		Namespace: metricsNamespace, Name: "requests_running", Help: "Requests that have not ended.",
 	}, func() float64 { return float64(running()) })
 	factory.NewGaugeFunc(prometheus.GaugeOpts{
-		Namespace: "mastwinch_entry", Name: "next_offset", Help: "Offset of the next log entry to apply.",
+		Namespace: metricsNamespace, Name: "next_offset", Help: "Offset of the next log entry to apply.",
 	}, func() float64 { return float64(nextOffset()) })
 	return &metrics{
 		outcomes: vector("outcomes_total", "Ended requests.", "outcome", "reason"),
@@ -39,7 +41,7 @@
 		attempts: vector("attempts_total", "Dispatches to backend servers.", "result"),
 		dropped:  counter("frames_dropped_total", "Frames that were late, doubled or foreign."),
 		firstToken: factory.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: "mastwinch_entry",
+			Namespace: metricsNamespace,
 			Name:      "first_token_seconds",
 			Help:      "Time from admission to the first token.",
 			Buckets:   prometheus.ExponentialBuckets(0.004, 2, 14),
@@ -47,7 +49,7 @@
 		adopted: counter("adopted_total", "Requests of other entries taken over."),
 		resumed: counter("resumed_total", "Streams opened again after a cut to the engine."),
 		decisionTime: factory.NewHistogram(prometheus.HistogramOpts{
-			Namespace: "mastwinch_entry",
+			Namespace: metricsNamespace,
 			Name:      "decision_seconds",
 			Help:      "Time of one routing decision.",
 			Buckets:   prometheus.ExponentialBuckets(1e-6, 4, 8),
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -460,4 +460,3 @@
 	streamed := active.request.Mode == request.ModeStream
 	return streamed && active.request.Repeatable && !active.request.Service
 }
-
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -187,8 +187,8 @@
 		Ejected:         now.Before(server.ejectedUntil),
 	}
 	if load := server.load; load != nil {
-		view.Free = int(load.GetFreeTokens())                                        //nolint:gosec // as above
-		view.QueuedLong = int(load.GetQueuedLongTokens())                            //nolint:gosec // as above
+		view.Free = int(load.GetFreeTokens())                                   //nolint:gosec // as above
+		view.QueuedLong = int(load.GetQueuedLongTokens())                       //nolint:gosec // as above
 		view.QueuedShort = int(load.GetQueuedPrefillTokens()) - view.QueuedLong //nolint:gosec // as above
 	}
 	server.forget(now.Add(-lag))
--- a/internal/fold/fold.go
+++ b/internal/fold/fold.go
@@ -12,7 +12,7 @@
 
 // VersionAt returns the version of the record at index in the entry at offset.
 func VersionAt(offset uint64, index int) Version {
-	return Version(offset*MaxBatch + uint64(index) + 1)
+	return Version(offset*MaxBatch + uint64(index) + 1) //nolint:gosec // below MaxBatch
 }
 
 // Reason says why a record was refused.
--- a/internal/keeper/appender.go
+++ b/internal/keeper/appender.go
@@ -196,13 +196,6 @@
 	}
 }
 
-// idle reports whether nothing waits to be appended.
-func (appender *appender) idle() bool {
-	appender.mu.Lock()
-	defer appender.mu.Unlock()
-	return len(appender.queued) == 0
-}
-
 func sleep(ctx context.Context, duration time.Duration) {
 	if duration <= 0 {
 		return
--- a/internal/keeper/checkpoint.go
+++ b/internal/keeper/checkpoint.go
@@ -28,7 +28,7 @@
 		entry, err := proto.Marshal(&wire.CheckpointPart{
 			NextOffset: state.GetNextOffset(),
 			Writer:     writer,
-			Part:       uint32(part),  //nolint:gosec // few parts
+			Part:       uint32(part),
 			Parts:      uint32(parts), //nolint:gosec // few parts
 			Data:       data[part*checkpointPartBytes : end],
 		})
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -117,7 +117,7 @@
 		keys = state.Ledger.Len()
 	})
 	wanted := now.Add(-duties.settings.Keys.Window).UnixMilli()
-	behind := wanted - int64(horizon) //nolint:gosec // milliseconds fit
+	behind := wanted - int64(horizon)
 	if keys == 0 || behind < horizonStep.Milliseconds() {
 		duties.horizonDue = time.Time{}
 		return
@@ -131,7 +131,7 @@
 	duties.horizonDue = time.Time{}
 	err := duties.appender.propose(&wire.Record{
 		Id:   "horizon/" + uuid.NewString(),
-		Body: &wire.Record_AdvanceHorizon{AdvanceHorizon: &wire.AdvanceHorizon{KeyTimeMs: uint64(wanted)}}, //nolint:gosec // after 1970
+		Body: &wire.Record_AdvanceHorizon{AdvanceHorizon: &wire.AdvanceHorizon{KeyTimeMs: uint64(wanted)}},
 	})
 	if err != nil {
 		duties.logger.Warn("horizon could not be moved", "error", err)
--- a/internal/keeper/metrics.go
+++ b/internal/keeper/metrics.go
@@ -5,6 +5,8 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 )
 
+const metricsNamespace = "mastwinch_keeper"
+
 // metrics are those of a keeper.
 type metrics struct {
 	appends       prometheus.Counter
@@ -22,17 +24,17 @@
 func newMetrics(registerer prometheus.Registerer) *metrics {
 	factory := promauto.With(registerer)
 	counter := func(name, help string) prometheus.Counter {
-		return factory.NewCounter(prometheus.CounterOpts{Namespace: "mastwinch_keeper", Name: name, Help: help})
+		return factory.NewCounter(prometheus.CounterOpts{Namespace: metricsNamespace, Name: name, Help: help})
 	}
 	gauge := func(name, help string) prometheus.Gauge {
-		return factory.NewGauge(prometheus.GaugeOpts{Namespace: "mastwinch_keeper", Name: name, Help: help})
+		return factory.NewGauge(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help})
 	}
 	return &metrics{
 		appends:       counter("log_appends_total", "Appends sent to the log."),
 		appendErrors:  counter("log_append_errors_total", "Appends without a good answer."),
 		appendRecords: counter("log_append_records_total", "Records in appends sent to the log."),
 		appendSeconds: factory.NewHistogram(prometheus.HistogramOpts{
-			Namespace: "mastwinch_keeper",
+			Namespace: metricsNamespace,
 			Name:      "log_append_seconds",
 			Help:      "Time of an append.",
 			Buckets:   prometheus.ExponentialBuckets(0.001, 2, 13),
--- a/internal/keeper/watch.go
+++ b/internal/keeper/watch.go
@@ -143,7 +143,7 @@
 
 // count takes a number from an engine that must not be negative.
 func count(value int) uint64 {
-	return uint64(max(0, value)) //nolint:gosec // not negative
+	return uint64(max(0, value))
 }
 
 func asExpired(err error) (*platform.ExpiredError, bool) {
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,140 @@
+package ledger_test
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/fold"
+	"github.com/mastwinch/mastwinch/internal/ledger"
+	"github.com/mastwinch/mastwinch/internal/wire"
+)
+
+const organisation = "register"
+
+// keyAt returns a key made at that time, in milliseconds since 1970.
+func keyAt(milliseconds uint64) *wire.Key {
+	id := uuid.Must(uuid.NewV7())
+	var encoded [8]byte
+	binary.BigEndian.PutUint64(encoded[:], milliseconds)
+	copy(id[:6], encoded[2:])
+	return &wire.Key{Organisation: organisation, Value: id.String()}
+}
+
+func begin(key *wire.Key, requestID string, expected fold.Version) *wire.Begin {
+	return &wire.Begin{
+		Key:             key,
+		RequestId:       requestID,
+		Owner:           "vm1/1",
+		ExpectedVersion: uint64(expected),
+		ContentDigest:   7,
+	}
+}
+
+func finish(key *wire.Key, requestID string, outcome wire.Outcome) *wire.Finish {
+	return &wire.Finish{Key: key, RequestId: requestID, Outcome: outcome}
+}
+
+func TestLedgerVerdicts(t *testing.T) {
+	key := keyAt(1000)
+	// Each case is a list of steps; step i is the record with version i+1.
+	type step struct {
+		record any
+		want   fold.Verdict
+	}
+	cases := map[string][]step{
+		"the first begin is granted, the second is not": {
+			{begin(key, "r1", 0), fold.Accept(1)},
+			{begin(key, "r2", 0), fold.Refuse(fold.ReasonConflict)},
+		},
+		"a repeat of the granted begin grants nothing new": {
+			{begin(key, "r1", 0), fold.Accept(1)},
+			{begin(key, "r1", 0), fold.Accept(1)},
+		},
+		"a late copy of a begin is refused after its request ended": {
+			{begin(key, "r1", 0), fold.Accept(1)},
+			{finish(key, "r1", wire.Outcome_OUTCOME_FAILED_NOT_RUN), fold.Accept(2)},
+			{begin(key, "r1", 0), fold.Refuse(fold.ReasonConflict)},
+		},
+		"a key that was not run can be granted again to who saw that": {
+			{begin(key, "r1", 0), fold.Accept(1)},
+			{finish(key, "r1", wire.Outcome_OUTCOME_FAILED_NOT_RUN), fold.Accept(2)},
+			{begin(key, "r2", 1), fold.Refuse(fold.ReasonConflict)},
+			{begin(key, "r2", 2), fold.Accept(4)},
+		},
+		"a key that may have run is never granted again": {
+			{begin(key, "r1", 0), fold.Accept(1)},
+			{finish(key, "r1", wire.Outcome_OUTCOME_FAILED_MAY_HAVE_RUN), fold.Accept(2)},
+			{begin(key, "r2", 2), fold.Refuse(fold.ReasonConflict)},
+		},
+		"an outcome that may have run can still prove completed, not the other way": {
+			{begin(key, "r1", 0), fold.Accept(1)},
+			{finish(key, "r1", wire.Outcome_OUTCOME_FAILED_MAY_HAVE_RUN), fold.Accept(2)},
+			{finish(key, "r1", wire.Outcome_OUTCOME_FAILED_NOT_RUN), fold.Refuse(fold.ReasonStale)},
+			{finish(key, "r1", wire.Outcome_OUTCOME_COMPLETED), fold.Accept(4)},
+			{finish(key, "r1", wire.Outcome_OUTCOME_FAILED_MAY_HAVE_RUN), fold.Refuse(fold.ReasonStale)},
+		},
+		"another request cannot finish the attempt": {
+			{begin(key, "r1", 0), fold.Accept(1)},
+			{finish(key, "r2", wire.Outcome_OUTCOME_COMPLETED), fold.Refuse(fold.ReasonNotFound)},
+		},
+		"a key older than the horizon is refused, also after it was forgotten": {
+			{begin(key, "r1", 0), fold.Accept(1)},
+			{&wire.AdvanceHorizon{KeyTimeMs: 1001}, fold.Accept(2)},
+			{begin(key, "r1", 0), fold.Refuse(fold.ReasonKeyExpired)},
+			{&wire.AdvanceHorizon{KeyTimeMs: 1000}, fold.Refuse(fold.ReasonStale)},
+		},
+		"a malformed key is refused": {
+			{begin(&wire.Key{Value: uuid.NewString()}, "r1", 0), fold.Refuse(fold.ReasonMalformed)},
+		},
+	}
+	for name, steps := range cases {
+		t.Run(name, func(t *testing.T) {
+			tested := ledger.New()
+			for i, step := range steps {
+				version := fold.Version(i + 1)
+				var got fold.Verdict
+				switch record := step.record.(type) {
+				case *wire.Begin:
+					got = tested.Begin(version, record)
+				case *wire.Finish:
+					got = tested.Finish(version, record)
+				case *wire.AdvanceHorizon:
+					got = tested.AdvanceHorizon(version, record)
+				}
+				assert.Equal(t, got, step.want, "step %d", i)
+			}
+		})
+	}
+}
+
+func TestNewKey(t *testing.T) {
+	valid := keyAt(1234567)
+	cases := map[string]struct {
+		value   string
+		problem string
+	}{
+		"version 7":     {value: valid.GetValue()},
+		"version 4":     {value: "5f0c3a3e-5d0a-4b3e-9d2b-1c2d3e4f5a6b", problem: "must be a UUID of version 7, which carries its time, but is version 4"},
+		"not a UUID":    {value: "receipt-17", problem: "must be a UUID of version 7"},
+		"empty":         {value: "", problem: "must be a UUID of version 7"},
+		"too far ahead": {value: keyAt(90_000).GetValue(), problem: "its time is more than 1m0s ahead"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			key, err := ledger.NewKey(organisation, c.value)
+			if err == nil && name == "too far ahead" {
+				err = key.CheckTime(time.UnixMilli(29_999), time.Minute)
+			}
+			if c.problem == "" {
+				assert.NilError(t, err)
+				assert.Equal(t, key.Time, uint64(1234567))
+				return
+			}
+			assert.ErrorContains(t, err, c.problem)
+		})
+	}
+}
--- a/internal/link/credentials.go
+++ b/internal/link/credentials.go
@@ -61,25 +61,21 @@
 // Certificates are checked by that key alone, since VMs' clocks differ.
 func (credentials Credentials) config() *tls.Config {
 	return &tls.Config{
-		MinVersion:            tls.VersionTLS13,
-		Certificates:          []tls.Certificate{credentials.certificate},
-		ClientAuth:            tls.RequireAnyClientCert,
-		InsecureSkipVerify:    true, //nolint:gosec // VerifyPeerCertificate pins the key
-		VerifyPeerCertificate: credentials.verify,
-		NextProtos:            []string{protocolName},
-		ServerName:            serverName,
+		MinVersion:         tls.VersionTLS13,
+		Certificates:       []tls.Certificate{credentials.certificate},
+		ClientAuth:         tls.RequireAnyClientCert,
+		InsecureSkipVerify: true, //nolint:gosec // VerifyConnection pins the key
+		VerifyConnection:   credentials.verify,
+		NextProtos:         []string{protocolName},
+		ServerName:         serverName,
 	}
 }
 
-func (credentials Credentials) verify(certificates [][]byte, _ [][]*x509.Certificate) error {
-	if len(certificates) == 0 {
+func (credentials Credentials) verify(state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
 		return errors.New("link: no certificate")
 	}
-	certificate, err := x509.ParseCertificate(certificates[0])
-	if err != nil {
-		return errors.Wrap(err, "link")
-	}
-	public, ok := certificate.PublicKey.(ed25519.PublicKey)
+	public, ok := state.PeerCertificates[0].PublicKey.(ed25519.PublicKey)
 	if !ok || !bytes.Equal(public, credentials.public) {
 		return errors.New("link: the other end has another secret")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,9 @@
 	"go.yaml.in/yaml/v3"
 )
 
+// wholeFile is the path of a problem that belongs to no one setting.
+const wholeFile = "(file)"
+
 // Problem is one thing that is wrong with a file of settings.
 type Problem struct {
 	// Path names the setting, such as limits.max_body_bytes.
@@ -43,7 +46,7 @@
 
 // Load reads the file over defaults and checks the result.
 func Load[T any](file string, defaults T) (T, error) {
-	data, err := os.ReadFile(file)
+	data, err := os.ReadFile(file) //nolint:gosec // the operator names it
 	if err != nil {
 		return defaults, errors.Wrap(err, "settings")
 	}
@@ -75,7 +78,7 @@
 	case err == nil || errors.Is(err, io.EOF):
 		return nil
 	case !errors.As(err, &typeError):
-		return []Problem{{Path: "(file)", Message: err.Error()}}
+		return []Problem{{Path: wholeFile, Message: err.Error()}}
 	}
 	var root yaml.Node
 	_ = yaml.Unmarshal(data, &root)
@@ -91,11 +94,11 @@
 func newTypeProblem(root *yaml.Node, message string) Problem {
 	parts := regexp.MustCompile(`^line (\d+): (.*)$`).FindStringSubmatch(message)
 	if parts == nil {
-		return Problem{Path: "(file)", Message: message}
+		return Problem{Path: wholeFile, Message: message}
 	}
 	line, err := strconv.Atoi(parts[1])
 	if err != nil {
-		return Problem{Path: "(file)", Message: message}
+		return Problem{Path: wholeFile, Message: message}
 	}
 	return Problem{Path: pathAt(root, line, nil), Message: message}
 }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -40,24 +40,24 @@
 }
 
 // start makes the server listen and, if it is an engine, compute.
-func (server *server) start() error {
+func (server *server) start(ctx context.Context) error {
 	server.mu.Lock()
 	defer server.mu.Unlock()
 	if server.running != nil {
 		return nil
 	}
-	listener, err := net.Listen("tcp", server.vm.Address)
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", server.vm.Address)
 	if err != nil {
 		return errors.Wrapf(err, "backend server %s", server.vm.ID)
 	}
 	built := server.build()
-	ctx, cancel := context.WithCancel(context.Background())
+	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	server.running = &built
 	server.cancel = cancel
 	server.http = &http.Server{Handler: built.handler()} //nolint:gosec // a stand-in, on loopback
 	if built.engine != nil {
 		go built.engine.Run()
-		go built.engine.Housekeep(ctx)
+		go built.engine.Housekeep(life)
 	}
 	go func(http *http.Server) { _ = http.Serve(listener) }(server.http)
 	return nil
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -114,7 +114,7 @@
 // Run serves until ctx is done.
 func (standin *Standin) Run(ctx context.Context) error {
 	for _, server := range standin.servers {
-		err := server.start()
+		err := server.start(ctx)
 		if err != nil {
 			return err
 		}
@@ -194,7 +194,7 @@
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(&faults)
 	if err == nil {
-		err = standin.apply(faults)
+		err = standin.apply(r.Context(), faults)
 	}
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -203,7 +203,7 @@
 	standin.logger.Info("faults changed", "faults", faults)
 }
 
-func (standin *Standin) apply(faults Faults) error {
+func (standin *Standin) apply(ctx context.Context, faults Faults) error {
 	if faults.Log != nil {
 		standin.log.SetFaults(*faults.Log)
 	}
@@ -221,21 +221,21 @@
 		}
 	}
 	return errors.CombineErrors(
-		standin.each(faults.Kill, standin.kill),
+		standin.each(ctx, faults.Kill, standin.kill),
 		errors.CombineErrors(
-			standin.each(faults.Start, standin.start),
-			standin.each(faults.Leave, standin.leave),
+			standin.each(ctx, faults.Start, standin.start),
+			standin.each(ctx, faults.Leave, standin.leave),
 		),
 	)
 }
 
-func (standin *Standin) each(ids []string, apply func(*server) error) error {
+func (standin *Standin) each(ctx context.Context, ids []string, apply func(context.Context, *server) error) error {
 	for _, id := range ids {
 		server := standin.servers[id]
 		if server == nil {
 			return errors.Newf("no backend server %q", id)
 		}
-		err := apply(server)
+		err := apply(ctx, server)
 		if err != nil {
 			return err
 		}
@@ -243,18 +243,18 @@
 	return nil
 }
 
-func (standin *Standin) kill(server *server) error {
+func (standin *Standin) kill(_ context.Context, server *server) error {
 	server.kill()
 	standin.vms.Remove(server.vm.ID)
 	return nil
 }
 
-func (standin *Standin) start(server *server) error {
+func (standin *Standin) start(ctx context.Context, server *server) error {
 	standin.vms.Put(server.vm)
-	return server.start()
+	return server.start(ctx)
 }
 
-func (standin *Standin) leave(server *server) error {
+func (standin *Standin) leave(_ context.Context, server *server) error {
 	server.leave()
 	standin.vms.Leave(server.vm.ID)
 	return nil
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -51,4 +51,3 @@
 		left -= size
 	}
 }
-
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -1,4 +1,4 @@
 // Package wire holds the types that go to the platform's log and between the
-// system's processes. Everything but this file is generated from
-// proto/wire.proto.
+// system's processes. They come from
+// proto/wire.proto, by make generate.
 package wire
