keeperclient: turn from a silent keeper within a second

Cause: kill -9 of a keeper left its entry waiting for QUIC's idle time of five seconds, since nothing tells that the other end is gone. Keyed requests waited all that time. Ruled out: the log (up throughout) and the other keepers (their entries' requests took their usual time).

In the same runs 6 keyed prompts ended as failed_not_run/key_in_use: their stream had begun by heartbeat when the other copy of the key won. That is true of the copy but no help to its caller.

Conclusion: silence of a second counts as death; keepers send heartbeats.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/mastwinch/mastwinch/internal/ledger"
 	"github.com/mastwinch/mastwinch/internal/relay"
 	"github.com/mastwinch/mastwinch/internal/request"
 )
@@ -23,6 +24,9 @@
 	EventAdmitted = "admitted"
 	EventToken    = "token"
 	EventOutcome  = "outcome"
+	// EventDuplicate ends a stream whose key belongs to another request; its
+	// data names that one.
+	EventDuplicate = "duplicate"
 )
 
 // answerStream sends the answer from token from on as server-sent events. A
@@ -44,11 +48,9 @@
 	if outcome == nil {
 		return // the caller has gone
 	}
-	if outcome.Reason == request.ReasonKeyConflict {
-		if earlier, ok := entry.earlier(active.request.Key); ok {
-			entry.answerDuplicate(w, active.request, earlier)
-			return
-		}
+	if earlier, ok := entry.winner(active, *outcome); ok {
+		entry.answerDuplicate(w, active.request, earlier)
+		return
 	}
 	writeOutcome(w, Status{RequestID: active.request.ID}, *outcome)
 }
@@ -93,8 +95,7 @@
 			from = token.Seq + 1
 		}
 		if view.Outcome != nil {
-			status := Status{RequestID: active.request.ID, Tokens: from}
-			events.event(EventOutcome, "", withOutcome(status, *view.Outcome))
+			entry.sendOutcome(events, active, *view.Outcome, from)
 		}
 		if !events.flush(w, controller) || view.Outcome != nil {
 			return
@@ -109,6 +110,24 @@
 	}
 }
 
+func (entry *Entry) sendOutcome(events *eventWriter, active *active, outcome request.Outcome, tokens int) {
+	if earlier, ok := entry.winner(active, outcome); ok {
+		events.event(EventDuplicate, "", Status{RequestID: earlier.RequestID, Running: earlier.Running(), Duplicate: true})
+		return
+	}
+	status := Status{RequestID: active.request.ID, Tokens: tokens}
+	events.event(EventOutcome, "", withOutcome(status, outcome))
+}
+
+// winner returns the attempt that got the key which the request asked for in
+// vain, unless that one was not run either.
+func (entry *Entry) winner(active *active, outcome request.Outcome) (ledger.Attempt, bool) {
+	if outcome.Reason != request.ReasonKeyConflict {
+		return ledger.Attempt{}, false
+	}
+	return entry.earlier(active.request.Key)
+}
+
 // eventWriter collects server-sent events between two flushes.
 type eventWriter struct {
 	pending bytes.Buffer
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -22,7 +22,11 @@
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
 
-const headerTimeout = 5 * time.Second
+const (
+	headerTimeout = 5 * time.Second
+	// heartbeatInterval is the longest silence towards a subscriber.
+	heartbeatInterval = 250 * time.Millisecond
+)
 
 // Platform is what a keeper uses of the platform and of the engines.
 type Platform struct {
@@ -158,14 +162,25 @@
 	defer keeper.metrics.subscribers.Dec()
 	keeper.logger.Info("subscriber joined", "node", name, "next_offset", first.GetSubscribe().GetNextOffset())
 	go keeper.receive(peer, name)
-	for frame := range subscriber.frames {
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
+	for {
+		frame := &wire.ServerFrame{} // a heartbeat
+		open := true
+		select {
+		case frame, open = <-subscriber.frames:
+		case <-heartbeat.C:
+		}
+		if !open {
+			keeper.logger.Warn("subscriber was too slow", "node", name)
+			return
+		}
 		err = peer.Send(frame)
 		if err != nil {
 			keeper.logger.Info("subscriber left", "node", name, "error", err)
 			return
 		}
 	}
-	keeper.logger.Warn("subscriber was too slow", "node", name)
 }
 
 // receive takes proposals until the link ends, and then ends it here too.
--- a/internal/keeperclient/keeperclient.go
+++ b/internal/keeperclient/keeperclient.go
@@ -21,6 +21,9 @@
 const (
 	reconnectWait = 100 * time.Millisecond
 	dialTimeout   = 2 * time.Second
+	// silenceLimit is how long a keeper may send nothing. Heartbeats come
+	// several times in it, so a longer silence means that it is gone.
+	silenceLimit = time.Second
 	// proposeAgain is how long a verdict is waited for before the record is
 	// proposed again, perhaps through another keeper.
 	proposeAgain = time.Second
@@ -170,7 +173,7 @@
 	defer client.setPeer(nil)
 	for {
 		frame := &wire.ServerFrame{}
-		err = peer.Receive(frame)
+		err = peer.ReceiveWithin(silenceLimit, frame)
 		if err != nil {
 			return err
 		}
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -66,6 +66,15 @@
 	return errors.Wrap(peer.writer.Flush(), "link: send")
 }
 
+// ReceiveWithin is Receive, but fails if no frame comes in that time.
+func (peer *Peer) ReceiveWithin(limit time.Duration, message proto.Message) error {
+	err := peer.stream.SetReadDeadline(time.Now().Add(limit))
+	if err != nil {
+		return errors.Wrap(err, "link: receive")
+	}
+	return peer.Receive(message)
+}
+
 // Receive reads the next frame into message.
 func (peer *Peer) Receive(message proto.Message) error {
 	options := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -170,6 +170,10 @@
 	if status.RequestID == "" {
 		return errors.Newf("status %d names no request", response.StatusCode)
 	}
+	if status.Reason == request.ReasonStopping && status.Outcome == request.KindFailedNotRun {
+		// The balancer would have sent it elsewhere.
+		return errors.New("the entry is stopping")
+	}
 	call.answer.RequestID = status.RequestID
 	call.answer.Duplicate = call.answer.Duplicate || status.Duplicate
 	if status.Running {
@@ -231,6 +235,15 @@
 			call.cut = true
 			return false, errors.New("cut off on purpose")
 		}
+	case entry.EventDuplicate:
+		var status entry.Status
+		err := json.Unmarshal([]byte(data), &status)
+		if err != nil {
+			return false, errors.WithStack(err)
+		}
+		call.answer.RequestID = status.RequestID
+		call.answer.Duplicate = true
+		return false, errors.New("another request has the key")
 	case entry.EventOutcome:
 		var status entry.Status
 		err := json.Unmarshal([]byte(data), &status)
--- /dev/null
+++ b/scripts/system.sh
@@ -0,0 +1,50 @@
+# Functions to run stand-ins and three VMs' worth of the system on this
+# machine; to be sourced. Everything that was started is stopped on exit.
+config=${config:-examples/demo}
+logs=$(mktemp -d)
+declare -A pids
+
+stop_all() {
+  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do
+    for _ in $(seq 50); do kill -0 "$pid" 2>/dev/null || break; sleep 0.1; done
+    kill -KILL "$pid" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+}
+trap stop_all EXIT
+
+# start NAME: one process of the system, or the stand-ins.
+start() {
+  local name=$1 program
+  case $name in
+    standin) program=mw-standin ;;
+    keeper*) program=mw-keeper ;;
+    entry*) program=mw-entry ;;
+  esac
+  "bin/$program" --config "$config/$name.yaml" 2>>"$logs/$name.log" &
+  pids[$name]=$!
+}
+
+await_ready() {
+  local name=$1 address=$2
+  for _ in $(seq 100); do
+    if bin/mastwinch --entry "http://$address" ready >/dev/null 2>&1; then return; fi
+    sleep 0.1
+  done
+  echo "$name did not get ready; its log is in $logs" >&2
+  exit 1
+}
+
+start_system() {
+  start standin
+  for i in 1 2 3; do
+    start keeper$i
+    start entry$i
+  done
+  for i in 1 2 3; do await_ready entry$i 127.0.0.1:700$i; done
+  for name in register lawyers accountants; do
+    bin/mastwinch organisation put --weight 1 --max-concurrent 512 $name
+  done
+  sleep 0.5 # until all entries have read them
+}
