load: show what the entries add to the first token

Cause: the added latency has to be known before anything is put on the short requests' way. Callers that go straight to the engines run beside those that go through the entries, at 500 a second each, on engines that compute a 1k prompt in one step of 2 ms, so that queueing does not hide the rest.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 tools := $(CURDIR)/.tools
 linter := $(tools)/golangci-lint
 
-.PHONY: build check demo fmt generate test tools
+.PHONY: build check demo fmt fuzz generate overhead test tools
 
 # build builds all programs into bin.
 build:
@@ -13,10 +13,19 @@
 demo: build
 	@scripts/demo.sh
 
+# overhead shows what the entries add to the first token.
+overhead: build
+	@scripts/overhead.sh
+
 # test runs all tests.
 test:
 	go test -race ./...
 
+# fuzz looks for broken promises for as long as FUZZTIME says, with new seeds.
+FUZZTIME ?= 5m
+fuzz:
+	go test ./internal/entry -run TestPromises -count=1 -timeout 0 -rapid.checks=1000000000 -rapid.seed=0 -promises.time=$(FUZZTIME)
+
 # check vets, lints, and tells whether files are formatted and generated code
 # is current.
 check: tools
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastwinch/mastwinch/internal/backend"
 	"github.com/mastwinch/mastwinch/internal/standin/execution"
 )
 
@@ -31,6 +32,7 @@
 type Load struct {
 	settings Settings
 	client   *http.Client
+	backends *backend.HTTPBackend
 	logger   *slog.Logger
 }
 
@@ -43,7 +45,8 @@
 			MaxIdleConnsPerHost: maxIdleConns,
 			DisableCompression:  true,
 		}},
-		logger: logger,
+		backends: backend.NewHTTPBackend(),
+		logger:   logger,
 	}
 }
 
@@ -111,6 +114,9 @@
 
 // send sends an arrival, twice if it is to be duplicated.
 func (load *Load) send(ctx context.Context, arrival Arrival) []Answer {
+	if arrival.Class.Direct {
+		return []Answer{submitDirect(ctx, load.backends, load.settings.Engines, arrival)}
+	}
 	key := ""
 	if arrival.Class.Unrepeatable {
 		key = newKey()
--- a/internal/load/settings.go
+++ b/internal/load/settings.go
@@ -6,6 +6,8 @@
 type Settings struct {
 	// Entries are the addresses that callers use, in place of a balancer.
 	Entries []string `yaml:"entries" validate:"min=1,dive,hostname_port"`
+	// Engines are the addresses of engines, for classes that are direct.
+	Engines []string `yaml:"engines" validate:"dive,hostname_port"`
 	// Platform is where the stand-ins tell what really ran. Without it, that
 	// part of the check is left out, and said to be.
 	Platform string `yaml:"platform" validate:"omitempty,http_url"`
@@ -26,6 +28,9 @@
 	// Service names the plain service to call; empty for prompts.
 	Service string `yaml:"service"`
 	Model   string `yaml:"model" validate:"required_without=Service"`
+	// Direct sends prompts to the engines themselves, to show by comparison
+	// what the entries add.
+	Direct bool `yaml:"direct"`
 	// PerSecond is the rate of arrivals.
 	PerSecond float64 `yaml:"per_second" validate:"gt=0"`
 	// TokensMin and TokensMax bound the prompt, evenly spread.
