keeper: give a joining VM the whole state, also on a short log

Cause: found by a test that starts a keeper while the log is down. The keeper that it asked sent the entries since offset zero, as it does for an entry that was away, but a joining keeper waits for a state; it never got ready (10 s in the test, without end in life).

Now a subscriber that has nothing always gets the state.

--- a/internal/keeper/hub.go
+++ b/internal/keeper/hub.go
@@ -104,13 +104,14 @@
 }
 
 // backlog returns what leads from next to the state of the replica: the
-// entries between if they are at hand, and otherwise the whole state.
+// entries between if they are at hand, and otherwise the whole state, which a
+// subscriber that has nothing always gets.
 func (hub *hub) backlog(next uint64) []*wire.ServerFrame {
 	have := hub.replica.Next()
 	switch {
 	case next >= have:
 		return nil // nothing, or the subscriber is ahead
-	case len(hub.recent) > 0 && hub.recent[0].GetOffset() <= next:
+	case next > 0 && len(hub.recent) > 0 && hub.recent[0].GetOffset() <= next:
 		missed := hub.recent[next-hub.recent[0].GetOffset():]
 		frames := make([]*wire.ServerFrame, 0, len(missed))
 		for _, committed := range missed {
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -129,10 +129,23 @@
 	if !options.PlainDatagrams {
 		return socket
 	}
-	return plainConn{socket}
+	return plainConn{PacketConn: socket, socket: socket}
 }
 
-// plainConn has the methods of net.PacketConn only.
+// plainConn has the methods of net.PacketConn only, and those that size its
+// buffers.
 type plainConn struct {
 	net.PacketConn
+
+	socket *net.UDPConn
+}
+
+// SetReadBuffer sets the size of the socket's receive buffer, in bytes.
+func (plainconn plainConn) SetReadBuffer(size int) error {
+	return plainconn.socket.SetReadBuffer(size)
+}
+
+// SetWriteBuffer sets the size of the socket's send buffer, in bytes.
+func (plainconn plainConn) SetWriteBuffer(size int) error {
+	return plainconn.socket.SetWriteBuffer(size)
 }
