standin: a stream that holds its memory never waits for one that does not

Cause: the first token of a 1M prompt took up to 42 s, and a 200k prompt died by its deadline. The engine stopped at the first stream that had to wait for memory, so that none would overtake it, and with it stopped a group's stream that came later but already held its reservation; neither could go on until time was over. Ruled out: the policy (round robin lost 258 requests in the same way) and the reservations (they were bound and held).

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -203,16 +203,15 @@
 	slices.SortFunc(order, func(a, b *stream) int {
 		return cmp.Or(-cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.sequence, b.sequence))
 	})
-	running := order[:0:0]
+	// Once one has to wait, those after it must not take the memory that it
+	// waits for; but those that have theirs go on, or none would be freed.
+	blocked := false
 	for _, stream := range order {
-		if stream.reserved == 0 && stream.Group == "" && !engine.admit(stream, order) {
-			break // later ones must not overtake it for ever
+		if !engine.holds(stream) && !blocked {
+			blocked = !engine.admit(stream, order)
 		}
-		running = append(running, stream)
 	}
-	return slices.DeleteFunc(running, func(stream *stream) bool {
-		return stream.reserved == 0 && stream.Group == ""
-	})
+	return slices.DeleteFunc(order, func(stream *stream) bool { return !engine.holds(stream) })
 }
 
 // admit gives stream its memory, if need be by preempting streams of lower
--- a/scripts/system.sh
+++ b/scripts/system.sh
@@ -3,6 +3,12 @@
 config=${config:-examples/demo}
 logs=$(mktemp -d)
 declare -A pids
+# POLICY names another routing policy than that of the settings.
+if [ -n "${POLICY:-}" ]; then
+  cp -r "$config" "$logs/config"
+  config=$logs/config
+  for i in 1 2 3; do printf 'routing:\n  policy: %s\n' "$POLICY" >>"$config/entry$i.yaml"; done
+fi
 
 stop_all() {
   for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; kill -TERM "$pid" 2>/dev/null || true; done
