fleet: count own prompts exactly until their first token

It added every prompt sent in the last 500 ms to the report, also those long computed, so the best of three was often not the best. An entry knows when its own prompts are computed: at the first token. Now those count exactly, and a report counts only for what is not this entry's.

What is left beside long prompts comes from short ones that land where long ones are computed.

--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/mastwinch/mastwinch/internal/backend"
+	"github.com/mastwinch/mastwinch/internal/fleet"
 	"github.com/mastwinch/mastwinch/internal/ledger"
 	"github.com/mastwinch/mastwinch/internal/relay"
 	"github.com/mastwinch/mastwinch/internal/request"
@@ -246,7 +247,7 @@
 	defer stop()
 	closeStream := context.AfterFunc(timed, stream.Close)
 	defer closeStream()
-	run := &run{active: adopted, entry: entry, mayHaveRun: true}
+	run := &run{active: adopted, entry: entry, sending: fleet.NoSending(), mayHaveRun: true}
 	result := run.relay(timed, stream, located.source())
 	switch result.kind {
 	case resultCompleted:
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastwinch/mastwinch/internal/backend"
+	"github.com/mastwinch/mastwinch/internal/fleet"
 	"github.com/mastwinch/mastwinch/internal/platform"
 	"github.com/mastwinch/mastwinch/internal/relay"
 	"github.com/mastwinch/mastwinch/internal/request"
@@ -44,6 +45,8 @@
 	fence uint64
 	// attempts counts the dispatches so far.
 	attempts int
+	// sending is the dispatch that is on its way.
+	sending fleet.Sending
 	// tried has the servers that failed since there was last any choice.
 	tried []string
 	// mayHaveRun says that a server may have run the request, in part or
@@ -260,8 +263,8 @@
 
 // attempt sends the request to the servers of a decision once.
 func (run *run) attempt(ctx context.Context, decision routing.Decision) result {
-	over := run.entry.fleet.Sent(decision, run.routingRequest())
-	defer over()
+	run.sending = run.entry.fleet.Sent(decision, run.routingRequest())
+	defer run.sending.Over()
 	attempt := run.attempts
 	run.attempts++
 	group := ""
@@ -387,6 +390,7 @@
 		run.entry.metrics.dropped.Inc()
 		return
 	}
+	run.sending.Computed()
 	if frame.Seq == 0 {
 		run.observeFirstToken()
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,21 +55,30 @@
 type server struct {
 	listed *wire.Server
 	load   *wire.Load
+	// others is the prompts that other entries wait for there: what was
+	// reported, less what this entry waited for then.
+	others pending
+	// own is the prompts that this entry waits for there.
+	own pending
 	// sent has what was sent within the report lag, oldest first.
-	sent            []sent
-	outstanding     int
-	outstandingLong int
+	sent        []sent
+	outstanding int
 	// failures counts failures since the last good answer.
 	failures     int
 	ejectedUntil time.Time
 	leavingUntil time.Time
 }
 
+// pending is prompt tokens that are not yet computed.
+type pending struct {
+	short int
+	long  int
+}
+
+// sent is memory that a request takes which reports do not show yet.
 type sent struct {
 	at     time.Time
 	memory int
-	prompt int
-	long   bool
 }
 
 // New returns an empty fleet. The clock is now.
@@ -111,12 +120,22 @@
 			continue
 		}
 		known.load = load
+		known.others = newOthers(load, known.own)
 		if load.GetLeaving() {
 			known.leavingUntil = fleet.now().Add(fleet.settings.LeavingTime)
 		}
 	}
 }
 
+func newOthers(load *wire.Load, own pending) pending {
+	long := int(load.GetQueuedLongTokens())            //nolint:gosec // bounded by any machine's memory
+	short := int(load.GetQueuedPrefillTokens()) - long //nolint:gosec // as above
+	return pending{
+		short: max(0, short-own.short),
+		long:  max(0, long-own.long),
+	}
+}
+
 // KeeperAddresses returns the keepers of the live VMs of the system.
 func (fleet *Fleet) KeeperAddresses() []string {
 	var addresses []string
@@ -174,31 +193,25 @@
 	listed := server.listed
 	memory := int(listed.GetMemoryTokens()) //nolint:gosec // bounded by any machine's memory
 	view := routing.Server{
-		ID:              listed.GetId(),
-		Address:         listed.GetAddress(),
-		DataCentre:      listed.GetDataCentre(),
-		Models:          listed.GetModels(),
-		ChecksFencing:   listed.GetChecksFencing(),
-		Memory:          memory,
-		Free:            memory,
-		Outstanding:     server.outstanding,
-		OutstandingLong: server.outstandingLong,
-		Leaving:         listed.GetLeaving() || now.Before(server.leavingUntil),
-		Ejected:         now.Before(server.ejectedUntil),
+		ID:            listed.GetId(),
+		Address:       listed.GetAddress(),
+		DataCentre:    listed.GetDataCentre(),
+		Models:        listed.GetModels(),
+		ChecksFencing: listed.GetChecksFencing(),
+		Memory:        memory,
+		Free:          memory,
+		QueuedShort:   server.own.short + server.others.short,
+		QueuedLong:    server.own.long + server.others.long,
+		Outstanding:   server.outstanding,
+		Leaving:       listed.GetLeaving() || now.Before(server.leavingUntil),
+		Ejected:       now.Before(server.ejectedUntil),
 	}
 	if load := server.load; load != nil {
-		view.Free = int(load.GetFreeTokens())                                   //nolint:gosec // as above
-		view.QueuedLong = int(load.GetQueuedLongTokens())                       //nolint:gosec // as above
-		view.QueuedShort = int(load.GetQueuedPrefillTokens()) - view.QueuedLong //nolint:gosec // as above
+		view.Free = int(load.GetFreeTokens()) //nolint:gosec // as above
 	}
 	server.forget(now.Add(-lag))
 	for _, sent := range server.sent {
 		view.Free -= sent.memory
-		if sent.long {
-			view.QueuedLong += sent.prompt
-		} else {
-			view.QueuedShort += sent.prompt
-		}
 	}
 	return view
 }
@@ -211,46 +224,68 @@
 	server.sent = server.sent[keep:]
 }
 
-// Sent notes that a request goes to the servers of a decision, and returns a
-// function to call once when it is over.
-func (fleet *Fleet) Sent(decision routing.Decision, request routing.Request) func() {
+// Sending is a request on its way to the servers of a decision.
+type Sending struct {
+	// Computed notes that the prompt is computed. Only the first call counts.
+	Computed func()
+	// Over notes that the request is over. Only the first call counts.
+	Over func()
+}
+
+// NoSending returns what notes nothing, for a stream that another entry sent.
+func NoSending() Sending {
+	return Sending{Computed: func() {}, Over: func() {}}
+}
+
+// Sent notes that a request goes to the servers of a decision.
+func (fleet *Fleet) Sent(decision routing.Decision, request routing.Request) Sending {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
 	width := max(1, len(decision.Servers))
+	share := pending{short: request.Tokens / width}
+	if decision.Long {
+		share = pending{long: request.Tokens / width}
+	}
+	now := fleet.now()
 	for _, chosen := range decision.Servers {
 		server := fleet.servers[chosen.ID]
 		if server == nil {
 			continue
 		}
 		server.outstanding++
-		if decision.Long {
-			server.outstandingLong++
-		}
-		server.sent = append(server.sent, sent{
-			at:     fleet.now(),
-			memory: request.Need() / width,
-			prompt: request.Tokens / width,
-			long:   decision.Long,
-		})
-		if now := fleet.now(); server.failures >= fleet.settings.EjectAfter && !now.Before(server.ejectedUntil) {
+		server.own.short += share.short
+		server.own.long += share.long
+		server.sent = append(server.sent, sent{at: now, memory: request.Need() / width})
+		if server.failures >= fleet.settings.EjectAfter && !now.Before(server.ejectedUntil) {
 			// A trial: no other request until it has come out.
 			server.ejectedUntil = now.Add(fleet.settings.EjectTime)
 		}
 	}
-	return sync.OnceFunc(func() { fleet.over(decision) })
+	computed := sync.OnceFunc(func() { fleet.computed(decision, share) })
+	over := sync.OnceFunc(func() {
+		computed()
+		fleet.over(decision)
+	})
+	return Sending{Computed: computed, Over: over}
 }
 
-func (fleet *Fleet) over(decision routing.Decision) {
+func (fleet *Fleet) computed(decision routing.Decision, share pending) {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
 	for _, chosen := range decision.Servers {
-		server := fleet.servers[chosen.ID]
-		if server == nil {
-			continue
+		if server := fleet.servers[chosen.ID]; server != nil {
+			server.own.short = max(0, server.own.short-share.short)
+			server.own.long = max(0, server.own.long-share.long)
 		}
-		server.outstanding = max(0, server.outstanding-1)
-		if decision.Long {
-			server.outstandingLong = max(0, server.outstandingLong-1)
+	}
+}
+
+func (fleet *Fleet) over(decision routing.Decision) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	for _, chosen := range decision.Servers {
+		if server := fleet.servers[chosen.ID]; server != nil {
+			server.outstanding = max(0, server.outstanding-1)
 		}
 	}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -21,15 +21,13 @@
 	// Free is the KV memory that is neither used nor promised, in tokens, as
 	// reported, less what was sent there since. It may be negative.
 	Free int
-	// QueuedShort is the prompt tokens of short requests not yet computed, as
-	// reported, with what was sent there since.
+	// QueuedShort is the prompt tokens of short requests not yet computed:
+	// exact for this entry's, and as reported for others'.
 	QueuedShort int
 	// QueuedLong is the same for long requests.
 	QueuedLong int
 	// Outstanding is how many requests of this entry run there.
 	Outstanding int
-	// OutstandingLong is how many of them are long.
-	OutstandingLong int
 	// Leaving says that nothing new may go there.
 	Leaving bool
 	// Ejected says that recent answers were errors.
