routing: short prompts go where no long one is computed

Cause: lookups that landed on an engine with long work waited for its step of up to 16 ms, or more behind a context of hundreds of thousands of tokens, and the set for long prompts had a fixed size.

Reports lag, so shorts still meet long prompts that other entries sent.

--- a/internal/routing/lengthaware.go
+++ b/internal/routing/lengthaware.go
@@ -1,8 +1,10 @@
 package routing
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/mastwinch/mastwinch/internal/rendezvous"
@@ -12,13 +14,17 @@
 type LengthAwareSettings struct {
 	// LongTokens is the length from which on a prompt counts as long.
 	LongTokens int `yaml:"long_tokens" validate:"min=1"`
-	// LongShare is the part of the engines that long prompts may use.
+	// LongShare is the largest part of the engines that long prompts may
+	// use while each of them fits one engine.
 	LongShare float64 `yaml:"long_share" validate:"gt=0,max=1"`
+	// LongBacklog is the queued tokens of long prompts, for each engine that
+	// they use, above which they may use one more.
+	LongBacklog int `yaml:"long_backlog" validate:"min=1"`
 	// Choices is how many engines are compared for a short prompt.
 	Choices int `yaml:"choices" validate:"min=1,max=64"`
-	// LongPenalty is how much a queued token of a long prompt weighs against
-	// a short one, beside a queued token of a short prompt.
-	LongPenalty float64 `yaml:"long_penalty" validate:"min=0"`
+	// StepTokens is how long a short prompt waits for the step in progress
+	// of an engine that computes long ones, in tokens of prompt.
+	StepTokens int `yaml:"step_tokens" validate:"min=0"`
 	// PrefillTokensPerSecond is what an engine computes, to tell whether a
 	// stated time can still be met.
 	PrefillTokensPerSecond float64 `yaml:"prefill_tokens_per_second" validate:"gt=0"`
@@ -27,18 +33,22 @@
 // DefaultLengthAwareSettings returns settings for the stand-ins' cost model.
 func DefaultLengthAwareSettings() LengthAwareSettings {
 	return LengthAwareSettings{
-		LongTokens:             32 << 10,
-		LongShare:              0.4,
-		Choices:                3,
-		LongPenalty:            0.25,
+		LongTokens:             16 << 10,
+		LongShare:              0.6,
+		LongBacklog:            100_000,
+		Choices:                4,
+		StepTokens:             8 << 10,
 		PrefillTokensPerSecond: 200_000,
 	}
 }
 
+// samplesPerChoice bounds how many engines are looked at for each choice.
+const samplesPerChoice = 8
+
 var _ Policy = LengthAware{}
 
-// LengthAware keeps long prompts to a part of the engines, and sends short
-// ones to the best of a few.
+// LengthAware keeps long prompts to as few engines as their backlog needs, and
+// sends short ones to the best of a few of the others.
 type LengthAware struct {
 	settings LengthAwareSettings
 }
@@ -57,56 +67,85 @@
 	if request.Tokens < lengthaware.settings.LongTokens {
 		return lengthaware.short(servers, request, random)
 	}
+	if !fitsOne(servers, request) {
+		return groupFor(servers, request)
+	}
 	return lengthaware.long(servers, request)
 }
 
+// short takes the best of a few engines without long work, unless an engine
+// with long work is better even so.
 func (lengthaware LengthAware) short(servers []Server, request Request, random *rand.Rand) Decision {
 	if !fitsOne(servers, request) {
 		return refuse(RefusalTooLong, fmt.Sprintf("%d tokens fit no engine", request.Need()))
 	}
-	best := servers[random.IntN(len(servers))]
-	for range lengthaware.settings.Choices - 1 {
-		other := servers[random.IntN(len(servers))]
-		if lengthaware.betterForShort(other, best, request) {
-			best = other
+	best := lengthaware.sample(servers, request, random, func(server Server) bool { return server.QueuedLong == 0 })
+	reason := "best of a few without long work"
+	if best < 0 || lengthaware.waitForShort(servers[best]) > lengthaware.settings.StepTokens {
+		any := lengthaware.sample(servers, request, random, func(Server) bool { return true })
+		if best < 0 || lengthaware.betterForShort(servers[any], servers[best], request) {
+			best = any
+			reason = "best of a few"
 		}
 	}
-	if !lengthaware.inTime(best.QueuedShort, request) {
-		return refuse(RefusalNoTime, fmt.Sprintf("%d short tokens are queued", best.QueuedShort))
+	if !lengthaware.inTime(servers[best].QueuedShort, request) {
+		return refuse(RefusalNoTime, fmt.Sprintf("%d short tokens are queued", servers[best].QueuedShort))
+	}
+	return choose(servers[best], reason)
+}
+
+// sample returns the index of the best of a few servers at random that may be
+// taken, or -1 if it met none. The best of all would draw all entries to the
+// same engine at once.
+func (lengthaware LengthAware) sample(
+	servers []Server, request Request, random *rand.Rand, may func(Server) bool,
+) int {
+	best := -1
+	found := 0
+	for range lengthaware.settings.Choices * samplesPerChoice {
+		i := random.IntN(len(servers))
+		if !may(servers[i]) {
+			continue
+		}
+		if best < 0 || lengthaware.betterForShort(servers[i], servers[best], request) {
+			best = i
+		}
+		found++
+		if found == lengthaware.settings.Choices {
+			break
+		}
 	}
-	return choose(best, fmt.Sprintf("best of %d for a short prompt", lengthaware.settings.Choices))
+	return best
 }
 
 // betterForShort prefers an engine with memory for the request, and then the
 // one that computes its first token sooner.
 func (lengthaware LengthAware) betterForShort(a, b Server, request Request) bool {
-	aFits, bFits := a.Free >= request.Need(), b.Free >= request.Need()
-	if aFits != bFits {
-		return aFits
+	if fits(a, request) != fits(b, request) {
+		return fits(a, request)
 	}
 	return lengthaware.waitForShort(a) < lengthaware.waitForShort(b)
 }
 
-func (lengthaware LengthAware) waitForShort(server Server) float64 {
-	return float64(server.QueuedShort) +
-		lengthaware.settings.LongPenalty*float64(server.QueuedLong) +
-		float64(server.Outstanding)
+// waitForShort is what a short prompt waits for, in tokens of prompt. Engines
+// put it before long prompts, so of those it waits for one step at most.
+func (lengthaware LengthAware) waitForShort(server Server) int {
+	wait := server.QueuedShort + server.Outstanding
+	if server.QueuedLong > 0 {
+		wait += lengthaware.settings.StepTokens
+	}
+	return wait
 }
 
+// long takes the engine with least long work in the set for long prompts.
 func (lengthaware LengthAware) long(servers []Server, request Request) Decision {
 	set := lengthaware.longSet(servers, request.Model)
-	if !fitsOne(set, request) {
-		if decision := groupFor(set, request); decision.Refusal == RefusalNone {
-			return decision
+	best := slices.MinFunc(set, func(a, b Server) int {
+		if fits(a, request) != fits(b, request) {
+			return compareTrueFirst(fits(a, request), fits(b, request))
 		}
-		return groupFor(servers, request)
-	}
-	best := set[0]
-	for _, server := range set[1:] {
-		if betterForLong(server, best, request) {
-			best = server
-		}
-	}
+		return cmp.Or(cmp.Compare(a.QueuedLong, b.QueuedLong), cmp.Compare(a.ID, b.ID))
+	})
 	if !lengthaware.inTime(best.QueuedLong, request) {
 		return refuse(RefusalNoTime, fmt.Sprintf("%d long tokens are queued", best.QueuedLong))
 	}
@@ -115,24 +154,19 @@
 	return decision
 }
 
-func betterForLong(a, b Server, request Request) bool {
-	aFits, bFits := a.Free >= request.Need(), b.Free >= request.Need()
-	if aFits != bFits {
-		return aFits
-	}
-	return a.QueuedLong < b.QueuedLong
-}
-
-// longSet returns the engines that long prompts may use: the same at every
-// entry that knows the same engines.
+// longSet returns the engines that long prompts may use: as many as their
+// backlog needs, and the same at every entry that sees the same backlog.
 func (lengthaware LengthAware) longSet(servers []Server, model string) []Server {
+	backlog := 0
 	byID := make(map[string]Server, len(servers))
 	ids := make([]string, 0, len(servers))
 	for _, server := range servers {
+		backlog += server.QueuedLong
 		byID[server.ID] = server
 		ids = append(ids, server.ID)
 	}
-	size := max(1, int(float64(len(ids))*lengthaware.settings.LongShare))
+	most := max(1, int(float64(len(ids))*lengthaware.settings.LongShare))
+	size := min(most, 1+backlog/lengthaware.settings.LongBacklog)
 	set := make([]Server, 0, size)
 	for _, id := range rendezvous.Order("long/"+model, ids)[:size] {
 		set = append(set, byID[id])
@@ -145,3 +179,18 @@
 	seconds := float64(queued+request.Tokens) / lengthaware.settings.PrefillTokensPerSecond
 	return time.Duration(seconds*float64(time.Second)) < request.TimeLeft
 }
+
+func fits(server Server, request Request) bool {
+	return server.Free >= request.Need()
+}
+
+func compareTrueFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
