routing: one order of engines for long prompts, which short ones avoid

Cause: reports lag by up to 450 ms, so an entry sent short prompts to engines where another entry had just sent a long one, and the order in which engines are given to long prompts differed by model. The order is now one, kept with the fleet, and short prompts avoid the engines that the backlog gives to long ones even before a report shows work there.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -10,10 +10,14 @@
 	"time"
 
 	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/rendezvous"
 	"github.com/mastwinch/mastwinch/internal/routing"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
 
+// longOrderKey gives the order in which engines are given to long prompts.
+const longOrderKey = "long"
+
 // Settings tune what the fleet makes of answers.
 type Settings struct {
 	// ReportLag is how old load reports are taken to be; what was sent in
@@ -53,8 +57,9 @@
 }
 
 type server struct {
-	listed *wire.Server
-	load   *wire.Load
+	listed   *wire.Server
+	longRank int
+	load     *wire.Load
 	// others is the prompts that other entries wait for there: what was
 	// reported, less what this entry waited for then.
 	others pending
@@ -108,6 +113,9 @@
 	slices.Sort(order)
 	fleet.servers = servers
 	fleet.order = order
+	for rank, id := range rendezvous.Order(longOrderKey, order) {
+		servers[id].longRank = rank
+	}
 }
 
 // SetLoads takes over load reports. A server without one keeps its last.
@@ -202,6 +210,7 @@
 		Free:          memory,
 		QueuedShort:   server.own.short + server.others.short,
 		QueuedLong:    server.own.long + server.others.long,
+		LongRank:      server.longRank,
 		Outstanding:   server.outstanding,
 		Leaving:       listed.GetLeaving() || now.Before(server.leavingUntil),
 		Ejected:       now.Before(server.ejectedUntil),
--- a/internal/routing/lengthaware.go
+++ b/internal/routing/lengthaware.go
@@ -6,8 +6,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"github.com/mastwinch/mastwinch/internal/rendezvous"
 )
 
 // LengthAwareSettings tune LengthAware.
@@ -79,7 +77,10 @@
 	if !fitsOne(servers, request) {
 		return refuse(RefusalTooLong, fmt.Sprintf("%d tokens fit no engine", request.Need()))
 	}
-	best := lengthaware.sample(servers, request, random, func(server Server) bool { return server.QueuedLong == 0 })
+	firstFree := lengthaware.rankAfterSet(servers)
+	best := lengthaware.sample(servers, request, random, func(server Server) bool {
+		return server.QueuedLong == 0 && server.LongRank >= firstFree
+	})
 	reason := "best of a few without long work"
 	if best < 0 || lengthaware.waitForShort(servers[best]) > lengthaware.settings.StepTokens {
 		any := lengthaware.sample(servers, request, random, func(Server) bool { return true })
@@ -139,7 +140,7 @@
 
 // long takes the engine with least long work in the set for long prompts.
 func (lengthaware LengthAware) long(servers []Server, request Request) Decision {
-	set := lengthaware.longSet(servers, request.Model)
+	set := lengthaware.longSet(servers)
 	best := slices.MinFunc(set, func(a, b Server) int {
 		if fits(a, request) != fits(b, request) {
 			return compareTrueFirst(fits(a, request), fits(b, request))
@@ -156,22 +157,37 @@
 
 // longSet returns the engines that long prompts may use: as many as their
 // backlog needs, and the same at every entry that sees the same backlog.
-func (lengthaware LengthAware) longSet(servers []Server, model string) []Server {
+func (lengthaware LengthAware) longSet(servers []Server) []Server {
+	set := slices.SortedFunc(slices.Values(servers), func(a, b Server) int {
+		return cmp.Compare(a.LongRank, b.LongRank)
+	})
+	return set[:lengthaware.setSize(servers)]
+}
+
+// setSize is how many engines long prompts may use now.
+func (lengthaware LengthAware) setSize(servers []Server) int {
 	backlog := 0
-	byID := make(map[string]Server, len(servers))
-	ids := make([]string, 0, len(servers))
-	for _, server := range servers {
-		backlog += server.QueuedLong
-		byID[server.ID] = server
-		ids = append(ids, server.ID)
+	for i := range servers {
+		backlog += servers[i].QueuedLong
+	}
+	most := max(1, int(float64(len(servers))*lengthaware.settings.LongShare))
+	return min(most, 1+backlog/lengthaware.settings.LongBacklog)
+}
+
+// rankAfterSet returns the lowest rank of engines that long prompts may not
+// use now. A long prompt that another entry has just sent shows late in the
+// reports, but it went to an engine of the set.
+func (lengthaware LengthAware) rankAfterSet(servers []Server) int {
+	ranks := make([]int, 0, len(servers))
+	for i := range servers {
+		ranks = append(ranks, servers[i].LongRank)
 	}
-	most := max(1, int(float64(len(ids))*lengthaware.settings.LongShare))
-	size := min(most, 1+backlog/lengthaware.settings.LongBacklog)
-	set := make([]Server, 0, size)
-	for _, id := range rendezvous.Order("long/"+model, ids)[:size] {
-		set = append(set, byID[id])
+	slices.Sort(ranks)
+	size := lengthaware.setSize(servers)
+	if size == len(ranks) {
+		return ranks[size-1]
 	}
-	return set
+	return ranks[size]
 }
 
 // inTime reports whether the prompt can be computed behind what is queued.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -26,6 +26,9 @@
 	QueuedShort int
 	// QueuedLong is the same for long requests.
 	QueuedLong int
+	// LongRank is the place of an engine in the order in which engines are
+	// given to long prompts, the same at every entry.
+	LongRank int
 	// Outstanding is how many requests of this entry run there.
 	Outstanding int
 	// Leaving says that nothing new may go there.
