routing: keep short prompts two engines away from the long ones' set

Cause: the set for long prompts grows while short ones that were sent to its next engine are still being answered there. Short prompts now avoid two more engines than the set has, but never more than half.

--- a/internal/routing/lengthaware.go
+++ b/internal/routing/lengthaware.go
@@ -20,6 +20,9 @@
 	LongBacklog int `yaml:"long_backlog" validate:"min=1"`
 	// Choices is how many engines are compared for a short prompt.
 	Choices int `yaml:"choices" validate:"min=1,max=64"`
+	// QuietMargin is how many more engines short prompts avoid, so that they
+	// are done when the set for long prompts grows.
+	QuietMargin int `yaml:"quiet_margin" validate:"min=0"`
 	// StepTokens is how long a short prompt waits for the step in progress
 	// of an engine that computes long ones, in tokens of prompt.
 	StepTokens int `yaml:"step_tokens" validate:"min=0"`
@@ -35,6 +38,7 @@
 		LongShare:              0.6,
 		LongBacklog:            100_000,
 		Choices:                4,
+		QuietMargin:            2,
 		StepTokens:             8 << 10,
 		PrefillTokensPerSecond: 200_000,
 	}
@@ -174,8 +178,8 @@
 	return min(most, 1+backlog/lengthaware.settings.LongBacklog)
 }
 
-// rankAfterSet returns the lowest rank of engines that long prompts may not
-// use now. A long prompt that another entry has just sent shows late in the
+// rankAfterSet returns the lowest rank of engines that short prompts do not
+// avoid: at least half of all. A long prompt that another entry has just sent shows late in the
 // reports, but it went to an engine of the set.
 func (lengthaware LengthAware) rankAfterSet(servers []Server) int {
 	ranks := make([]int, 0, len(servers))
@@ -183,11 +187,8 @@
 		ranks = append(ranks, servers[i].LongRank)
 	}
 	slices.Sort(ranks)
-	size := lengthaware.setSize(servers)
-	if size == len(ranks) {
-		return ranks[size-1]
-	}
-	return ranks[size]
+	size := lengthaware.setSize(servers) + lengthaware.settings.QuietMargin
+	return ranks[min(size, len(ranks)/2)]
 }
 
 // inTime reports whether the prompt can be computed behind what is queued.
