routing: prompts up to 64k before longer ones on the same engine

Cause: reviews of 20k to 60k tokens waited behind audits of 200k and more on the engines that both use. Priorities are now constants of the engines' protocol, in three levels, and no longer settings that reports could contradict.

--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -17,6 +17,13 @@
 	HeaderTimeLeft     = "Backend-Time-Left-Ms"
 )
 
+// Priorities of streams. An engine computes the prompts of a higher one first.
+const (
+	PriorityLong   = 0
+	PriorityMedium = 5
+	PriorityShort  = 10
+)
+
 // End says how a stream ended at its engine.
 type End string
 
@@ -52,7 +59,7 @@
 	FreeTokens int `json:"free_tokens"`
 	// QueuedPrefillTokens is the prompt tokens admitted and not yet computed.
 	QueuedPrefillTokens int `json:"queued_prefill_tokens"`
-	// QueuedLongTokens is the part of them below the highest priority.
+	// QueuedLongTokens is the part of them below PriorityShort.
 	QueuedLongTokens int  `json:"queued_long_tokens"`
 	Running          int  `json:"running"`
 	Waiting          int  `json:"waiting"`
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -281,7 +281,7 @@
 		return result{kind: resultInterrupted}
 	}
 	server := decision.Servers[0]
-	dispatch := run.dispatch(attempt, decision.Long, group)
+	dispatch := run.dispatch(attempt, group)
 	if run.request.Service {
 		return run.call(ctx, server, dispatch)
 	}
@@ -293,11 +293,7 @@
 	return run.relay(ctx, stream, source{attempt: attempt, id: dispatch.Attempt, server: server})
 }
 
-func (run *run) dispatch(attempt int, long bool, group string) backend.Dispatch {
-	priority := run.entry.settings.Routing.ShortPriority
-	if long {
-		priority = run.entry.settings.Routing.LongPriority
-	}
+func (run *run) dispatch(attempt int, group string) backend.Dispatch {
 	return backend.Dispatch{
 		Attempt:      attemptID(run.request.ID, attempt),
 		Request:      run.request.ID,
@@ -306,7 +302,7 @@
 		Session:      run.request.Session,
 		Model:        run.request.Model,
 		Body:         run.request.Body,
-		Priority:     priority,
+		Priority:     run.priority(),
 		From:         run.buffer.Next(),
 		MaxTokens:    run.request.MaxTokens,
 		TimeLeft:     run.timeLeft(),
@@ -316,6 +312,19 @@
 	}
 }
 
+// priority puts shorter prompts before longer ones.
+func (run *run) priority() int {
+	settings := run.entry.settings.Routing
+	switch tokens := run.request.Tokens(); {
+	case tokens < settings.LengthAware.LongTokens:
+		return backend.PriorityShort
+	case tokens < settings.MediumTokens:
+		return backend.PriorityMedium
+	default:
+		return backend.PriorityLong
+	}
+}
+
 // attemptID names one dispatch of a request.
 func attemptID(requestID string, attempt int) string {
 	return fmt.Sprintf("%s~%d", requestID, attempt)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -58,9 +58,9 @@
 type RoutingSettings struct {
 	Policy      string                      `yaml:"policy" validate:"oneof=round_robin least_outstanding length_aware"`
 	LengthAware routing.LengthAwareSettings `yaml:"length_aware"`
-	// ShortPriority and LongPriority are the engines' priorities.
-	ShortPriority int `yaml:"short_priority"`
-	LongPriority  int `yaml:"long_priority"`
+	// MediumTokens is the length up to which a long prompt is computed
+	// before longer ones.
+	MediumTokens int `yaml:"medium_tokens" validate:"min=1"`
 }
 
 // RetrySettings bound attempts after the first.
@@ -107,10 +107,9 @@
 			DrainNotice:   time.Second,
 		},
 		Routing: RoutingSettings{
-			Policy:        PolicyLengthAware,
-			LengthAware:   routing.DefaultLengthAwareSettings(),
-			ShortPriority: 10,
-			LongPriority:  0,
+			Policy:       PolicyLengthAware,
+			LengthAware:  routing.DefaultLengthAwareSettings(),
+			MediumTokens: 64 << 10,
 		},
 		Retry: RetrySettings{
 			MaxAttempts: 4,
--- a/internal/load/direct.go
+++ b/internal/load/direct.go
@@ -12,9 +12,6 @@
 	"github.com/mastwinch/mastwinch/internal/request"
 )
 
-// directPriority is that of short prompts at the entries.
-const directPriority = 10
-
 // submitDirect sends the arrival to one of the engines and reads its answer.
 func submitDirect(ctx context.Context, engines backend.Engine, addresses []string, arrival Arrival) Answer {
 	prompt := arrival.Prompt()
@@ -32,7 +29,7 @@
 		Owner:        "direct",
 		Model:        arrival.Class.Model,
 		Body:         []byte(prompt),
-		Priority:     directPriority,
+		Priority:     backend.PriorityShort,
 		MaxTokens:    arrival.Class.MaxTokens,
 		TimeLeft:     arrival.Class.Time,
 	})
--- a/internal/standin/engine/calls.go
+++ b/internal/standin/engine/calls.go
@@ -314,7 +314,7 @@
 		}
 		left := max(0, stream.total-stream.computed) / stream.width()
 		load.QueuedPrefillTokens += left
-		if stream.Priority <= 0 {
+		if stream.Priority < backend.PriorityShort {
 			load.QueuedLongTokens += left
 		}
 	}
