capacity: measured slopes, and half as many polls

Cause: the control cost had not been measured. An idle keeper with 20 engines took 1.9% of a core against the 1.5% allowed at full size; without engine polls 0.5%. Each poll costs 135 us of CPU at both ends together. The window of keys was 24 h: at 515 bytes a key and 10 a second that is 445 MB a node.

Before/after: engines are asked every 500 ms instead of 250, the VM list each second instead of every 500 ms, and a heartbeat is sent only after a silence: 1.9% -> 1.0% of a core. The window is 2 h.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 tools := $(CURDIR)/.tools
 linter := $(tools)/golangci-lint
 
-.PHONY: build check demo fmt fuzz generate overhead test tools
+.PHONY: build capacity check demo fmt fuzz generate overhead test tools
 
 # build builds all programs into bin.
 build:
@@ -17,6 +17,10 @@
 overhead: build
 	@scripts/overhead.sh
 
+# capacity measures how costs grow, for docs/CAPACITY.md.
+capacity: build
+	@bin/mw-load capacity
+
 # test runs all tests.
 test:
 	go test -race ./...
--- /dev/null
+++ b/internal/capacity/capacity.go
@@ -0,0 +1,307 @@
+// Package capacity measures how the cost of each part grows, at four sizes
+// each, so that the cost at a larger size can be worked out.
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"gonum.org/v1/gonum/stat"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/mastwinch/mastwinch/internal/backend"
+	"github.com/mastwinch/mastwinch/internal/fleet"
+	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/routing"
+	"github.com/mastwinch/mastwinch/internal/standin/engine"
+	"github.com/mastwinch/mastwinch/internal/standin/execution"
+	"github.com/mastwinch/mastwinch/internal/state"
+	"github.com/mastwinch/mastwinch/internal/wire"
+)
+
+// model is what engines serve here.
+const model = "clerk"
+
+// Repeats of what is too quick to be measured once.
+const (
+	decisions     = 20_000
+	pollRounds    = 20
+	changes       = 50
+	keysPerEntry  = 10
+	stateOverhead = 2 // collections, to let go of what is not held
+)
+
+// Series is a cost at several sizes.
+type Series struct {
+	Name   string
+	Unit   string
+	Of     string
+	Points []Point
+}
+
+// Point is a cost at one size.
+type Point struct {
+	Size int
+	Cost float64
+}
+
+// Slope returns the cost at size zero and the cost of one more.
+func (series Series) Slope() (float64, float64) {
+	sizes := make([]float64, 0, len(series.Points))
+	costs := make([]float64, 0, len(series.Points))
+	for _, point := range series.Points {
+		sizes = append(sizes, float64(point.Size))
+		costs = append(costs, point.Cost)
+	}
+	return stat.LinearRegression(sizes, costs, nil, false)
+}
+
+// Measure returns all series.
+func Measure(ctx context.Context) ([]Series, error) {
+	polls, err := measurePolls(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return []Series{
+		measure("memory of keys", "bytes", "key", []int{5_000, 10_000, 20_000, 40_000}, func(size int) float64 {
+			return heapOf(func() *state.State { return withKeys(size) })
+		}),
+		measure("checkpoint of keys", "bytes", "key", []int{5_000, 10_000, 20_000, 40_000}, func(size int) float64 {
+			return float64(proto.Size(withKeys(size).Encode()))
+		}),
+		measure("fold of keys", "µs CPU", "key (begin and finish)", []int{5_000, 10_000, 20_000, 40_000}, func(size int) float64 {
+			return microseconds(func() { withKeys(size) })
+		}),
+		measure("memory of organisations", "bytes", "organisation", []int{2_500, 5_000, 10_000, 20_000}, func(size int) float64 {
+			return heapOf(func() *state.State { return withOrganisations(size) })
+		}),
+		measure("one change of configuration", "µs CPU", "organisation", []int{2_500, 5_000, 10_000, 20_000}, measureChange),
+		measure("records on the log", "bytes", "key (begin and finish)", []int{100, 200, 400, 800}, func(size int) float64 {
+			return float64(proto.Size(keyRecords(size)))
+		}),
+		measure("one frame of loads, keeper to entry", "bytes", "engine", []int{20, 100, 300, 600}, func(size int) float64 {
+			return float64(proto.Size(loadsFrame(size)))
+		}),
+		measure("snapshot and decision for a short prompt", "µs CPU", "server", []int{20, 100, 300, 600}, measureDecision),
+		polls,
+	}, nil
+}
+
+func measure(name, unit, of string, sizes []int, cost func(size int) float64) Series {
+	series := Series{Name: name, Unit: unit, Of: of}
+	for _, size := range sizes {
+		series.Points = append(series.Points, Point{Size: size, Cost: cost(size)})
+	}
+	return series
+}
+
+// keyRecords returns the records of that many keys, each begun and finished.
+func keyRecords(size int) *wire.Batch {
+	batch := &wire.Batch{}
+	for i := range size {
+		key := &wire.Key{Organisation: "register", Value: uuid.Must(uuid.NewV7()).String()}
+		request := "vm1." + uuid.NewString()
+		batch.Records = append(batch.Records,
+			&wire.Record{Id: "begin/" + request, Body: &wire.Record_Begin{Begin: &wire.Begin{
+				Key: key, RequestId: request, Owner: "vm1/" + request, TimeMs: 1000, ContentDigest: uint64(i),
+			}}},
+			&wire.Record{Id: "finish/" + request, Body: &wire.Record_Finish{Finish: &wire.Finish{
+				Key: key, RequestId: request, Outcome: wire.Outcome_OUTCOME_COMPLETED, Server: "suva-a-00",
+			}}},
+		)
+	}
+	return batch
+}
+
+// withKeys returns a state with that many keys, read from the log.
+func withKeys(size int) *state.State {
+	folded := state.New()
+	for range size / keysPerEntry {
+		data, err := proto.Marshal(keyRecords(keysPerEntry))
+		if err != nil {
+			panic(err) // the types above always can be encoded
+		}
+		_, err = folded.Apply(folded.Next, state.DecodeBatch(data))
+		if err != nil {
+			panic(err) // offsets above are in order
+		}
+	}
+	return folded
+}
+
+func loadsFrame(size int) *wire.ServerFrame {
+	loads := &wire.Loads{}
+	for i := range size {
+		loads.Loads = append(loads.Loads, &wire.Load{
+			ServerId: fmt.Sprintf("nausori-%03d", i), FreeTokens: 400_000, QueuedPrefillTokens: 20_000, Running: 12,
+		})
+	}
+	return &wire.ServerFrame{Body: &wire.ServerFrame_Loads{Loads: loads}}
+}
+
+func withOrganisations(size int) *state.State {
+	folded := state.New()
+	for i := range size {
+		apply(folded, uint64(i), putOrganisation(i, 0))
+	}
+	return folded
+}
+
+func putOrganisation(i int, version uint64) *wire.Record {
+	return &wire.Record{Body: &wire.Record_PutOrganisation{PutOrganisation: &wire.PutOrganisation{
+		Organisation:    &wire.Organisation{Name: fmt.Sprintf("organisation-%d", i), Weight: 1, MaxConcurrent: 8},
+		ExpectedVersion: version,
+	}}}
+}
+
+func apply(folded *state.State, offset uint64, record *wire.Record) {
+	_, err := folded.Apply(offset, &wire.Batch{Records: []*wire.Record{record}})
+	if err != nil {
+		panic(err) // offsets above are in order
+	}
+}
+
+func measureChange(size int) float64 {
+	folded := withOrganisations(size)
+	return microseconds(func() {
+		for i := range changes {
+			apply(folded, folded.Next, putOrganisation(size+i, 0))
+		}
+	}) / changes
+}
+
+// measureDecision is the cost of one snapshot and one decision.
+func measureDecision(size int) float64 {
+	servers := fleet.New(fleet.DefaultSettings(), time.Now)
+	listed := &wire.Fleet{}
+	for i := range size {
+		listed.Servers = append(listed.Servers, &wire.Server{
+			Id: fmt.Sprintf("engine-%03d", i), Kind: platform.KindEngine, Models: []string{model}, MemoryTokens: 1 << 19,
+		})
+	}
+	servers.SetFleet(listed)
+	policy := routing.NewLengthAware(routing.DefaultLengthAwareSettings())
+	random := rand.New(rand.NewPCG(1, 1)) //nolint:gosec // fixed seed
+	request := routing.Request{Model: model, Tokens: 1000, MaxTokens: 16, TimeLeft: time.Second}
+	return microseconds(func() {
+		for range decisions {
+			policy.Decide(servers.Snapshot(platform.KindEngine), request, random)
+		}
+	}) / decisions
+}
+
+// measurePolls is the cost of asking engines for their load once each, both
+// ends together, over HTTP on this machine.
+func measurePolls(ctx context.Context) (Series, error) {
+	series := Series{Name: "one round of load polls (both ends)", Unit: "µs CPU", Of: "engine"}
+	client := backend.NewHTTPBackend()
+	for _, size := range []int{10, 20, 40, 80} {
+		addresses, stop := startEngines(size)
+		err := pollAll(ctx, client, addresses) // opens the connections
+		if err != nil {
+			stop()
+			return series, err
+		}
+		cost := microseconds(func() {
+			for range pollRounds {
+				err = errors.CombineErrors(err, pollAll(ctx, client, addresses))
+			}
+		}) / pollRounds
+		stop()
+		if err != nil {
+			return series, err
+		}
+		series.Points = append(series.Points, Point{Size: size, Cost: cost})
+	}
+	return series, nil
+}
+
+func startEngines(size int) ([]string, func()) {
+	addresses := make([]string, 0, size)
+	servers := make([]*httptest.Server, 0, size)
+	for i := range size {
+		one := engine.New(fmt.Sprintf("engine-%d", i), []string{model}, true, engine.DefaultSettings(),
+			execution.New(), func(string) *engine.Engine { return nil })
+		server := httptest.NewServer(one.Handler())
+		servers = append(servers, server)
+		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+	}
+	return addresses, func() {
+		http.DefaultClient.CloseIdleConnections()
+		for _, server := range servers {
+			server.Close()
+		}
+	}
+}
+
+func pollAll(ctx context.Context, client *backend.HTTPBackend, addresses []string) error {
+	for _, address := range addresses {
+		_, err := client.Load(ctx, address)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// heapOf returns how many bytes more are in use with what build makes.
+func heapOf(build func() *state.State) float64 {
+	before := heap()
+	built := build()
+	after := heap()
+	runtime.KeepAlive(built)
+	return float64(after) - float64(before)
+}
+
+func heap() uint64 {
+	for range stateOverhead {
+		runtime.GC()
+	}
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// microseconds returns the processor time of this process while work runs.
+func microseconds(work func()) float64 {
+	before := processorTime()
+	work()
+	return float64(processorTime()-before) / float64(time.Microsecond)
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	if err != nil {
+		panic(err) // only for a wrong argument
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// Print writes the series as a table in Markdown.
+func Print(w io.Writer, all []Series) {
+	table := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
+	fmt.Fprintln(table, "| cost\t| at four sizes\t| base\t| slope\t|")
+	fmt.Fprintln(table, "|---\t|---\t|---\t|---\t|")
+	for _, series := range all {
+		points := make([]string, 0, len(series.Points))
+		for _, point := range series.Points {
+			points = append(points, fmt.Sprintf("%d: %.4g", point.Size, point.Cost))
+		}
+		base, slope := series.Slope()
+		fmt.Fprintf(table, "| %s (%s)\t| %s\t| %.3g\t| %.3g per %s\t|\n",
+			series.Name, series.Unit, strings.Join(points, ", "), base, slope, series.Of)
+	}
+	_ = table.Flush()
+}
--- /dev/null
+++ b/internal/cmd/capacitycmd.go
@@ -0,0 +1,25 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/mastwinch/mastwinch/internal/capacity"
+)
+
+// newCapacityCommand returns the command that measures how costs grow.
+func newCapacityCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "capacity",
+		Usage: "measure how the cost of each part grows with its size",
+		Action: func(ctx context.Context, command *cli.Command) error {
+			series, err := capacity.Measure(ctx)
+			if err != nil {
+				return err
+			}
+			capacity.Print(command.Root().Writer, series)
+			return nil
+		},
+	}
+}
--- a/internal/cmd/loadcmd.go
+++ b/internal/cmd/loadcmd.go
@@ -21,6 +21,8 @@
 		load.Settings{}, func(ctx context.Context, settings load.Settings) error {
 			return runLoad(ctx, settings, report)
 		})
+	command.Commands = []*cli.Command{newCapacityCommand()}
+	command.Flags[0].(*cli.StringFlag).Required = false //nolint:forcetypeassert // made as one
 	command.Flags = append(command.Flags, &cli.StringFlag{
 		Name:        flagJSON,
 		Usage:       "also write the report as JSON to `FILE`",
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,7 +36,7 @@
 // DefaultSettings returns settings for today's fleets.
 func DefaultSettings() Settings {
 	return Settings{
-		ReportLag:    500 * time.Millisecond,
+		ReportLag:    700 * time.Millisecond,
 		EjectAfter:   3,
 		EjectTime:    time.Second,
 		EjectTimeMax: 30 * time.Second,
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -175,6 +175,7 @@
 			keeper.logger.Warn("subscriber was too slow", "node", name)
 			return
 		}
+		heartbeat.Reset(heartbeatInterval)
 		err = peer.Send(frame)
 		if err != nil {
 			keeper.logger.Info("subscriber left", "node", name, "error", err)
--- a/internal/keeper/settings.go
+++ b/internal/keeper/settings.go
@@ -71,12 +71,12 @@
 			CheckpointInterval: 2 * time.Minute,
 		},
 		Intervals: IntervalSettings{
-			VMList: 500 * time.Millisecond,
-			Load:   250 * time.Millisecond,
+			VMList: time.Second,
+			Load:   500 * time.Millisecond,
 			Duty:   2 * time.Second,
 		},
 		Keys: KeySettings{
-			Window:      24 * time.Hour,
+			Window:      2 * time.Hour,
 			SettleAfter: 5 * time.Second,
 		},
 	}
