--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -74,10 +74,13 @@
 		Usage:                 usage,
 		EnableShellCompletion: true,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: flagConfig, Aliases: []string{"c"}, Usage: "read settings from `FILE`", Required: true},
+			&cli.StringFlag{Name: flagConfig, Aliases: []string{"c"}, Usage: "read settings from `FILE`"},
 			&cli.BoolFlag{Name: flagCheck, Usage: "check the settings and exit"},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
+			if command.String(flagConfig) == "" {
+				return &exitError{code: exitUsage, err: errors.New("--config is needed")}
+			}
 			loaded, err := settings.Load(command.String(flagConfig), defaults)
 			if err != nil {
 				return &exitError{code: exitUsage, err: err}
--- a/internal/cmd/loadcmd.go
+++ b/internal/cmd/loadcmd.go
@@ -22,7 +22,6 @@
 			return runLoad(ctx, settings, report)
 		})
 	command.Commands = []*cli.Command{newCapacityCommand()}
-	command.Flags[0].(*cli.StringFlag).Required = false //nolint:forcetypeassert // made as one
 	command.Flags = append(command.Flags, &cli.StringFlag{
 		Name:        flagJSON,
 		Usage:       "also write the report as JSON to `FILE`",
--- a/internal/cmd/standincmd.go
+++ b/internal/cmd/standincmd.go
@@ -18,7 +18,6 @@
 	command := newServerCommand("mw-standin", "stand in for the platform and the backend servers",
 		standin.DefaultSettings(), runStandin)
 	command.Commands = []*cli.Command{newFaultCommand()}
-	command.Flags[0].(*cli.StringFlag).Required = false //nolint:forcetypeassert // made as one
 	return command
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,8 +52,8 @@
 	mu sync.Mutex
 	// servers has all listed VMs by ID.
 	servers map[string]*server
-	// order has the IDs of servers, sorted.
-	order []string
+	// byKind has the servers of each kind, by ID.
+	byKind map[string][]*server
 }
 
 type server struct {
@@ -100,7 +100,7 @@
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
 	servers := make(map[string]*server, len(listed.GetServers()))
-	order := make([]string, 0, len(listed.GetServers()))
+	byKind := make(map[string][]*server)
 	for _, vm := range listed.GetServers() {
 		known := fleet.servers[vm.GetId()]
 		if known == nil {
@@ -108,14 +108,20 @@
 		}
 		known.listed = vm
 		servers[vm.GetId()] = known
-		order = append(order, vm.GetId())
+		byKind[vm.GetKind()] = append(byKind[vm.GetKind()], known)
 	}
-	slices.Sort(order)
-	fleet.servers = servers
-	fleet.order = order
-	for rank, id := range rendezvous.Order(longOrderKey, order) {
-		servers[id].longRank = rank
+	for _, list := range byKind {
+		ids := make([]string, 0, len(list))
+		for _, server := range list {
+			ids = append(ids, server.listed.GetId())
+		}
+		for rank, id := range rendezvous.Order(longOrderKey, ids) {
+			servers[id].longRank = rank
+		}
+		slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.listed.GetId(), b.listed.GetId()) })
 	}
+	fleet.servers = servers
+	fleet.byKind = byKind
 }
 
 // SetLoads takes over load reports. A server without one keeps its last.
@@ -173,11 +179,9 @@
 func (fleet *Fleet) list(kind string) []*wire.Server {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
-	var found []*wire.Server
-	for _, id := range fleet.order {
-		if listed := fleet.servers[id].listed; listed.GetKind() == kind {
-			found = append(found, listed)
-		}
+	found := make([]*wire.Server, 0, len(fleet.byKind[kind]))
+	for _, server := range fleet.byKind[kind] {
+		found = append(found, server.listed)
 	}
 	return found
 }
@@ -187,14 +191,11 @@
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
 	now := fleet.now()
-	servers := make([]routing.Server, 0, len(fleet.order))
-	for _, id := range fleet.order {
-		server := fleet.servers[id]
-		if server.listed.GetKind() == kind {
-			servers = append(servers, server.view(now, fleet.settings.ReportLag))
-		}
+	servers := make([]routing.Server, 0, len(fleet.byKind[kind]))
+	for _, server := range fleet.byKind[kind] {
+		servers = append(servers, server.view(now, fleet.settings.ReportLag))
 	}
-	return routing.Snapshot{Servers: servers}
+	return routing.NewSnapshot(servers)
 }
 
 func (server *server) view(now time.Time, lag time.Duration) routing.Server {
@@ -343,13 +344,9 @@
 func (fleet *Fleet) Counts() []KindCount {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
-	counts := make(map[string]int)
-	for _, server := range fleet.servers {
-		counts[server.listed.GetKind()]++
-	}
-	list := make([]KindCount, 0, len(counts))
-	for kind, count := range counts {
-		list = append(list, KindCount{Kind: kind, Count: count})
+	list := make([]KindCount, 0, len(fleet.byKind))
+	for kind, servers := range fleet.byKind {
+		list = append(list, KindCount{Kind: kind, Count: len(servers)})
 	}
 	slices.SortFunc(list, func(a, b KindCount) int { return cmp.Compare(a.Kind, b.Kind) })
 	return list
--- a/internal/routing/leastoutstanding.go
+++ b/internal/routing/leastoutstanding.go
@@ -10,7 +10,7 @@
 
 // Decide implements Policy.
 func (LeastOutstanding) Decide(snapshot Snapshot, request Request, random *rand.Rand) Decision {
-	servers := usable(snapshot, request)
+	servers := usable(snapshot, &request)
 	if len(servers) == 0 {
 		return refuse(RefusalNoServer, "no server has the model")
 	}
--- a/internal/routing/lengthaware.go
+++ b/internal/routing/lengthaware.go
@@ -62,79 +62,87 @@
 
 // Decide implements Policy.
 func (lengthaware LengthAware) Decide(snapshot Snapshot, request Request, random *rand.Rand) Decision {
-	servers := usable(snapshot, request)
-	if len(servers) == 0 {
-		return refuse(RefusalNoServer, "no server has the model")
-	}
 	if request.Tokens < lengthaware.settings.LongTokens {
-		return lengthaware.short(servers, request, random)
+		if best := lengthaware.short(snapshot, &request, random); best != nil {
+			return lengthaware.chooseShort(best, &request)
+		}
 	}
-	if !fitsOne(servers, request) {
+	servers := usable(snapshot, &request)
+	switch {
+	case len(servers) == 0:
+		return refuse(RefusalNoServer, "no server has the model")
+	case !fitsOne(servers, request):
 		return groupFor(servers, request)
+	case request.Tokens < lengthaware.settings.LongTokens:
+		best := slices.MinFunc(servers, func(a, b Server) int { return lengthaware.compareForShort(&a, &b, &request) })
+		return lengthaware.chooseShort(&best, &request)
+	default:
+		return lengthaware.long(servers, request, snapshot.LongBacklog)
 	}
-	return lengthaware.long(servers, request)
 }
 
-// short takes the best of a few engines without long work, unless an engine
-// with long work is better even so.
-func (lengthaware LengthAware) short(servers []Server, request Request, random *rand.Rand) Decision {
-	if !fitsOne(servers, request) {
-		return refuse(RefusalTooLong, fmt.Sprintf("%d tokens fit no engine", request.Need()))
+func (lengthaware LengthAware) chooseShort(best *Server, request *Request) Decision {
+	if !lengthaware.inTime(best.QueuedShort, request) {
+		return refuse(RefusalNoTime, fmt.Sprintf("%d short tokens are queued", best.QueuedShort))
 	}
-	firstFree := lengthaware.rankAfterSet(servers)
-	best := lengthaware.sample(servers, request, random, func(server Server) bool {
-		return server.QueuedLong == 0 && server.LongRank >= firstFree
-	})
-	reason := "best of a few without long work"
-	if best < 0 || lengthaware.waitForShort(servers[best]) > lengthaware.settings.StepTokens {
-		any := lengthaware.sample(servers, request, random, func(Server) bool { return true })
-		if best < 0 || lengthaware.betterForShort(servers[any], servers[best], request) {
-			best = any
-			reason = "best of a few"
+	if best.QueuedLong > 0 {
+		return choose(*best, "best of a few")
+	}
+	return choose(*best, "best of a few without long work")
+}
+
+// short returns the best of a few engines that long prompts do not use, unless
+// one of all engines is better even so. It returns nil when it happened on none
+// that may be used and has the memory; then all are looked at.
+func (lengthaware LengthAware) short(snapshot Snapshot, request *Request, random *rand.Rand) *Server {
+	firstQuiet := lengthaware.firstQuietRank(snapshot)
+	best := lengthaware.sample(snapshot, request, random, firstQuiet)
+	if best == nil || lengthaware.waitForShort(best) > lengthaware.settings.StepTokens {
+		other := lengthaware.sample(snapshot, request, random, 0)
+		if best == nil || other != nil && lengthaware.compareForShort(other, best, request) < 0 {
+			best = other
 		}
 	}
-	if !lengthaware.inTime(servers[best].QueuedShort, request) {
-		return refuse(RefusalNoTime, fmt.Sprintf("%d short tokens are queued", servers[best].QueuedShort))
+	if best == nil || best.Memory*groupFill/percent < request.Need() {
+		return nil
 	}
-	return choose(servers[best], reason)
+	return best
 }
 
-// sample returns the index of the best of a few servers at random that may be
-// taken, or -1 if it met none. The best of all would draw all entries to the
-// same engine at once.
-func (lengthaware LengthAware) sample(
-	servers []Server, request Request, random *rand.Rand, may func(Server) bool,
-) int {
-	best := -1
+// sample returns the best of a few servers at random, of those from a rank on.
+// If the rank is above zero they have no long work. The best of all would draw
+// all entries to the same engine at once.
+func (lengthaware LengthAware) sample(snapshot Snapshot, request *Request, random *rand.Rand, rank int) *Server {
+	var best *Server
 	found := 0
 	for range lengthaware.settings.Choices * samplesPerChoice {
-		i := random.IntN(len(servers))
-		if !may(servers[i]) {
+		if found == lengthaware.settings.Choices || len(snapshot.Servers) == 0 {
+			break
+		}
+		server := &snapshot.Servers[random.IntN(len(snapshot.Servers))]
+		if server.Ejected || server.LongRank < rank || rank > 0 && server.QueuedLong > 0 || !request.mayUse(server) {
 			continue
 		}
-		if best < 0 || lengthaware.betterForShort(servers[i], servers[best], request) {
-			best = i
+		if best == nil || lengthaware.compareForShort(server, best, request) < 0 {
+			best = server
 		}
 		found++
-		if found == lengthaware.settings.Choices {
-			break
-		}
 	}
 	return best
 }
 
-// betterForShort prefers an engine with memory for the request, and then the
-// one that computes its first token sooner.
-func (lengthaware LengthAware) betterForShort(a, b Server, request Request) bool {
+// compareForShort puts an engine with memory for the request first, and then
+// the one that computes its first token sooner.
+func (lengthaware LengthAware) compareForShort(a, b *Server, request *Request) int {
 	if fits(a, request) != fits(b, request) {
-		return fits(a, request)
+		return compareTrueFirst(fits(a, request), fits(b, request))
 	}
-	return lengthaware.waitForShort(a) < lengthaware.waitForShort(b)
+	return cmp.Compare(lengthaware.waitForShort(a), lengthaware.waitForShort(b))
 }
 
 // waitForShort is what a short prompt waits for, in tokens of prompt. Engines
 // put it before long prompts, so of those it waits for one step at most.
-func (lengthaware LengthAware) waitForShort(server Server) int {
+func (lengthaware LengthAware) waitForShort(server *Server) int {
 	wait := server.QueuedShort + server.Outstanding
 	if server.QueuedLong > 0 {
 		wait += lengthaware.settings.StepTokens
@@ -143,15 +151,18 @@
 }
 
 // long takes the engine with least long work in the set for long prompts.
-func (lengthaware LengthAware) long(servers []Server, request Request) Decision {
-	set := lengthaware.longSet(servers)
+func (lengthaware LengthAware) long(servers []Server, request Request, backlog int) Decision {
+	set := slices.SortedFunc(slices.Values(servers), func(a, b Server) int {
+		return cmp.Compare(a.LongRank, b.LongRank)
+	})[:lengthaware.setSize(len(servers), backlog)]
 	best := slices.MinFunc(set, func(a, b Server) int {
-		if fits(a, request) != fits(b, request) {
-			return compareTrueFirst(fits(a, request), fits(b, request))
-		}
-		return cmp.Or(cmp.Compare(a.QueuedLong, b.QueuedLong), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(
+			compareTrueFirst(fits(&a, &request), fits(&b, &request)),
+			cmp.Compare(a.QueuedLong, b.QueuedLong),
+			cmp.Compare(a.ID, b.ID),
+		)
 	})
-	if !lengthaware.inTime(best.QueuedLong, request) {
+	if !lengthaware.inTime(best.QueuedLong, &request) {
 		return refuse(RefusalNoTime, fmt.Sprintf("%d long tokens are queued", best.QueuedLong))
 	}
 	decision := choose(best, fmt.Sprintf("least long work among %d engines", len(set)))
@@ -159,45 +170,29 @@
 	return decision
 }
 
-// longSet returns the engines that long prompts may use: as many as their
+// setSize is how many engines long prompts may use now: as many as their
 // backlog needs, and the same at every entry that sees the same backlog.
-func (lengthaware LengthAware) longSet(servers []Server) []Server {
-	set := slices.SortedFunc(slices.Values(servers), func(a, b Server) int {
-		return cmp.Compare(a.LongRank, b.LongRank)
-	})
-	return set[:lengthaware.setSize(servers)]
-}
-
-// setSize is how many engines long prompts may use now.
-func (lengthaware LengthAware) setSize(servers []Server) int {
-	backlog := 0
-	for i := range servers {
-		backlog += servers[i].QueuedLong
-	}
-	most := max(1, int(float64(len(servers))*lengthaware.settings.LongShare))
+func (lengthaware LengthAware) setSize(servers, backlog int) int {
+	most := max(1, int(float64(servers)*lengthaware.settings.LongShare))
 	return min(most, 1+backlog/lengthaware.settings.LongBacklog)
 }
 
-// rankAfterSet returns the lowest rank of engines that short prompts do not
-// avoid: at least half of all. A long prompt that another entry has just sent shows late in the
-// reports, but it went to an engine of the set.
-func (lengthaware LengthAware) rankAfterSet(servers []Server) int {
-	ranks := make([]int, 0, len(servers))
-	for i := range servers {
-		ranks = append(ranks, servers[i].LongRank)
-	}
-	slices.Sort(ranks)
-	size := lengthaware.setSize(servers) + lengthaware.settings.QuietMargin
-	return ranks[min(size, len(ranks)/2)]
+// firstQuietRank returns the lowest rank of engines that short prompts do not
+// avoid: at least half of all. A long prompt that another entry has just sent
+// shows late in the reports, but it went to an engine of the set.
+func (lengthaware LengthAware) firstQuietRank(snapshot Snapshot) int {
+	servers := len(snapshot.Servers)
+	size := lengthaware.setSize(servers, snapshot.LongBacklog) + lengthaware.settings.QuietMargin
+	return min(size, servers/2)
 }
 
 // inTime reports whether the prompt can be computed behind what is queued.
-func (lengthaware LengthAware) inTime(queued int, request Request) bool {
+func (lengthaware LengthAware) inTime(queued int, request *Request) bool {
 	seconds := float64(queued+request.Tokens) / lengthaware.settings.PrefillTokensPerSecond
 	return time.Duration(seconds*float64(time.Second)) < request.TimeLeft
 }
 
-func fits(server Server, request Request) bool {
+func fits(server *Server, request *Request) bool {
 	return server.Free >= request.Need()
 }
 
--- a/internal/routing/roundrobin.go
+++ b/internal/routing/roundrobin.go
@@ -19,7 +19,7 @@
 
 // Decide implements Policy.
 func (roundrobin *RoundRobin) Decide(snapshot Snapshot, request Request, _ *rand.Rand) Decision {
-	servers := usable(snapshot, request)
+	servers := usable(snapshot, &request)
 	if len(servers) == 0 {
 		return refuse(RefusalNoServer, "no server has the model")
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -42,6 +42,17 @@
 type Snapshot struct {
 	// Servers is ordered by ID.
 	Servers []Server
+	// LongBacklog is the sum of QueuedLong over all servers.
+	LongBacklog int
+}
+
+// NewSnapshot returns a snapshot of servers, which are ordered by ID.
+func NewSnapshot(servers []Server) Snapshot {
+	snapshot := Snapshot{Servers: servers}
+	for i := range servers {
+		snapshot.LongBacklog += servers[i].QueuedLong
+	}
+	return snapshot
 }
 
 // Request is what a decision needs to know of a request.
@@ -66,6 +77,14 @@
 	return request.Tokens + request.MaxTokens
 }
 
+// mayUse reports whether the request may go to the server at all.
+func (request *Request) mayUse(server *Server) bool {
+	return !server.Leaving &&
+		slices.Contains(server.Models, request.Model) &&
+		(!request.OnlyFencing || server.ChecksFencing) &&
+		!slices.Contains(request.Tried, server.ID)
+}
+
 // Refusal says why no server was chosen.
 type Refusal string
 
@@ -96,18 +115,16 @@
 
 // usable returns the servers that may get the request at all. Ejected ones
 // count only when there are no others.
-func usable(snapshot Snapshot, request Request) []Server {
+func usable(snapshot Snapshot, request *Request) []Server {
 	var healthy, ejected []Server
-	for _, server := range snapshot.Servers {
+	for i := range snapshot.Servers {
+		server := &snapshot.Servers[i]
 		switch {
-		case server.Leaving,
-			!slices.Contains(server.Models, request.Model),
-			request.OnlyFencing && !server.ChecksFencing,
-			slices.Contains(request.Tried, server.ID):
+		case !request.mayUse(server):
 		case server.Ejected:
-			ejected = append(ejected, server)
+			ejected = append(ejected, *server)
 		default:
-			healthy = append(healthy, server)
+			healthy = append(healthy, *server)
 		}
 	}
 	if len(healthy) == 0 {
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,240 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mastwinch/mastwinch/internal/routing"
+)
+
+const (
+	model  = "clerk"
+	memory = 100_000
+)
+
+// engines returns engines that are alike but for their names.
+func engines(count int) []routing.Server {
+	servers := make([]routing.Server, 0, count)
+	for i := range count {
+		servers = append(servers, routing.Server{
+			ID: fmt.Sprintf("e%02d", i), Models: []string{model}, Memory: memory, Free: memory, LongRank: i,
+		})
+	}
+	return servers
+}
+
+func short() routing.Request {
+	return routing.Request{Model: model, Tokens: 1000, MaxTokens: 16, TimeLeft: time.Minute}
+}
+
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(1, 1))
+}
+
+func policies() map[string]routing.Policy {
+	return map[string]routing.Policy{
+		"round robin":       routing.NewRoundRobin(),
+		"least outstanding": routing.LeastOutstanding{},
+		"length aware":      routing.NewLengthAware(routing.DefaultLengthAwareSettings()),
+	}
+}
+
+func TestNeverChosen(t *testing.T) {
+	cases := map[string]struct {
+		change  func(server *routing.Server)
+		request func(request *routing.Request)
+	}{
+		"leaving":        {change: func(server *routing.Server) { server.Leaving = true }},
+		"another model":  {change: func(server *routing.Server) { server.Models = []string{"audit"} }},
+		"ejected":        {change: func(server *routing.Server) { server.Ejected = true }},
+		"tried before":   {request: func(request *routing.Request) { request.Tried = []string{"e00"} }},
+		"checks nothing": {request: func(request *routing.Request) { request.OnlyFencing = true }},
+	}
+	for name, c := range cases {
+		for policyName, policy := range policies() {
+			t.Run(name+"/"+policyName, func(t *testing.T) {
+				servers := engines(2)
+				servers[1].ChecksFencing = true
+				if c.change != nil {
+					c.change(&servers[0])
+				}
+				request := short()
+				if c.request != nil {
+					c.request(&request)
+				}
+				random := newRandom()
+				for range 100 {
+					decision := policy.Decide(routing.NewSnapshot(servers), request, random)
+					assert.Equal(t, decision.Servers[0].ID, "e01")
+				}
+			})
+		}
+	}
+}
+
+func TestEjectedWhenThereIsNoOther(t *testing.T) {
+	servers := engines(1)
+	servers[0].Ejected = true
+	for name, policy := range policies() {
+		t.Run(name, func(t *testing.T) {
+			decision := policy.Decide(routing.NewSnapshot(servers), short(), newRandom())
+			assert.Equal(t, len(decision.Servers), 1)
+		})
+	}
+}
+
+func TestLengthAware(t *testing.T) {
+	cases := map[string]struct {
+		change  func(servers []routing.Server)
+		request routing.Request
+		// allowed has the only servers that may be chosen.
+		allowed []string
+		refusal routing.Refusal
+	}{
+		"a short prompt avoids long work and the engines given to it next": {
+			change:  func(servers []routing.Server) { servers[5].QueuedLong = 1000 },
+			request: short(),
+			allowed: []string{"e03", "e04", "e06", "e07"},
+		},
+		"a short prompt takes an engine with long work when the others are worse": {
+			change: func(servers []routing.Server) {
+				for i := range servers {
+					servers[i].QueuedShort = 50_000
+				}
+				servers[0].QueuedShort, servers[0].QueuedLong = 0, 1000
+			},
+			request: short(),
+			allowed: []string{"e00"},
+		},
+		"a long prompt takes the first engine": {
+			request: routing.Request{Model: model, Tokens: 50_000, MaxTokens: 100, TimeLeft: time.Minute},
+			allowed: []string{"e00"},
+		},
+		"long prompts spread with their backlog": {
+			change:  func(servers []routing.Server) { servers[0].QueuedLong = 150_000 },
+			request: routing.Request{Model: model, Tokens: 50_000, MaxTokens: 100, TimeLeft: time.Minute},
+			allowed: []string{"e01"},
+		},
+		"a prompt longer than an engine's memory takes a group, by ID": {
+			change:  func(servers []routing.Server) { servers[0].Free = 0 },
+			request: routing.Request{Model: model, Tokens: 250_000, MaxTokens: 100, TimeLeft: time.Minute},
+			allowed: []string{"e01", "e02", "e03"},
+		},
+		"a prompt longer than all engines is refused": {
+			request: routing.Request{Model: model, Tokens: 1_000_000, MaxTokens: 100, TimeLeft: time.Minute},
+			refusal: routing.RefusalTooLong,
+		},
+		"a stated time that cannot be met is refused": {
+			change: func(servers []routing.Server) {
+				for i := range servers {
+					servers[i].QueuedShort = 400_000
+				}
+			},
+			request: routing.Request{Model: model, Tokens: 1000, MaxTokens: 16, TimeLeft: time.Second},
+			refusal: routing.RefusalNoTime,
+		},
+		"a model that nobody has is refused": {
+			request: routing.Request{Model: "other", Tokens: 10, MaxTokens: 1, TimeLeft: time.Second},
+			refusal: routing.RefusalNoServer,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			servers := engines(8)
+			if c.change != nil {
+				c.change(servers)
+			}
+			settings := routing.DefaultLengthAwareSettings()
+			settings.Choices = 64 // so many that the best is always among them
+			policy := routing.NewLengthAware(settings)
+			random := newRandom()
+			for range 50 {
+				decision := policy.Decide(routing.NewSnapshot(servers), c.request, random)
+				assert.Equal(t, decision.Refusal, c.refusal, decision.Reason)
+				for i, chosen := range decision.Servers {
+					if len(decision.Servers) > 1 {
+						assert.Equal(t, chosen.ID, c.allowed[i])
+						continue
+					}
+					assert.Assert(t, contains(c.allowed, chosen.ID), "chose %s", chosen.ID)
+				}
+			}
+		})
+	}
+}
+
+func contains(list []string, wanted string) bool {
+	for _, one := range list {
+		if one == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// TestDecisionsHold draws snapshots and requests, and checks what must hold of
+// any decision of any policy.
+func TestDecisionsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := engines(rapid.IntRange(0, 12).Draw(t, "servers"))
+		for i := range servers {
+			servers[i].Leaving = rapid.Bool().Draw(t, "leaving")
+			servers[i].Ejected = rapid.Bool().Draw(t, "ejected")
+			servers[i].Free = rapid.IntRange(-memory, memory).Draw(t, "free")
+			servers[i].QueuedLong = rapid.IntRange(0, 1_000_000).Draw(t, "long")
+			servers[i].QueuedShort = rapid.IntRange(0, 10_000).Draw(t, "short")
+		}
+		request := routing.Request{
+			Model:     model,
+			Tokens:    rapid.IntRange(1, 1_000_000).Draw(t, "tokens"),
+			MaxTokens: rapid.IntRange(0, 1000).Draw(t, "max"),
+			TimeLeft:  time.Duration(rapid.IntRange(0, 600).Draw(t, "seconds")) * time.Second,
+		}
+		for name, policy := range policies() {
+			decision := policy.Decide(routing.NewSnapshot(servers), request, newRandom())
+			if problem := problemOf(decision, request); problem != "" {
+				t.Fatalf("%s: %s", name, problem)
+			}
+		}
+	})
+}
+
+// problemOf says what is wrong with a decision, or nothing.
+func problemOf(decision routing.Decision, request routing.Request) string {
+	if (len(decision.Servers) == 0) != (decision.Refusal != routing.RefusalNone) {
+		return fmt.Sprintf("%d servers and refusal %q", len(decision.Servers), decision.Refusal)
+	}
+	held := 0
+	for i, chosen := range decision.Servers {
+		held += chosen.Memory
+		if chosen.Leaving {
+			return chosen.ID + " is leaving"
+		}
+		if i > 0 && decision.Servers[i-1].ID >= chosen.ID {
+			return "group not in the order of IDs"
+		}
+	}
+	if len(decision.Servers) > 0 && held < request.Need() {
+		return fmt.Sprintf("%d tokens of memory for %d", held, request.Need())
+	}
+	return ""
+}
+
+func BenchmarkLengthAware(b *testing.B) {
+	for _, size := range []int{20, 600} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			snapshot := routing.NewSnapshot(engines(size))
+			policy := routing.NewLengthAware(routing.DefaultLengthAwareSettings())
+			random := newRandom()
+			b.ReportAllocs()
+			for b.Loop() {
+				policy.Decide(snapshot, short(), random)
+			}
+		})
+	}
+}
