entry: give up a stream that is cut again and again, found by random cuts

Cause: a connection to an engine that broke before each frame was opened again at once and without end, a busy loop that held the request until its deadline. Found by a test that plays random cuts of callers and connections, and deaths of engines and entries, on streams from 10 to 150k tokens before stand-in engines in virtual time: it hung. Ruled out: the test's own loop (it pauses between two readings; with the change alone it ends).

After three cuts in a row without a frame the attempt counts as failed; a repeatable request then goes on elsewhere with the tokens that it has.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -15,7 +15,7 @@
 
 // Opening a stream again after a cut to the engine.
 const (
-	reopenTries = 2
+	reopenTries = 3
 	reopenPause = 50 * time.Millisecond
 	orderTime   = 2 * time.Second
 )
@@ -129,10 +129,13 @@
 func (run *run) relay(ctx context.Context, stream backend.Stream, source source) result {
 	defer func() { stream.Close() }()
 	run.buffer.Start()
+	// cuts counts cuts since a frame last came.
+	cuts := 0
 	for {
 		frame, err := stream.Next()
 		if err != nil {
-			reopened, failure := run.reopen(ctx, source, err)
+			cuts++
+			reopened, failure := run.reopen(ctx, source, cuts, err)
 			if failure != nil {
 				return *failure
 			}
@@ -140,6 +143,7 @@
 			stream = reopened
 			continue
 		}
+		cuts = 0
 		if frame.End != backend.EndNone {
 			return run.streamEnded(frame, source)
 		}
@@ -190,13 +194,16 @@
 	}
 }
 
-// reopen opens the stream again after a cut, or returns how the attempt ends.
-func (run *run) reopen(ctx context.Context, source source, cut error) (backend.Stream, *result) {
+// reopen opens the stream again after so many cuts in a row, or returns how the
+// attempt ends.
+func (run *run) reopen(ctx context.Context, source source, cuts int, cut error) (backend.Stream, *result) {
 	entry := run.entry
-	for range reopenTries {
+	for try := cuts; try <= reopenTries; try++ {
+		if try > 1 {
+			pause(ctx, reopenPause)
+		}
 		if ctx.Err() != nil {
-			entry.cancelAt(source.server.Address, source.id)
-			return nil, &result{kind: resultInterrupted, server: source.server.ID}
+			break
 		}
 		stream, err := entry.backends.Resume(ctx, source.server.Address, source.id, run.buffer.Next())
 		if err == nil {
@@ -204,7 +211,6 @@
 			return stream, nil
 		}
 		cut = errors.CombineErrors(cut, err)
-		pause(ctx, reopenPause)
 	}
 	if ctx.Err() != nil {
 		entry.cancelAt(source.server.Address, source.id)
