routing: learn from answers what a server computes, and refuse by that

Cause: at twice the load half of the refused work was refused too late: 2378 of 9704 prompts of 8k were admitted and died by their deadline of 2 s, for the fixed estimate of 200k tokens a second was more than the engines give beside decoding. The time that a short prompt takes, with what was queued before it, tells the rate; a prompt is taken on if it would be computed within 0.7 of its time. A server with nothing queued is always tried, so that one bad sample cannot shut it out.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,13 @@
 // longOrderKey gives the order in which engines are given to long prompts.
 const longOrderKey = "long"
 
+// Learning of rates: the least work, in tokens, of a prompt that tells of the
+// rate, and the weight of one sample.
+const (
+	rateWork = 4096
+	rateGain = 0.1
+)
+
 // Settings tune what the fleet makes of answers.
 type Settings struct {
 	// ReportLag is how old load reports are taken to be; what was sent in
@@ -65,6 +72,8 @@
 	others pending
 	// own is the prompts that this entry waits for there.
 	own pending
+	// rate is the prompt tokens computed in a second, as seen from answers.
+	rate float64
 	// sent has what was sent within the report lag, oldest first.
 	sent        []sent
 	outstanding int
@@ -212,6 +221,7 @@
 		QueuedShort:   server.own.short + server.others.short,
 		QueuedLong:    server.own.long + server.others.long,
 		LongRank:      server.longRank,
+		PrefillRate:   server.rate,
 		Outstanding:   server.outstanding,
 		Leaving:       listed.GetLeaving() || now.Before(server.leavingUntil),
 		Ejected:       now.Before(server.ejectedUntil),
@@ -271,14 +281,37 @@
 			server.ejectedUntil = now.Add(fleet.settings.EjectTime)
 		}
 	}
-	computed := sync.OnceFunc(func() { fleet.computed(decision, share) })
+	counted := sync.OnceFunc(func() { fleet.computed(decision, share) })
+	computed := sync.OnceFunc(func() {
+		fleet.observe(decision, request, now)
+		counted()
+	})
 	over := sync.OnceFunc(func() {
-		computed()
+		counted()
 		fleet.over(decision)
 	})
 	return Sending{Computed: computed, Over: over}
 }
 
+// observe learns from a short prompt how quickly its server computes. Those
+// that took little work tell more of the time of a step than of the rate.
+func (fleet *Fleet) observe(decision routing.Decision, request routing.Request, sentAt time.Time) {
+	chosen := decision.Servers[0]
+	work := chosen.QueuedShort + request.Tokens
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	elapsed := fleet.now().Sub(sentAt).Seconds()
+	server := fleet.servers[chosen.ID]
+	if server == nil || decision.Long || work < rateWork || elapsed <= 0 {
+		return
+	}
+	sample := float64(work) / elapsed
+	if server.rate == 0 {
+		server.rate = sample
+	}
+	server.rate += rateGain * (sample - server.rate)
+}
+
 func (fleet *Fleet) computed(decision routing.Decision, share pending) {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -150,3 +150,28 @@
 	assert.Assert(t, !view(tested).Ejected)
 	assert.Assert(t, !tested.Failed(id))
 }
+
+func TestPrefillRate(t *testing.T) {
+	cases := map[string]struct {
+		decision routing.Decision
+		tokens   int
+		want     float64
+	}{
+		"from a short prompt with what was queued": {
+			decision: routing.Decision{Servers: []routing.Server{{ID: id, QueuedShort: 6000}}}, tokens: 4000, want: 5000,
+		},
+		"not from little work": {decision: decision(false), tokens: 1000},
+		"not from long work":   {decision: decision(true), tokens: 100_000},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			clock := &clock{now: time.Unix(1000, 0)}
+			tested := newFleet(clock)
+			sending := tested.Sent(c.decision, routing.Request{Tokens: c.tokens})
+			clock.now = clock.now.Add(2 * time.Second)
+			sending.Computed()
+			sending.Over()
+			assert.Equal(t, view(tested).PrefillRate, c.want)
+		})
+	}
+}
--- a/internal/routing/lengthaware.go
+++ b/internal/routing/lengthaware.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"time"
 )
 
 // LengthAwareSettings tune LengthAware.
@@ -26,8 +25,8 @@
 	// StepTokens is how long a short prompt waits for the step in progress
 	// of an engine that computes long ones, in tokens of prompt.
 	StepTokens int `yaml:"step_tokens" validate:"min=0"`
-	// PrefillTokensPerSecond is what an engine computes, to tell whether a
-	// stated time can still be met.
+	// PrefillTokensPerSecond is what an engine is taken to compute until its
+	// answers have shown it.
 	PrefillTokensPerSecond float64 `yaml:"prefill_tokens_per_second" validate:"gt=0"`
 }
 
@@ -44,6 +43,10 @@
 	}
 }
 
+// prefillPart is the part of the stated time within which the prompt must be
+// computed for a request to be taken on.
+const prefillPart = 0.7
+
 // samplesPerChoice bounds how many engines are looked at for each choice.
 const samplesPerChoice = 8
 
@@ -82,7 +85,7 @@
 }
 
 func (lengthaware LengthAware) chooseShort(best *Server, request *Request) Decision {
-	if !lengthaware.inTime(best.QueuedShort, request) {
+	if !lengthaware.inTime(best, best.QueuedShort, request) {
 		return refuse(RefusalNoTime, fmt.Sprintf("%d short tokens are queued", best.QueuedShort))
 	}
 	if best.QueuedLong > 0 {
@@ -162,7 +165,7 @@
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
-	if !lengthaware.inTime(best.QueuedLong, &request) {
+	if !lengthaware.inTime(&best, best.QueuedLong, &request) {
 		return refuse(RefusalNoTime, fmt.Sprintf("%d long tokens are queued", best.QueuedLong))
 	}
 	decision := choose(best, fmt.Sprintf("least long work among %d engines", len(set)))
@@ -186,10 +189,16 @@
 	return min(size, servers/2)
 }
 
-// inTime reports whether the prompt can be computed behind what is queued.
-func (lengthaware LengthAware) inTime(queued int, request *Request) bool {
-	seconds := float64(queued+request.Tokens) / lengthaware.settings.PrefillTokensPerSecond
-	return time.Duration(seconds*float64(time.Second)) < request.TimeLeft
+// inTime reports whether the prompt can be computed behind what is queued, with
+// part of the time left for the answer.
+func (lengthaware LengthAware) inTime(server *Server, queued int, request *Request) bool {
+	rate := server.PrefillRate
+	if rate == 0 || queued == 0 {
+		// A server with nothing to do is tried again, however slow it was.
+		rate = max(rate, lengthaware.settings.PrefillTokensPerSecond)
+	}
+	seconds := float64(queued+request.Tokens) / rate
+	return seconds < prefillPart*request.TimeLeft.Seconds()
 }
 
 func fits(server *Server, request *Request) bool {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -29,6 +29,10 @@
 	// LongRank is the place of an engine in the order in which engines are
 	// given to long prompts, the same at every entry.
 	LongRank int
+	// PrefillRate is the prompt tokens that the server computes in a second as
+	// seen from its answers, what was queued there before counted in. Zero
+	// means that it is not known.
+	PrefillRate float64
 	// Outstanding is how many requests of this entry run there.
 	Outstanding int
 	// Leaving says that nothing new may go there.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -138,6 +138,24 @@
 			request: routing.Request{Model: model, Tokens: 1000, MaxTokens: 16, TimeLeft: time.Second},
 			refusal: routing.RefusalNoTime,
 		},
+		"a slow server is refused for what it cannot compute in time": {
+			change: func(servers []routing.Server) {
+				for i := range servers {
+					servers[i].QueuedShort, servers[i].PrefillRate = 10_000, 5_000
+				}
+			},
+			request: routing.Request{Model: model, Tokens: 1000, MaxTokens: 16, TimeLeft: 3 * time.Second},
+			refusal: routing.RefusalNoTime,
+		},
+		"a slow server with nothing to do is tried again": {
+			change: func(servers []routing.Server) {
+				for i := range servers {
+					servers[i].PrefillRate = 100
+				}
+			},
+			request: routing.Request{Model: model, Tokens: 1000, MaxTokens: 16, TimeLeft: 3 * time.Second},
+			allowed: []string{"e03", "e04", "e05", "e06", "e07"},
+		},
 		"a model that nobody has is refused": {
 			request: routing.Request{Model: "other", Tokens: 10, MaxTokens: 1, TimeLeft: time.Second},
 			refusal: routing.RefusalNoServer,
