--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -174,25 +175,22 @@
 			for range 50 {
 				decision := policy.Decide(routing.NewSnapshot(servers), c.request, random)
 				assert.Equal(t, decision.Refusal, c.refusal, decision.Reason)
-				for i, chosen := range decision.Servers {
-					if len(decision.Servers) > 1 {
-						assert.Equal(t, chosen.ID, c.allowed[i])
-						continue
-					}
-					assert.Assert(t, contains(c.allowed, chosen.ID), "chose %s", chosen.ID)
-				}
+				assertChosen(t, decision.Servers, c.allowed)
 			}
 		})
 	}
 }
 
-func contains(list []string, wanted string) bool {
-	for _, one := range list {
-		if one == wanted {
-			return true
+// assertChosen checks that one of the allowed was chosen, or as a group all.
+func assertChosen(t *testing.T, chosen []routing.Server, allowed []string) {
+	t.Helper()
+	for i, server := range chosen {
+		if len(chosen) > 1 {
+			assert.Equal(t, server.ID, allowed[i])
+			continue
 		}
+		assert.Assert(t, slices.Contains(allowed, server.ID), "chose %s", server.ID)
 	}
-	return false
 }
 
 // TestDecisionsHold draws snapshots and requests, and checks what must hold of
