--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/mastwinch/mastwinch/internal/relay"
 	"github.com/mastwinch/mastwinch/internal/request"
 	"github.com/mastwinch/mastwinch/internal/routing"
+	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
 // Opening a stream again after a cut to the engine.
@@ -200,7 +201,7 @@
 	entry := run.entry
 	for try := cuts; try <= reopenTries; try++ {
 		if try > 1 {
-			pause(ctx, reopenPause)
+			wait.For(ctx, reopenPause)
 		}
 		if ctx.Err() != nil {
 			break
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/mastwinch/mastwinch/internal/link"
 	"github.com/mastwinch/mastwinch/internal/replica"
 	"github.com/mastwinch/mastwinch/internal/routing"
+	"github.com/mastwinch/mastwinch/internal/wait"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
 
@@ -162,11 +163,11 @@
 func (entry *Entry) drain(server *http.Server) {
 	entry.stopping.Store(true)
 	entry.logger.Info("entry drains", "running", entry.registry.len())
-	pause(entry.life, entry.settings.Admission.DrainNotice)
+	wait.For(entry.life, entry.settings.Admission.DrainNotice)
 	entry.closed.Store(true)
 	deadline := entry.now().Add(entry.settings.Admission.DrainTime)
 	for entry.registry.len() > 0 && entry.now().Before(deadline) {
-		pause(entry.life, janitorTick)
+		wait.For(entry.life, janitorTick)
 	}
 	entry.waitBackground(shutdownTime)
 	entry.logger.Info("entry stops", "running", entry.registry.len())
@@ -215,12 +216,3 @@
 func (entry *Entry) random() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // no secret
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -9,6 +9,7 @@
 	"github.com/mastwinch/mastwinch/internal/backend"
 	"github.com/mastwinch/mastwinch/internal/request"
 	"github.com/mastwinch/mastwinch/internal/routing"
+	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
 // renewPart is the part of a lease after which it is renewed.
@@ -66,7 +67,7 @@
 		if !errors.As(err, &refused) || refused.Leaving || refused.Unreachable {
 			return err
 		}
-		pause(ctx, entry.settings.Group.Poll)
+		wait.For(ctx, entry.settings.Group.Poll)
 		if ctx.Err() != nil {
 			return errors.WithStack(ctx.Err())
 		}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -11,6 +11,7 @@
 	"github.com/mastwinch/mastwinch/internal/relay"
 	"github.com/mastwinch/mastwinch/internal/request"
 	"github.com/mastwinch/mastwinch/internal/routing"
+	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
 // Causes for which a request is cut short.
@@ -103,7 +104,7 @@
 			if outcome, final := run.refused(decision.Refusal); final {
 				return outcome
 			}
-			pause(ctx, run.entry.settings.Retry.Pause)
+			wait.For(ctx, run.entry.settings.Retry.Pause)
 			continue
 		}
 		result := run.attempt(ctx, decision)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,13 +18,6 @@
 // longOrderKey gives the order in which engines are given to long prompts.
 const longOrderKey = "long"
 
-// Learning of rates: the least work, in tokens, of a prompt that tells of the
-// rate, and the weight of one sample.
-const (
-	rateWork = 4096
-	rateGain = 0.1
-)
-
 // Settings tune what the fleet makes of answers.
 type Settings struct {
 	// ReportLag is how old load reports are taken to be; what was sent in
@@ -63,38 +56,6 @@
 	byKind map[string][]*server
 }
 
-type server struct {
-	listed   *wire.Server
-	longRank int
-	load     *wire.Load
-	// others is the prompts that other entries wait for there: what was
-	// reported, less what this entry waited for then.
-	others pending
-	// own is the prompts that this entry waits for there.
-	own pending
-	// rate is the prompt tokens computed in a second, as seen from answers.
-	rate float64
-	// sent has what was sent within the report lag, oldest first.
-	sent        []sent
-	outstanding int
-	// failures counts failures since the last good answer.
-	failures     int
-	ejectedUntil time.Time
-	leavingUntil time.Time
-}
-
-// pending is prompt tokens that are not yet computed.
-type pending struct {
-	short int
-	long  int
-}
-
-// sent is memory that a request takes which reports do not show yet.
-type sent struct {
-	at     time.Time
-	memory int
-}
-
 // New returns an empty fleet. The clock is now.
 func New(settings Settings, now func() time.Time) *Fleet {
 	return &Fleet{
@@ -150,15 +111,6 @@
 	}
 }
 
-func newOthers(load *wire.Load, own pending) pending {
-	long := int(load.GetQueuedLongTokens())            //nolint:gosec // bounded by any machine's memory
-	short := int(load.GetQueuedPrefillTokens()) - long //nolint:gosec // as above
-	return pending{
-		short: max(0, short-own.short),
-		long:  max(0, long-own.long),
-	}
-}
-
 // KeeperAddresses returns the keepers of the live VMs of the system.
 func (fleet *Fleet) KeeperAddresses() []string {
 	var addresses []string
@@ -207,132 +159,6 @@
 	return routing.NewSnapshot(servers)
 }
 
-func (server *server) view(now time.Time, lag time.Duration) routing.Server {
-	listed := server.listed
-	memory := int(listed.GetMemoryTokens()) //nolint:gosec // bounded by any machine's memory
-	view := routing.Server{
-		ID:            listed.GetId(),
-		Address:       listed.GetAddress(),
-		DataCentre:    listed.GetDataCentre(),
-		Models:        listed.GetModels(),
-		ChecksFencing: listed.GetChecksFencing(),
-		Memory:        memory,
-		Free:          memory,
-		QueuedShort:   server.own.short + server.others.short,
-		QueuedLong:    server.own.long + server.others.long,
-		LongRank:      server.longRank,
-		PrefillRate:   server.rate,
-		Outstanding:   server.outstanding,
-		Leaving:       listed.GetLeaving() || now.Before(server.leavingUntil),
-		Ejected:       now.Before(server.ejectedUntil),
-	}
-	if load := server.load; load != nil {
-		view.Free = int(load.GetFreeTokens()) //nolint:gosec // as above
-	}
-	server.forget(now.Add(-lag))
-	for _, sent := range server.sent {
-		view.Free -= sent.memory
-	}
-	return view
-}
-
-func (server *server) forget(before time.Time) {
-	keep := slices.IndexFunc(server.sent, func(sent sent) bool { return !sent.at.Before(before) })
-	if keep < 0 {
-		keep = len(server.sent)
-	}
-	server.sent = server.sent[keep:]
-}
-
-// Sending is a request on its way to the servers of a decision.
-type Sending struct {
-	// Computed notes that the prompt is computed. Only the first call counts.
-	Computed func()
-	// Over notes that the request is over. Only the first call counts.
-	Over func()
-}
-
-// NoSending returns what notes nothing, for a stream that another entry sent.
-func NoSending() Sending {
-	return Sending{Computed: func() {}, Over: func() {}}
-}
-
-// Sent notes that a request goes to the servers of a decision.
-func (fleet *Fleet) Sent(decision routing.Decision, request routing.Request) Sending {
-	fleet.mu.Lock()
-	defer fleet.mu.Unlock()
-	width := max(1, len(decision.Servers))
-	share := pending{short: request.Tokens / width}
-	if decision.Long {
-		share = pending{long: request.Tokens / width}
-	}
-	now := fleet.now()
-	for _, chosen := range decision.Servers {
-		server := fleet.servers[chosen.ID]
-		if server == nil {
-			continue
-		}
-		server.outstanding++
-		server.own.short += share.short
-		server.own.long += share.long
-		server.sent = append(server.sent, sent{at: now, memory: request.Need() / width})
-		if server.failures >= fleet.settings.EjectAfter && !now.Before(server.ejectedUntil) {
-			// A trial: no other request until it has come out.
-			server.ejectedUntil = now.Add(fleet.settings.EjectTime)
-		}
-	}
-	counted := sync.OnceFunc(func() { fleet.computed(decision, share) })
-	computed := sync.OnceFunc(func() {
-		fleet.observe(decision, request, now)
-		counted()
-	})
-	over := sync.OnceFunc(func() {
-		counted()
-		fleet.over(decision)
-	})
-	return Sending{Computed: computed, Over: over}
-}
-
-// observe learns from a short prompt how quickly its server computes. Those
-// that took little work tell more of the time of a step than of the rate.
-func (fleet *Fleet) observe(decision routing.Decision, request routing.Request, sentAt time.Time) {
-	chosen := decision.Servers[0]
-	work := chosen.QueuedShort + request.Tokens
-	fleet.mu.Lock()
-	defer fleet.mu.Unlock()
-	elapsed := fleet.now().Sub(sentAt).Seconds()
-	server := fleet.servers[chosen.ID]
-	if server == nil || decision.Long || work < rateWork || elapsed <= 0 {
-		return
-	}
-	sample := float64(work) / elapsed
-	if server.rate == 0 {
-		server.rate = sample
-	}
-	server.rate += rateGain * (sample - server.rate)
-}
-
-func (fleet *Fleet) computed(decision routing.Decision, share pending) {
-	fleet.mu.Lock()
-	defer fleet.mu.Unlock()
-	for _, chosen := range decision.Servers {
-		if server := fleet.servers[chosen.ID]; server != nil {
-			server.own.short = max(0, server.own.short-share.short)
-			server.own.long = max(0, server.own.long-share.long)
-		}
-	}
-}
-
-func (fleet *Fleet) over(decision routing.Decision) {
-	fleet.mu.Lock()
-	defer fleet.mu.Unlock()
-	for _, chosen := range decision.Servers {
-		if server := fleet.servers[chosen.ID]; server != nil {
-			server.outstanding = max(0, server.outstanding-1)
-		}
-	}
-}
-
 // Succeeded notes a good answer of the server.
 func (fleet *Fleet) Succeeded(id string) {
 	fleet.mu.Lock()
--- a/internal/keeper/appender.go
+++ b/internal/keeper/appender.go
@@ -12,6 +12,7 @@
 	"github.com/mastwinch/mastwinch/internal/fold"
 	"github.com/mastwinch/mastwinch/internal/platform"
 	"github.com/mastwinch/mastwinch/internal/replica"
+	"github.com/mastwinch/mastwinch/internal/wait"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
 
@@ -105,7 +106,7 @@
 		for batch := appender.take(); len(batch) > 0 && ctx.Err() == nil; batch = appender.take() {
 			started := time.Now()
 			appender.append(ctx, batch)
-			sleep(ctx, appender.settings.AppendInterval-time.Since(started))
+			wait.For(ctx, appender.settings.AppendInterval-time.Since(started))
 		}
 	}
 }
@@ -142,7 +143,7 @@
 		appender.metrics.appendErrors.Inc()
 		appender.logger.Warn("append failed, its records are looked for in the log",
 			"records", len(batch), "error", err)
-		sleep(ctx, readBackWait)
+		wait.For(ctx, readBackWait)
 		batch = appender.unsettled(batch, time.Now())
 	}
 }
@@ -195,15 +196,3 @@
 		delete(appender.queued, proposal.record.GetId())
 	}
 }
-
-func sleep(ctx context.Context, duration time.Duration) {
-	if duration <= 0 {
-		return
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -12,6 +12,7 @@
 	"github.com/mastwinch/mastwinch/internal/rendezvous"
 	"github.com/mastwinch/mastwinch/internal/replica"
 	"github.com/mastwinch/mastwinch/internal/state"
+	"github.com/mastwinch/mastwinch/internal/wait"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
 
@@ -158,7 +159,7 @@
 			continue
 		}
 		if err != nil {
-			sleep(ctx, readRetry)
+			wait.For(ctx, readRetry)
 			continue
 		}
 		for _, entry := range page.Entries {
@@ -180,7 +181,7 @@
 		if !duties.appendPart(ctx, entry) {
 			return
 		}
-		sleep(ctx, duties.settings.Log.AppendInterval)
+		wait.For(ctx, duties.settings.Log.AppendInterval)
 	}
 	duties.metrics.checkpoints.Inc()
 	duties.logger.Info("checkpoint written", "parts", len(entries), "next_offset", duties.replica.Next())
@@ -198,7 +199,7 @@
 			return true
 		}
 		duties.logger.Warn("part of a checkpoint not appended", "error", err)
-		sleep(ctx, readRetry)
+		wait.For(ctx, readRetry)
 	}
 	return false
 }
--- a/internal/keeper/follower.go
+++ b/internal/keeper/follower.go
@@ -11,6 +11,7 @@
 	"github.com/mastwinch/mastwinch/internal/link"
 	"github.com/mastwinch/mastwinch/internal/platform"
 	"github.com/mastwinch/mastwinch/internal/state"
+	"github.com/mastwinch/mastwinch/internal/wait"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
 
@@ -56,7 +57,7 @@
 		if !follower.ready.Load() {
 			follower.takeFromPeer(ctx)
 		}
-		sleep(ctx, readRetry)
+		wait.For(ctx, readRetry)
 	}
 }
 
--- a/internal/keeper/watch.go
+++ b/internal/keeper/watch.go
@@ -14,6 +14,7 @@
 
 	"github.com/mastwinch/mastwinch/internal/backend"
 	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/wait"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
 
@@ -55,7 +56,7 @@
 			watch.metrics.vmListUp.Set(0)
 			watch.logger.Warn("VM list cannot be read, the last one stays", "error", err)
 		}
-		sleep(ctx, watch.settings.VMList)
+		wait.For(ctx, watch.settings.VMList)
 	}
 }
 
@@ -101,7 +102,7 @@
 	for ctx.Err() == nil {
 		started := time.Now()
 		watch.hub.setLoads(watch.readLoads(ctx))
-		sleep(ctx, watch.settings.Load-time.Since(started))
+		wait.For(ctx, watch.settings.Load-time.Since(started))
 	}
 }
 
--- a/internal/keeperclient/keeperclient.go
+++ b/internal/keeperclient/keeperclient.go
@@ -14,6 +14,7 @@
 	"github.com/mastwinch/mastwinch/internal/fold"
 	"github.com/mastwinch/mastwinch/internal/link"
 	"github.com/mastwinch/mastwinch/internal/replica"
+	"github.com/mastwinch/mastwinch/internal/wait"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
 
@@ -86,7 +87,7 @@
 			}
 			client.logger.Warn("keeper lost, turning to another", "keeper", address, "error", err)
 		}
-		wait(ctx, reconnectWait)
+		wait.For(ctx, reconnectWait)
 	}
 }
 
@@ -209,12 +210,3 @@
 		client.connected = make(chan struct{})
 	}
 }
-
-func wait(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -18,6 +18,7 @@
 	"github.com/mastwinch/mastwinch/internal/entry"
 	"github.com/mastwinch/mastwinch/internal/request"
 	"github.com/mastwinch/mastwinch/internal/standin/engine"
+	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
 // Waits of a caller.
@@ -87,7 +88,7 @@
 		err := call.attempt(ctx)
 		if err != nil {
 			call.at = (call.at + 1) % len(entries)
-			sleep(ctx, retryPause)
+			wait.For(ctx, retryPause)
 		}
 	}
 	call.answer.Total = time.Since(call.sent)
@@ -277,15 +278,6 @@
 	call.answer.Tokens = token.Seq + 1
 }
 
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // String names the answer in messages.
 func (answer Answer) String() string {
 	return fmt.Sprintf("%s %s (%s, %d tokens): %s %s", answer.Arrival.Class.Name, answer.RequestID,
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -14,6 +14,7 @@
 
 	"github.com/mastwinch/mastwinch/internal/backend"
 	"github.com/mastwinch/mastwinch/internal/standin/execution"
+	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
 // Connections that callers keep open.
@@ -97,7 +98,7 @@
 	stop := load.progress(&mu, &answers, len(arrivals))
 	defer stop()
 	for _, arrival := range arrivals {
-		sleep(ctx, time.Until(started.Add(arrival.At)))
+		wait.For(ctx, time.Until(started.Add(arrival.At)))
 		if ctx.Err() != nil {
 			break
 		}
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
 // Bounds of the service.
@@ -100,7 +101,7 @@
 	if !logservice.limiter.Allow() {
 		return false
 	}
-	if !sleep(ctx, logservice.settings.AppendDelay) {
+	if !wait.For(ctx, logservice.settings.AppendDelay) {
 		return false
 	}
 	logservice.mu.Lock()
@@ -213,17 +214,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(page)
 }
-
-func sleep(ctx context.Context, duration time.Duration) bool {
-	if duration <= 0 {
-		return true
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
