keeper, entry: not ready without a state to decide by

Cause: found by killing all VMs for longer than the log's retention. Ruled out: the checkpoints (written every 2 s until the kill, and expired with the rest). A keeper now says with each frame whether it has a state, and an entry is ready only after one that had.

Conclusion: state outlives all VMs while a checkpoint is left; when none is, it is said, and no caller is sent there.

--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -78,6 +78,8 @@
 	switch {
 	case entry.stopping.Load():
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
+	case !entry.proposer.Ready():
+		http.Error(w, "no state yet", http.StatusServiceUnavailable)
 	case len(entry.fleet.Engines()) == 0:
 		http.Error(w, "no backend servers known yet", http.StatusServiceUnavailable)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,6 +49,8 @@
 	// keeperclient.ErrUnsettled when ctx ends first.
 	Propose(ctx context.Context, record *wire.Record) (fold.Verdict, error)
 	Connected() bool
+	// Ready reports whether there is a state to decide by.
+	Ready() bool
 }
 
 // Entry is one entry process.
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -259,6 +259,11 @@
 	return true
 }
 
+// Ready implements Proposer.
+func (node *node) Ready() bool {
+	return true
+}
+
 // Call implements backend.Service.
 func (node *node) Call(ctx context.Context, address string, dispatch backend.Dispatch) ([]byte, error) {
 	world := node.world
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -176,7 +176,7 @@
 			return
 		}
 		heartbeat.Reset(heartbeatInterval)
-		err = peer.Send(frame)
+		err = peer.Send(keeper.withReady(frame))
 		if err != nil {
 			keeper.logger.Info("subscriber left", "node", name, "error", err)
 			return
@@ -184,6 +184,12 @@
 	}
 }
 
+// withReady returns the frame, which other subscribers share, with the keeper's
+// readiness.
+func (keeper *Keeper) withReady(frame *wire.ServerFrame) *wire.ServerFrame {
+	return &wire.ServerFrame{Body: frame.GetBody(), Ready: keeper.follower.ready.Load()}
+}
+
 // receive takes proposals until the link ends, and then ends it here too.
 func (keeper *Keeper) receive(peer *link.Peer, name string) {
 	defer peer.Close()
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/mastwinch/mastwinch/internal/backend"
+	"github.com/mastwinch/mastwinch/internal/link"
 	"github.com/mastwinch/mastwinch/internal/platform"
 	"github.com/mastwinch/mastwinch/internal/replica"
 	"github.com/mastwinch/mastwinch/internal/state"
@@ -373,3 +374,39 @@
 	})
 	assert.Assert(t, proto.Equal(second.hub.replica.Encode(), first.hub.replica.Encode()))
 }
+
+// An entry that took an empty state from a keeper without a base called itself
+// ready, and refused every organisation as unknown.
+func TestNotReadyIsTold(t *testing.T) {
+	cases := map[string]struct {
+		expired uint64
+		// frames is how many to wait for; heartbeats alone make four a second.
+		frames int
+		ready  bool
+	}{
+		"with the whole log":                {frames: 1000, ready: true},
+		"without its beginning or any base": {frames: 10, expired: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			log := newFakeLog()
+			assert.NilError(t, log.Append(t.Context(), nil))
+			log.expire(c.expired)
+			keeper := startKeeper(t, "vm1", log)
+			credentials, err := link.NewCredentials(keeper.settings.Secret)
+			assert.NilError(t, err)
+			peer, err := link.Dial(t.Context(), keeper.listener.Address(), credentials, link.Options{PlainDatagrams: true})
+			assert.NilError(t, err)
+			defer peer.Close()
+			subscribe := &wire.ClientFrame{Body: &wire.ClientFrame_Subscribe{Subscribe: &wire.Subscribe{Node: "test"}}}
+			assert.NilError(t, peer.Send(subscribe))
+			ready := false
+			for i := 0; i < c.frames && !ready; i++ {
+				frame := &wire.ServerFrame{}
+				assert.NilError(t, peer.Receive(frame))
+				ready = frame.GetReady()
+			}
+			assert.Equal(t, ready, c.ready)
+		})
+	}
+}
--- a/internal/keeperclient/keeperclient.go
+++ b/internal/keeperclient/keeperclient.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,6 +53,9 @@
 	sink        Sink
 	logger      *slog.Logger
 
+	// ready says that some keeper had the state to give. It stays so.
+	ready atomic.Bool
+
 	mu sync.Mutex
 	// peer is nil while there is no connection.
 	peer *link.Peer
@@ -98,6 +102,11 @@
 	return client.peer != nil
 }
 
+// Ready reports whether the replica has a state to decide by.
+func (client *Client) Ready() bool {
+	return client.ready.Load()
+}
+
 // Propose puts a record on the log and returns the verdict that was read
 // back. It returns ErrUnsettled when ctx ends first.
 func (client *Client) Propose(ctx context.Context, record *wire.Record) (fold.Verdict, error) {
@@ -182,6 +191,9 @@
 		if err != nil {
 			return err
 		}
+		if frame.GetReady() {
+			client.ready.Store(true)
+		}
 	}
 }
 
