standin: orders, export and import of KV memory, cache events, pausing

Cause: the engines of the platform take fenced orders, export and import KV memory, publish late cache events with gaps, and pause streams; the stand-in did not, so nothing that is to use them could be built against it.

Measured (virtual time, 100k tokens): with memory imported from another engine the answer takes less than a tenth of the time, and events show 300 ms late; five tables of orders, with and without the check of tokens.

Entries and keepers do not use these yet.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -232,7 +232,7 @@
 	servers := make([]*httptest.Server, 0, size)
 	for i := range size {
 		one := engine.New(fmt.Sprintf("engine-%d", i), []string{model}, true, engine.DefaultSettings(),
-			execution.New(), func(string) *engine.Engine { return nil })
+			execution.New(), func(string) *engine.Engine { return nil }, nil)
 		server := httptest.NewServer(one.Handler())
 		servers = append(servers, server)
 		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
--- a/internal/entry/streams_test.go
+++ b/internal/entry/streams_test.go
@@ -71,7 +71,7 @@
 	id := engineID(i)
 	settings := engine.DefaultSettings()
 	settings.MemoryTokens = testMemory
-	made := engine.New(id, []string{testModel}, false, settings, execution.New(), world.engine)
+	made := engine.New(id, []string{testModel}, false, settings, execution.New(), world.engine, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	world.mu.Lock()
 	old := world.engines[id]
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -55,6 +56,12 @@
 	// fences has the highest token seen for a key.
 	fences  map[string]uint64
 	reports []report
+	// orderToken is the highest token of an order seen.
+	orderToken uint64
+	// fetch gets the weights of a model, which takes its time.
+	fetch  func(ctx context.Context, model string) error
+	role   string
+	events cacheEvents
 }
 
 type reservation struct {
@@ -73,24 +80,28 @@
 func New(
 	id string, models []string, checksFencing bool, settings Settings,
 	executions *execution.Log, peer func(id string) *Engine,
+	fetch func(ctx context.Context, model string) error,
 ) *Engine {
 	capacity := max(1, settings.MemoryTokens/settings.BlockTokens)
-	cache, err := simplelru.NewLRU[uint64, struct{}](capacity, nil)
-	if err != nil {
-		panic(err) // only for a capacity below one
-	}
 	engine := &Engine{
 		id:            id,
-		models:        models,
+		models:        slices.Clone(models),
 		checksFencing: checksFencing,
 		settings:      settings,
 		executions:    executions,
 		peer:          peer,
 		streams:       make(map[string]*stream),
 		reservations:  make(map[string]*reservation),
-		cache:         cache,
 		fences:        make(map[string]uint64),
+		fetch:         fetch,
+	}
+	cache, err := simplelru.NewLRU(capacity, func(hash uint64, _ struct{}) {
+		engine.events.add(eventEvicted, hash, time.Now())
+	})
+	if err != nil {
+		panic(err) // only for a capacity below one
 	}
+	engine.cache = cache
 	engine.wake = sync.NewCond(&engine.mu)
 	return engine
 }
@@ -155,7 +166,7 @@
 		}
 		engine.expire(time.Now())
 		running := engine.schedule()
-		if len(running) > 0 {
+		if slices.ContainsFunc(running, func(stream *stream) bool { return !stream.paused }) {
 			plan := engine.plan(running)
 			plan.cost += engine.borrowed
 			engine.borrowed = 0
@@ -247,6 +258,9 @@
 	plan := step{cost: settings.StepBase}
 	budget := settings.StepTokens
 	for _, stream := range running {
+		if stream.paused {
+			continue
+		}
 		if stream.decoding() && len(plan.decode) < settings.DecodeSlots && budget > 0 {
 			plan.decode = append(plan.decode, stream)
 			budget--
@@ -255,7 +269,7 @@
 		}
 	}
 	for _, stream := range running {
-		if stream.decoding() || budget <= 0 {
+		if stream.paused || stream.decoding() || budget <= 0 {
 			continue
 		}
 		// Each engine of a group computes its part of the chunk.
@@ -369,7 +383,15 @@
 }
 
 func (engine *Engine) remember(stream *stream) {
-	for _, hash := range stream.blocks {
+	engine.store(stream.blocks)
+}
+
+// store adds blocks to the prefix cache as far as they fit.
+func (engine *Engine) store(blocks []uint64) {
+	for _, hash := range blocks {
+		if !engine.cache.Contains(hash) {
+			engine.events.add(eventStored, hash, time.Now())
+		}
 		engine.cache.Add(hash, struct{}{})
 	}
 	engine.fitCache()
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -14,12 +14,14 @@
 	"github.com/mastwinch/mastwinch/internal/backend"
 	"github.com/mastwinch/mastwinch/internal/standin/engine"
 	"github.com/mastwinch/mastwinch/internal/standin/execution"
+	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
 const (
 	model     = "clerk"
 	tokenText = "abc "
 	stated    = time.Minute
+	loadTime  = 10 * time.Second
 )
 
 // fleet is engines that know each other.
@@ -35,6 +37,9 @@
 	for _, id := range ids {
 		made := engine.New(id, []string{model}, true, settings, execution.New(), func(id string) *engine.Engine {
 			return fleet.engines[id]
+		}, func(ctx context.Context, _ string) error {
+			wait.For(ctx, loadTime)
+			return ctx.Err()
 		})
 		fleet.engines[id] = made
 		fleet.running.Go(made.Run)
@@ -211,3 +216,90 @@
 		})
 	}
 }
+
+func TestOrders(t *testing.T) {
+	load := engine.Order{Kind: engine.OrderLoad, Token: 5, Model: "audit"}
+	cases := map[string]struct {
+		checks bool
+		orders []engine.Order
+		// want is the error of the last order, or empty.
+		want   string
+		served bool
+	}{
+		"a model is served once it is loaded":     {checks: true, orders: []engine.Order{load}, served: true},
+		"a newer order overtakes the load":        {checks: true, orders: []engine.Order{load, {Kind: engine.OrderRole, Token: 6}}},
+		"an older order is refused where checked": {checks: true, orders: []engine.Order{load, {Kind: engine.OrderRole, Token: 4}}, want: "token 4 is older than 5", served: true},
+		"an older order is taken where not":       {orders: []engine.Order{load, {Kind: engine.OrderRole, Token: 4}}, served: true},
+		"an order of no kind is refused":          {checks: true, orders: []engine.Order{{Token: 1}}, want: `no order of kind ""`},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				one := engine.New("e1", []string{model}, c.checks, engine.DefaultSettings(), execution.New(), nil,
+					func(context.Context, string) error {
+						time.Sleep(loadTime)
+						return nil
+					})
+				var err error
+				for _, order := range c.orders {
+					err = one.Take(order)
+				}
+				if c.want == "" {
+					assert.NilError(t, err)
+				} else {
+					assert.ErrorContains(t, err, c.want)
+				}
+				asked := submission("early", 10)
+				asked.Model = "audit"
+				assert.ErrorContains(t, one.Submit(asked), "is not loaded")
+				time.Sleep(loadTime + time.Second)
+				assert.Equal(t, one.Submit(asked) == nil, c.served)
+			})
+		})
+	}
+}
+
+func TestExportedMemorySparesPrefill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := engine.DefaultSettings()
+		settings.CacheEventLoss = 0
+		fleet := newFleet(settings, "e1", "e2")
+		defer fleet.close()
+		took := make(map[string]time.Duration)
+		for _, id := range []string{"e1", "e2"} {
+			started := time.Now()
+			assert.NilError(t, fleet.engines[id].Submit(submission("a1", 100_000)))
+			_, end := read(fleet.engines[id], "a1", 0)
+			assert.Equal(t, end, backend.EndCompleted)
+			took[id] = time.Since(started)
+			if id == "e1" {
+				kv, ok := fleet.engines["e1"].Export(t.Context(), "a1")
+				assert.Assert(t, ok)
+				assert.Assert(t, fleet.engines["e2"].Import(t.Context(), kv))
+				assert.Equal(t, len(fleet.engines["e2"].CacheEvents(0)), 0)
+				time.Sleep(settings.CacheEventLag + time.Millisecond)
+				assert.Equal(t, len(fleet.engines["e2"].CacheEvents(0)), len(kv.Blocks))
+			}
+		}
+		assert.Assert(t, took["e2"] < took["e1"]/10, "%v", took)
+	})
+}
+
+func TestPausedStreamKeepsItsMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := engine.DefaultSettings()
+		fleet := newFleet(settings, "e1")
+		defer fleet.close()
+		one := fleet.engines["e1"]
+		assert.NilError(t, one.Submit(submission("a1", 100_000)))
+		time.Sleep(50 * time.Millisecond)
+		assert.Assert(t, one.Pause("a1", true))
+		time.Sleep(5 * time.Second)
+		info, _ := one.Info("a1")
+		assert.Equal(t, info.Tokens, 0)
+		assert.Assert(t, one.Truth().FreeTokens < settings.MemoryTokens)
+		assert.Assert(t, one.Pause("a1", false))
+		_, end := read(one, "a1", 0)
+		assert.Equal(t, end, backend.EndCompleted)
+	})
+}
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -25,6 +25,12 @@
 	router.HandleFunc("/v1/streams/{attempt}", engine.handleCancel).Methods(http.MethodDelete)
 	router.HandleFunc("/v1/reservations/{id}", engine.handleReserve).Methods(http.MethodPut)
 	router.HandleFunc("/v1/reservations/{id}", engine.handleRelease).Methods(http.MethodDelete)
+	router.HandleFunc("/v1/streams/{attempt}/pause", engine.handlePause(true)).Methods(http.MethodPost)
+	router.HandleFunc("/v1/streams/{attempt}/continue", engine.handlePause(false)).Methods(http.MethodPost)
+	router.HandleFunc("/v1/streams/{attempt}/kv", engine.handleExport).Methods(http.MethodGet)
+	router.HandleFunc("/v1/kv", engine.handleImport).Methods(http.MethodPut)
+	router.HandleFunc("/v1/cache/events", engine.handleCacheEvents).Methods(http.MethodGet)
+	router.HandleFunc("/v1/orders", engine.handleOrder).Methods(http.MethodPost)
 	router.HandleFunc("/v1/load", engine.handleLoad).Methods(http.MethodGet)
 	return router
 }
@@ -129,6 +135,55 @@
 	writeJSON(w, http.StatusOK, engine.Load())
 }
 
+func (engine *Engine) handlePause(paused bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !engine.Pause(mux.Vars(r)["attempt"], paused) {
+			http.Error(w, "no such stream", http.StatusNotFound)
+		}
+	}
+}
+
+func (engine *Engine) handleExport(w http.ResponseWriter, r *http.Request) {
+	kv, ok := engine.Export(r.Context(), mux.Vars(r)["attempt"])
+	if !ok {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, http.StatusOK, kv)
+}
+
+func (engine *Engine) handleImport(w http.ResponseWriter, r *http.Request) {
+	var kv KV
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPromptBytes)).Decode(&kv)
+	if err != nil {
+		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	engine.Import(r.Context(), kv)
+}
+
+func (engine *Engine) handleCacheEvents(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from: must be an event's number", http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, http.StatusOK, engine.CacheEvents(from))
+}
+
+func (engine *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var order Order
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPromptBytes)).Decode(&order)
+	if err != nil {
+		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	err = engine.Take(order)
+	if err != nil {
+		refuse(w, err)
+	}
+}
+
 func refuse(w http.ResponseWriter, err error) {
 	refusal := backend.Refusal{Reason: err.Error(), NotRun: true}
 	var refused *RefusalError
--- a/internal/standin/engine/settings.go
+++ b/internal/standin/engine/settings.go
@@ -27,6 +27,12 @@
 	DecodeContextNS float64 `yaml:"decode_context_ns" validate:"min=0"`
 	// LoadLag is how old load reports are.
 	LoadLag time.Duration `yaml:"load_lag" validate:"min=0"`
+	// CacheEventLag is how late cache events are published.
+	CacheEventLag time.Duration `yaml:"cache_event_lag" validate:"min=0"`
+	// CacheEventLoss is the part of cache events that never are, from 0 to 1.
+	CacheEventLoss float64 `yaml:"cache_event_loss" validate:"min=0,max=1"`
+	// TransferToken is the time to export or import the KV memory of a token.
+	TransferToken time.Duration `yaml:"transfer_token" validate:"min=0"`
 	// DetachGrace is how long a stream goes on that nobody reads.
 	DetachGrace time.Duration `yaml:"detach_grace" validate:"min=0"`
 	// KeepEnded is how long the answer of an ended stream can be read.
@@ -47,6 +53,9 @@
 		DecodeToken:     30 * time.Microsecond,
 		DecodeContextNS: 0.5,
 		LoadLag:         200 * time.Millisecond,
+		CacheEventLag:   300 * time.Millisecond,
+		CacheEventLoss:  0.02,
+		TransferToken:   200 * time.Nanosecond,
 		DetachGrace:     10 * time.Second,
 		KeepEnded:       30 * time.Second,
 	}
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -41,6 +41,8 @@
 	total int
 	// computed is how much of total is in KV memory.
 	computed int
+	// paused keeps the stream's memory, but gives it no part of the steps.
+	paused bool
 	// reserved is the KV memory held, in tokens; zero while waiting.
 	reserved int
 	// tokens is the answer from From on.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -82,6 +82,7 @@
 		standin.servers[vm.ID] = &server{vm: vm, build: func() parts {
 			return parts{engine: engine.New(
 				vm.ID, vm.Models, vm.ChecksFencing, standin.settings.Engine, standin.executions, standin.engine,
+				standin.weights.Fetch,
 			)}
 		}}
 	}
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -3,8 +3,10 @@
 package weights
 
 import (
+	"context"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 )
@@ -33,6 +35,23 @@
 	router.HandleFunc("/v1/weights/{model}", store.handleGet).Methods(http.MethodGet)
 }
 
+// Fetch reads the weights of a model without keeping them.
+func (store *Store) Fetch(ctx context.Context, model string) error {
+	left, ok := store.sizes[model]
+	if !ok {
+		return errors.Newf("weight store: no model %q", model)
+	}
+	for left > 0 {
+		size := min(left, chunkBytes)
+		err := store.limiter.WaitN(ctx, int(size))
+		if err != nil {
+			return errors.Wrap(err, "weight store")
+		}
+		left -= size
+	}
+	return nil
+}
+
 func (store *Store) handleGet(w http.ResponseWriter, r *http.Request) {
 	left, ok := store.sizes[mux.Vars(r)["model"]]
 	if !ok {
