--- a/internal/standin/engine/calls.go
+++ b/internal/standin/engine/calls.go
@@ -74,7 +74,7 @@
 	tokens := PromptTokens(submission.Prompt) + submission.MaxTokens
 	switch {
 	case engine.closed:
-		return &RefusalError{Reason: "engine died"}
+		return &RefusalError{Reason: reasonDied}
 	case engine.leaving:
 		return &RefusalError{Reason: "leaving", Leaving: true}
 	case !slices.Contains(engine.models, submission.Model):
@@ -143,7 +143,7 @@
 	tokens = engine.roundUp(tokens)
 	switch {
 	case engine.closed:
-		return &RefusalError{Reason: "engine died"}
+		return &RefusalError{Reason: reasonDied}
 	case engine.leaving:
 		return &RefusalError{Reason: "leaving", Leaving: true}
 	case engine.reservations[id] != nil:
--- a/internal/standin/engine/order.go
+++ b/internal/standin/engine/order.go
@@ -34,7 +34,7 @@
 	defer engine.mu.Unlock()
 	switch {
 	case engine.closed:
-		return &RefusalError{Reason: "engine died"}
+		return &RefusalError{Reason: reasonDied}
 	case engine.checksFencing && order.Token < engine.orderToken:
 		return &RefusalError{Reason: fmt.Sprintf("token %d is older than %d", order.Token, engine.orderToken)}
 	}
