routing: without what nothing uses

Cause: reading the code as a newcomer: Request.Affinity, Request.OnlyFencing and Server.ChecksFencing were read by no policy in use, or set by no entry.

Conclusion: less to explain; sessions' affinity comes with what needs it.

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -54,20 +54,19 @@
 	listed := server.listed
 	memory := int(listed.GetMemoryTokens()) //nolint:gosec // bounded by any machine's memory
 	view := routing.Server{
-		ID:            listed.GetId(),
-		Address:       listed.GetAddress(),
-		DataCentre:    listed.GetDataCentre(),
-		Models:        listed.GetModels(),
-		ChecksFencing: listed.GetChecksFencing(),
-		Memory:        memory,
-		Free:          memory,
-		QueuedShort:   server.own.short + server.others.short,
-		QueuedLong:    server.own.long + server.others.long,
-		LongRank:      server.longRank,
-		PrefillRate:   server.rate,
-		Outstanding:   server.outstanding,
-		Leaving:       listed.GetLeaving() || now.Before(server.leavingUntil),
-		Ejected:       now.Before(server.ejectedUntil),
+		ID:          listed.GetId(),
+		Address:     listed.GetAddress(),
+		DataCentre:  listed.GetDataCentre(),
+		Models:      listed.GetModels(),
+		Memory:      memory,
+		Free:        memory,
+		QueuedShort: server.own.short + server.others.short,
+		QueuedLong:  server.own.long + server.others.long,
+		LongRank:    server.longRank,
+		PrefillRate: server.rate,
+		Outstanding: server.outstanding,
+		Leaving:     listed.GetLeaving() || now.Before(server.leavingUntil),
+		Ejected:     now.Before(server.ejectedUntil),
 	}
 	if load := server.load; load != nil {
 		view.Free = int(load.GetFreeTokens()) //nolint:gosec // as above
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -11,11 +11,10 @@
 
 // Server is what is known of one backend server.
 type Server struct {
-	ID            string
-	Address       string
-	DataCentre    string
-	Models        []string
-	ChecksFencing bool
+	ID         string
+	Address    string
+	DataCentre string
+	Models     []string
 	// Memory is the KV memory of an engine, in tokens.
 	Memory int
 	// Free is the KV memory that is neither used nor promised, in tokens, as
@@ -68,12 +67,8 @@
 	MaxTokens int
 	// TimeLeft is what is left of the stated time.
 	TimeLeft time.Duration
-	// Affinity is equal for requests that share KV cache, or empty.
-	Affinity string
 	// Tried has servers that already failed this request.
 	Tried []string
-	// OnlyFencing asks for servers that check fencing tokens.
-	OnlyFencing bool
 }
 
 // Need is the KV memory for the whole request, in tokens.
@@ -85,7 +80,6 @@
 func (request *Request) mayUse(server *Server) bool {
 	return !server.Leaving &&
 		slices.Contains(server.Models, request.Model) &&
-		(!request.OnlyFencing || server.ChecksFencing) &&
 		!slices.Contains(request.Tried, server.ID)
 }
 
