entry: bound how long a caller may take to send and to read

Cause: reading the code as a newcomer: a caller that never finished its body, or never read its answer, held a connection and a goroutine for good. Bodies and each write now have admission.transfer_time (30 s).

The first try cleared the read deadline on every return; the server then waited for the rest of the body before it sent its answer, and the new test hung (no end in 600 s). The deadline now stays after an error: the test ends at once, with 400. Ruled out: the router's wrapping of the writer.

Tables of tests for bad input, which names each field, and for refusals, which all say when to come back, come with it.

Conclusion: no caller can hold the entry's resources by doing nothing.

--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -192,7 +192,15 @@
 
 // readBody reads a body of JSON, or answers what is wrong with it.
 func (entry *Entry) readBody(w http.ResponseWriter, r *http.Request, value any) bool {
+	// Not all writers have deadlines; those of a server do.
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(entry.now().Add(entry.settings.Admission.TransferTime))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, entry.settings.Limits.MaxBodyBytes))
+	if err == nil {
+		// After an error the deadline stays, or the server would wait for the
+		// rest of the body before it sends the answer.
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		writeProblem(w, http.StatusRequestEntityTooLarge, "(body)",
--- /dev/null
+++ b/internal/entry/api_test.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/request"
+)
+
+// newTestEntry returns an entry that knows an organisation and no servers.
+func newTestEntry(t *testing.T, change func(settings *Settings)) *Entry {
+	t.Helper()
+	world := newWorld(noMutant{})
+	tested := world.nodes[0].entry
+	change(&tested.settings)
+	t.Cleanup(func() {
+		for _, node := range world.nodes {
+			node.entry.end()
+			node.entry.background.Wait()
+		}
+	})
+	return tested
+}
+
+func TestBadInputNamesTheField(t *testing.T) {
+	cases := map[string]struct {
+		body   string
+		code   int
+		fields []string
+	}{
+		"everything missing": {
+			body: `{}`, code: http.StatusBadRequest,
+			fields: []string{"model", "prompt", "max_tokens", "time_ms", "repeatable"},
+		},
+		"a wrong type": {
+			body: `{"max_tokens": "many"}`, code: http.StatusBadRequest, fields: []string{"max_tokens"},
+		},
+		"no JSON": {
+			body: `{`, code: http.StatusBadRequest, fields: []string{"(body)"},
+		},
+		"too large": {
+			body: strings.Repeat("x", 5000), code: http.StatusRequestEntityTooLarge, fields: []string{"(body)"},
+		},
+		"a key where none belongs": {
+			body:   `{"model":"m","prompt":"p","max_tokens":1,"time_ms":1000,"repeatable":true,"key":"k"}`,
+			code:   http.StatusBadRequest,
+			fields: []string{"key"},
+		},
+		"a key that carries no time": {
+			body:   `{"model":"m","prompt":"p","max_tokens":1,"time_ms":1000,"repeatable":false,"key":"k"}`,
+			code:   http.StatusBadRequest,
+			fields: []string{"key"},
+		},
+		"a session of nobody": {
+			body:   `{"model":"m","prompt":"p","max_tokens":1,"time_ms":1000,"repeatable":true,"session":"s"}`,
+			code:   http.StatusBadRequest,
+			fields: []string{"session"},
+		},
+		"an unknown mode and control characters": {
+			body:   `{"model":"m\n","prompt":"p","max_tokens":1,"time_ms":1000,"repeatable":true,"mode":"later"}`,
+			code:   http.StatusBadRequest,
+			fields: []string{"model", "mode"},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tested := newTestEntry(t, func(settings *Settings) { settings.Limits.MaxBodyBytes = 4096 })
+			asked := httptest.NewRequest(http.MethodPost, "/v1/requests", strings.NewReader(c.body))
+			asked.Header.Set(HeaderOrganisation, testOrganisation)
+			recorder := httptest.NewRecorder()
+			tested.Handler().ServeHTTP(recorder, asked)
+			assert.Equal(t, recorder.Code, c.code)
+			var problem Problem
+			assert.NilError(t, json.Unmarshal(recorder.Body.Bytes(), &problem))
+			var fields []string
+			for _, field := range problem.Fields {
+				fields = append(fields, field.Field)
+			}
+			assert.DeepEqual(t, fields, c.fields)
+			assert.Equal(t, tested.registry.len(), 0)
+		})
+	}
+}
+
+func TestRefusalsSayWhenToComeBack(t *testing.T) {
+	cases := map[string]struct {
+		change func(tested *Entry)
+		code   int
+		reason request.Reason
+	}{
+		"no engine":    {change: func(*Entry) {}, code: http.StatusServiceUnavailable, reason: request.ReasonNoServer},
+		"stopping":     {change: func(tested *Entry) { tested.closed.Store(true) }, code: http.StatusServiceUnavailable, reason: request.ReasonStopping},
+		"overload":     {change: func(tested *Entry) { tested.admission.settings.MaxConcurrent = 0 }, code: http.StatusServiceUnavailable, reason: request.ReasonOverload},
+		"organisation": {change: func(tested *Entry) { tested.admission.byOrganisation[testOrganisation] = 100 }, code: http.StatusTooManyRequests, reason: request.ReasonOrganisation},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tested := newTestEntry(t, func(*Settings) {})
+			c.change(tested)
+			body := `{"model":"m","prompt":"p","max_tokens":1,"time_ms":1000,"repeatable":true}`
+			asked := httptest.NewRequest(http.MethodPost, "/v1/requests", strings.NewReader(body))
+			asked.Header.Set(HeaderOrganisation, testOrganisation)
+			recorder := httptest.NewRecorder()
+			tested.Handler().ServeHTTP(recorder, asked)
+			var status Status
+			assert.NilError(t, json.Unmarshal(recorder.Body.Bytes(), &status))
+			assert.Equal(t, recorder.Code, c.code)
+			assert.Equal(t, status.Outcome, request.KindFailedNotRun)
+			assert.Equal(t, status.Reason, c.reason)
+			assert.Equal(t, recorder.Header().Get("Retry-After"), "1")
+			assert.Equal(t, status.RetryAfterMS, int64(1000))
+		})
+	}
+}
+
+// A caller that never finishes its body held a connection for good.
+func TestStalledBodyEnds(t *testing.T) {
+	tested := newTestEntry(t, func(settings *Settings) { settings.Admission.TransferTime = 20 * time.Millisecond })
+	server := httptest.NewServer(tested.Handler())
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, conn.Close()) }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = io.WriteString(conn, "POST /v1/requests HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n"+
+		HeaderOrganisation+": "+testOrganisation+"\r\n\r\n{")
+	assert.NilError(t, err)
+	answer := make([]byte, 64)
+	n, err := conn.Read(answer)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(string(answer[:n]), "HTTP/1.1 400"), "%s", answer[:n])
+}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -45,6 +45,9 @@
 	MaxConcurrent int `yaml:"max_concurrent" validate:"min=1"`
 	// MaxBodyBytes is how many bytes of prompts are held at a time.
 	MaxBodyBytes int64 `yaml:"max_body_bytes" validate:"min=1024"`
+	// TransferTime is how long a caller may take to send a body, and to read
+	// what is ready for it.
+	TransferTime time.Duration `yaml:"transfer_time" validate:"min=10ms,max=10m"`
 	// RetryAfter is when a refused caller is told to come back.
 	RetryAfter time.Duration `yaml:"retry_after" validate:"min=10ms,max=10m"`
 	// DrainTime is how long a stopping entry waits for its requests.
@@ -102,6 +105,7 @@
 		Admission: AdmissionSettings{
 			MaxConcurrent: 4096,
 			MaxBodyBytes:  512 << 20,
+			TransferTime:  30 * time.Second,
 			RetryAfter:    time.Second,
 			DrainTime:     5 * time.Minute,
 			DrainNotice:   time.Second,
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -97,6 +97,7 @@
 		if view.Outcome != nil {
 			entry.sendOutcome(events, active, *view.Outcome, from)
 		}
+		_ = controller.SetWriteDeadline(entry.now().Add(entry.settings.Admission.TransferTime))
 		if !events.flush(w, controller) || view.Outcome != nil {
 			return
 		}
