infra: the own log and VM list make room for platform/

Cause: the users' platform gets one adapter folder named platform/, and internal/platform, the clients of our own log and VM list, must not stand beside it under the same name. Renamed to internal/infra, nothing else changed. Tests of keeper, entry and fleet pass as before.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -22,7 +22,7 @@
 
 	"github.com/mastwinch/mastwinch/internal/backend"
 	"github.com/mastwinch/mastwinch/internal/fleet"
-	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/routing"
 	"github.com/mastwinch/mastwinch/internal/standin/engine"
 	"github.com/mastwinch/mastwinch/internal/standin/execution"
@@ -187,7 +187,7 @@
 	listed := &wire.Fleet{}
 	for i := range size {
 		listed.Servers = append(listed.Servers, &wire.Server{
-			Id: fmt.Sprintf("engine-%03d", i), Kind: platform.KindEngine, Models: []string{model}, MemoryTokens: 1 << 19,
+			Id: fmt.Sprintf("engine-%03d", i), Kind: infra.KindEngine, Models: []string{model}, MemoryTokens: 1 << 19,
 		})
 	}
 	servers.SetFleet(listed)
@@ -196,7 +196,7 @@
 	request := routing.Request{Model: model, Tokens: 1000, MaxTokens: 16, TimeLeft: time.Second}
 	return microseconds(func() {
 		for range decisions {
-			policy.Decide(servers.Snapshot(platform.KindEngine), request, random)
+			policy.Decide(servers.Snapshot(infra.KindEngine), request, random)
 		}
 	}) / decisions
 }
--- a/internal/cmd/keepercmd.go
+++ b/internal/cmd/keepercmd.go
@@ -8,8 +8,8 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/mastwinch/mastwinch/internal/backend"
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/keeper"
-	"github.com/mastwinch/mastwinch/internal/platform"
 )
 
 // readWait is how long the log may wait for an entry before it answers.
@@ -25,9 +25,9 @@
 	logger := newLogger("mw-keeper", settings.VM, settings.Logging)
 	client := &http.Client{}
 	kept, err := keeper.New(settings, keeper.Platform{
-		Log:         platform.NewHTTPLog(client, settings.Platform, settings.Log.Stream, readWait),
-		Checkpoints: platform.NewHTTPLog(client, settings.Platform, settings.Log.CheckpointStream, settings.Intervals.Duty/2),
-		VMList:      platform.NewHTTPVMList(client, settings.Platform),
+		Log:         infra.NewHTTPLog(client, settings.Platform, settings.Log.Stream, readWait),
+		Checkpoints: infra.NewHTTPLog(client, settings.Platform, settings.Log.CheckpointStream, settings.Intervals.Duty/2),
+		VMList:      infra.NewHTTPVMList(client, settings.Platform),
 		Engines:     backend.NewHTTPBackend(),
 	}, logger)
 	if err != nil {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastwinch/mastwinch/internal/fleet"
-	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/relay"
 	"github.com/mastwinch/mastwinch/internal/request"
 	"github.com/mastwinch/mastwinch/internal/routing"
@@ -117,10 +117,10 @@
 // decide asks the policy, and logs what it answers.
 func (run *run) decide() routing.Decision {
 	entry := run.entry
-	kind := platform.KindEngine
+	kind := infra.KindEngine
 	policy := entry.policy
 	if run.request.Service {
-		kind = platform.KindService
+		kind = infra.KindService
 		policy = routing.LeastOutstanding{}
 	}
 	started := time.Now()
--- a/internal/entry/streamworld_test.go
+++ b/internal/entry/streamworld_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/mastwinch/mastwinch/internal/backend"
 	"github.com/mastwinch/mastwinch/internal/fleet"
-	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/replica"
 	"github.com/mastwinch/mastwinch/internal/request"
 	"github.com/mastwinch/mastwinch/internal/standin/engine"
@@ -105,7 +105,7 @@
 	listed := &wire.Fleet{}
 	for i := range engineCount {
 		listed.Servers = append(listed.Servers, &wire.Server{
-			Id: engineID(i), Address: engineID(i), Kind: platform.KindEngine,
+			Id: engineID(i), Address: engineID(i), Kind: infra.KindEngine,
 			Models: []string{testModel}, MemoryTokens: testMemory,
 		})
 	}
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -18,8 +18,8 @@
 	"github.com/mastwinch/mastwinch/internal/backend"
 	"github.com/mastwinch/mastwinch/internal/fleet"
 	"github.com/mastwinch/mastwinch/internal/fold"
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/keeperclient"
-	"github.com/mastwinch/mastwinch/internal/platform"
 	"github.com/mastwinch/mastwinch/internal/replica"
 	"github.com/mastwinch/mastwinch/internal/request"
 	"github.com/mastwinch/mastwinch/internal/state"
@@ -121,8 +121,8 @@
 	close(node.running)
 	servers := fleet.New(settings.Fleet, time.Now)
 	servers.SetFleet(&wire.Fleet{Servers: []*wire.Server{
-		{Id: "receipts-0", Address: "receipts-0", Kind: platform.KindService, Models: []string{testService}},
-		{Id: "receipts-1", Address: "receipts-1", Kind: platform.KindService, Models: []string{testService}},
+		{Id: "receipts-0", Address: "receipts-0", Kind: infra.KindService, Models: []string{testService}},
+		{Id: "receipts-1", Address: "receipts-1", Kind: infra.KindService, Models: []string{testService}},
 	}})
 	node.entry = NewWith(settings, node, node.replica, servers, world.mutant.proposer(node), logger)
 	world.mu.Lock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/rendezvous"
 	"github.com/mastwinch/mastwinch/internal/routing"
 	"github.com/mastwinch/mastwinch/internal/wire"
@@ -114,7 +114,7 @@
 // KeeperAddresses returns the keepers of the live VMs of the system.
 func (fleet *Fleet) KeeperAddresses() []string {
 	var addresses []string
-	for _, vm := range fleet.list(platform.KindSystem) {
+	for _, vm := range fleet.list(infra.KindSystem) {
 		if vm.GetKeeperAddress() != "" {
 			addresses = append(addresses, vm.GetKeeperAddress())
 		}
@@ -124,7 +124,7 @@
 
 // SystemVM returns the VM of the system with that ID while it is listed.
 func (fleet *Fleet) SystemVM(id string) (*wire.Server, bool) {
-	for _, vm := range fleet.list(platform.KindSystem) {
+	for _, vm := range fleet.list(infra.KindSystem) {
 		if vm.GetId() == id {
 			return vm, true
 		}
@@ -134,7 +134,7 @@
 
 // Engines returns all listed engines, by ID.
 func (fleet *Fleet) Engines() []*wire.Server {
-	return fleet.list(platform.KindEngine)
+	return fleet.list(infra.KindEngine)
 }
 
 func (fleet *Fleet) list(kind string) []*wire.Server {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mastwinch/mastwinch/internal/fleet"
-	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/routing"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
@@ -26,7 +26,7 @@
 }
 
 func listed(leaving bool) *wire.Fleet {
-	return &wire.Fleet{Servers: []*wire.Server{{Id: id, Kind: platform.KindEngine, MemoryTokens: 1000, Leaving: leaving}}}
+	return &wire.Fleet{Servers: []*wire.Server{{Id: id, Kind: infra.KindEngine, MemoryTokens: 1000, Leaving: leaving}}}
 }
 
 func loads(load *wire.Load) *wire.Loads {
@@ -35,7 +35,7 @@
 }
 
 func view(tested *fleet.Fleet) routing.Server {
-	return tested.Snapshot(platform.KindEngine).Servers[0]
+	return tested.Snapshot(infra.KindEngine).Servers[0]
 }
 
 func decision(long bool) routing.Decision {
--- a/internal/platform/vmlist.go
+++ b/internal/infra/vmlist.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
--- a/internal/keeper/appender.go
+++ b/internal/keeper/appender.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/mastwinch/mastwinch/internal/fold"
-	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/replica"
 	"github.com/mastwinch/mastwinch/internal/wait"
 	"github.com/mastwinch/mastwinch/internal/wire"
@@ -32,7 +32,7 @@
 // replica has read it back; until then it is appended again after an error,
 // which is harmless since the fold accepts it at most once.
 type appender struct {
-	log      platform.Log
+	log      infra.Log
 	replica  *replica.Replica
 	settings LogSettings
 	metrics  *metrics
@@ -57,7 +57,7 @@
 }
 
 func newAppender(
-	log platform.Log, replica *replica.Replica, settings LogSettings, metrics *metrics, logger *slog.Logger,
+	log infra.Log, replica *replica.Replica, settings LogSettings, metrics *metrics, logger *slog.Logger,
 ) *appender {
 	return &appender{
 		log:      log,
--- a/internal/keeper/checkpoint.go
+++ b/internal/keeper/checkpoint.go
@@ -6,7 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
 
@@ -56,7 +56,7 @@
 // add takes the next entry and reports whether it made a checkpoint whole.
 // Entries that are no part of one are passed over, and so is a part that came
 // twice.
-func (checkpointreader *checkpointReader) add(entry platform.Entry) bool {
+func (checkpointreader *checkpointReader) add(entry infra.Entry) bool {
 	part := &wire.CheckpointPart{}
 	err := proto.Unmarshal(entry.Data, part)
 	if err != nil || part.GetWriter() == "" {
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -7,8 +7,8 @@
 
 	"github.com/google/uuid"
 
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/ledger"
-	"github.com/mastwinch/mastwinch/internal/platform"
 	"github.com/mastwinch/mastwinch/internal/rendezvous"
 	"github.com/mastwinch/mastwinch/internal/replica"
 	"github.com/mastwinch/mastwinch/internal/state"
@@ -36,7 +36,7 @@
 	settings    Settings
 	replica     *replica.Replica
 	appender    *appender
-	checkpoints platform.Log
+	checkpoints infra.Log
 	// vms returns the names of the live VMs of the system.
 	vms     func() []string
 	metrics *metrics
--- a/internal/keeper/follower.go
+++ b/internal/keeper/follower.go
@@ -8,8 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/link"
-	"github.com/mastwinch/mastwinch/internal/platform"
 	"github.com/mastwinch/mastwinch/internal/state"
 	"github.com/mastwinch/mastwinch/internal/wait"
 	"github.com/mastwinch/mastwinch/internal/wire"
@@ -25,8 +25,8 @@
 // follower reads the log into the hub. It gets a base from the newest
 // checkpoint when entries have expired, and from a peer when the log is down.
 type follower struct {
-	log         platform.Log
-	checkpoints platform.Log
+	log         infra.Log
+	checkpoints infra.Log
 	hub         *hub
 	// peers returns the addresses of other keepers.
 	peers       func() []string
@@ -176,8 +176,8 @@
 }
 
 // asExpired returns the error if it says that entries have expired.
-func asExpired(err error) (*platform.ExpiredError, bool) {
-	var expired *platform.ExpiredError
+func asExpired(err error) (*infra.ExpiredError, bool) {
+	var expired *infra.ExpiredError
 	ok := errors.As(err, &expired)
 	return expired, ok
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -16,8 +16,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mastwinch/mastwinch/internal/backend"
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/link"
-	"github.com/mastwinch/mastwinch/internal/platform"
 	"github.com/mastwinch/mastwinch/internal/replica"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
@@ -30,9 +30,9 @@
 
 // Platform is what a keeper uses of the platform and of the engines.
 type Platform struct {
-	Log         platform.Log
-	Checkpoints platform.Log
-	VMList      platform.VMList
+	Log         infra.Log
+	Checkpoints infra.Log
+	VMList      infra.VMList
 	Engines     backend.Engine
 }
 
@@ -129,7 +129,7 @@
 // vms returns the live VMs of the system, this one among them.
 func (keeper *Keeper) vms() []string {
 	names := []string{keeper.settings.VM}
-	for _, server := range keeper.watch.servers(platform.KindSystem) {
+	for _, server := range keeper.watch.servers(infra.KindSystem) {
 		if server.GetId() != keeper.settings.VM && !server.GetLeaving() {
 			names = append(names, server.GetId())
 		}
@@ -140,7 +140,7 @@
 // peers returns the addresses of other keepers, listed ones first.
 func (keeper *Keeper) peers() []string {
 	var addresses []string
-	for _, server := range keeper.watch.servers(platform.KindSystem) {
+	for _, server := range keeper.watch.servers(infra.KindSystem) {
 		if server.GetId() != keeper.settings.VM && server.GetKeeperAddress() != "" {
 			addresses = append(addresses, server.GetKeeperAddress())
 		}
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -17,8 +17,8 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/mastwinch/mastwinch/internal/backend"
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/link"
-	"github.com/mastwinch/mastwinch/internal/platform"
 	"github.com/mastwinch/mastwinch/internal/replica"
 	"github.com/mastwinch/mastwinch/internal/state"
 	"github.com/mastwinch/mastwinch/internal/wire"
@@ -59,7 +59,7 @@
 	return nil
 }
 
-func (fakelog *fakeLog) Read(ctx context.Context, from uint64) (platform.Page, error) {
+func (fakelog *fakeLog) Read(ctx context.Context, from uint64) (infra.Page, error) {
 	page, grown, err := fakelog.page(from)
 	if err != nil || len(page.Entries) > 0 {
 		return page, err
@@ -74,18 +74,18 @@
 	return page, nil
 }
 
-func (fakelog *fakeLog) page(from uint64) (platform.Page, <-chan struct{}, error) {
+func (fakelog *fakeLog) page(from uint64) (infra.Page, <-chan struct{}, error) {
 	fakelog.mu.Lock()
 	defer fakelog.mu.Unlock()
 	switch {
 	case fakelog.down:
-		return platform.Page{}, nil, errDown
+		return infra.Page{}, nil, errDown
 	case from < fakelog.first:
-		return platform.Page{}, nil, &platform.ExpiredError{Wanted: from, First: fakelog.first}
+		return infra.Page{}, nil, &infra.ExpiredError{Wanted: from, First: fakelog.first}
 	}
-	page := platform.Page{First: fakelog.first, Next: fakelog.first + uint64(len(fakelog.entries))}
+	page := infra.Page{First: fakelog.first, Next: fakelog.first + uint64(len(fakelog.entries))}
 	for offset := from; offset < page.Next; offset++ {
-		page.Entries = append(page.Entries, platform.Entry{Offset: offset, Data: fakelog.entries[offset-fakelog.first]})
+		page.Entries = append(page.Entries, infra.Entry{Offset: offset, Data: fakelog.entries[offset-fakelog.first]})
 	}
 	return page, fakelog.grown, nil
 }
@@ -310,17 +310,17 @@
 	assert.Assert(t, len(entries) > 1)
 	reader := newCheckpointReader()
 	for i, entry := range entries {
-		whole := reader.add(platform.Entry{Data: entry})
+		whole := reader.add(infra.Entry{Data: entry})
 		assert.Equal(t, whole, i == len(entries)-1)
 		// A part that came twice after a lost answer changes nothing.
-		assert.Assert(t, !reader.add(platform.Entry{Data: entries[0]}))
+		assert.Assert(t, !reader.add(infra.Entry{Data: entries[0]}))
 	}
 	assert.Assert(t, proto.Equal(reader.newest, large))
 }
 
 type noVMs struct{}
 
-func (noVMs) List(context.Context) ([]platform.VM, error) { return nil, errDown }
+func (noVMs) List(context.Context) ([]infra.VM, error) { return nil, errDown }
 
 // freePort returns an address that nobody listens on.
 func freePort(t *testing.T) string {
--- a/internal/keeper/watch.go
+++ b/internal/keeper/watch.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/mastwinch/mastwinch/internal/backend"
-	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/wait"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
@@ -26,7 +26,7 @@
 // watch follows the VM list and the load of engines into the hub. When either
 // cannot be read, subscribers keep what was read last.
 type watch struct {
-	vmlist   platform.VMList
+	vmlist   infra.VMList
 	engines  backend.Engine
 	hub      *hub
 	settings IntervalSettings
@@ -77,7 +77,7 @@
 	return nil
 }
 
-func newFleet(vms []platform.VM) *wire.Fleet {
+func newFleet(vms []infra.VM) *wire.Fleet {
 	fleet := &wire.Fleet{Servers: make([]*wire.Server, 0, len(vms))}
 	for _, vm := range vms {
 		fleet.Servers = append(fleet.Servers, &wire.Server{
@@ -110,7 +110,7 @@
 	var all sync.WaitGroup
 	loads := &wire.Loads{}
 	slots := make(chan struct{}, loadParallel)
-	for _, server := range watch.servers(platform.KindEngine) {
+	for _, server := range watch.servers(infra.KindEngine) {
 		slots <- struct{}{}
 		all.Go(func() {
 			defer func() { <-slots }()
--- a/internal/standin/logservice/logservice.go
+++ b/internal/standin/logservice/logservice.go
@@ -15,7 +15,7 @@
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 
-	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
@@ -120,7 +120,7 @@
 }
 
 // Read returns a page from offset from on, and false in an outage.
-func (logservice *LogService) Read(ctx context.Context, name string, from uint64, wait time.Duration) (platform.Page, bool) {
+func (logservice *LogService) Read(ctx context.Context, name string, from uint64, wait time.Duration) (infra.Page, bool) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
@@ -138,18 +138,18 @@
 	}
 }
 
-func (logservice *LogService) page(name string, from uint64) (platform.Page, <-chan struct{}, bool) {
+func (logservice *LogService) page(name string, from uint64) (infra.Page, <-chan struct{}, bool) {
 	logservice.mu.Lock()
 	defer logservice.mu.Unlock()
 	if logservice.faults.Outage {
-		return platform.Page{}, nil, false
+		return infra.Page{}, nil, false
 	}
 	stream := logservice.stream(name)
 	stream.expire(time.Now().Add(-logservice.settings.Retention))
-	page := platform.Page{First: stream.first, Next: stream.next()}
+	page := infra.Page{First: stream.first, Next: stream.next()}
 	for offset := max(from, stream.first); offset < stream.next() && len(page.Entries) < maxPage; offset++ {
 		data := stream.entries[offset-stream.first].data
-		page.Entries = append(page.Entries, platform.Entry{Offset: offset, Data: data})
+		page.Entries = append(page.Entries, infra.Entry{Offset: offset, Data: data})
 	}
 	return page, stream.grown, true
 }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -8,14 +8,14 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/standin/engine"
 	"github.com/mastwinch/mastwinch/internal/standin/service"
 )
 
 // server is one backend server: an engine or a service with its listener.
 type server struct {
-	vm platform.VM
+	vm infra.VM
 	// build makes the server anew, empty.
 	build func() parts
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -16,7 +16,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/mastwinch/mastwinch/internal/backend"
-	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/standin/engine"
 	"github.com/mastwinch/mastwinch/internal/standin/execution"
 	"github.com/mastwinch/mastwinch/internal/standin/logservice"
@@ -60,7 +60,7 @@
 	for _, group := range settings.Services {
 		standin.addServices(host, group)
 	}
-	vms := make([]platform.VM, 0, len(standin.servers))
+	vms := make([]infra.VM, 0, len(standin.servers))
 	for _, server := range standin.servers {
 		vms = append(vms, server.vm)
 	}
@@ -70,11 +70,11 @@
 
 func (standin *Standin) addEngines(host string, group EngineGroup) {
 	for i := range group.Count {
-		vm := platform.VM{
+		vm := infra.VM{
 			ID:            fmt.Sprintf("%s-%02d", group.Name, i),
 			Address:       net.JoinHostPort(host, strconv.Itoa(group.FirstPort+i)),
 			DataCentre:    group.DataCentre,
-			Kind:          platform.KindEngine,
+			Kind:          infra.KindEngine,
 			Models:        group.Models,
 			ChecksFencing: group.ChecksFencing,
 			MemoryTokens:  uint64(standin.settings.Engine.MemoryTokens), //nolint:gosec // checked to be positive
@@ -90,11 +90,11 @@
 
 func (standin *Standin) addServices(host string, group ServiceGroup) {
 	for i := range group.Count {
-		vm := platform.VM{
+		vm := infra.VM{
 			ID:            fmt.Sprintf("%s-%02d", group.Name, i),
 			Address:       net.JoinHostPort(host, strconv.Itoa(group.FirstPort+i)),
 			DataCentre:    group.DataCentre,
-			Kind:          platform.KindService,
+			Kind:          infra.KindService,
 			Models:        []string{group.Service},
 			ChecksFencing: group.ChecksFencing,
 		}
@@ -157,11 +157,11 @@
 		alive := answers(ctx, client, "http://"+vm.Address+"/healthz")
 		switch {
 		case alive && !listed:
-			standin.vms.Put(platform.VM{
+			standin.vms.Put(infra.VM{
 				ID:            vm.ID,
 				Address:       vm.Address,
 				DataCentre:    vm.DataCentre,
-				Kind:          platform.KindSystem,
+				Kind:          infra.KindSystem,
 				KeeperAddress: vm.KeeperAddress,
 			})
 		case !alive && listed:
--- a/internal/standin/vmlist/vmlist.go
+++ b/internal/standin/vmlist/vmlist.go
@@ -11,7 +11,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/mastwinch/mastwinch/internal/platform"
+	"github.com/mastwinch/mastwinch/internal/infra"
 )
 
 // Faults that can be switched while the list runs.
@@ -28,18 +28,18 @@
 
 	mu     sync.Mutex
 	faults Faults
-	frozen []platform.VM
+	frozen []infra.VM
 	// history has the changed lists, oldest first.
 	history []version
 }
 
 type version struct {
 	since time.Time
-	vms   []platform.VM
+	vms   []infra.VM
 }
 
 // New returns a list that shows vms, and changes after lag.
-func New(lag time.Duration, vms []platform.VM) *VMList {
+func New(lag time.Duration, vms []infra.VM) *VMList {
 	return &VMList{
 		lag:     lag,
 		history: []version{{vms: slices.Clone(vms)}},
@@ -52,22 +52,22 @@
 }
 
 // Put adds vm, or replaces the one with its ID.
-func (vmlist *VMList) Put(vm platform.VM) {
-	vmlist.change(func(vms []platform.VM) []platform.VM {
+func (vmlist *VMList) Put(vm infra.VM) {
+	vmlist.change(func(vms []infra.VM) []infra.VM {
 		return append(without(vms, vm.ID), vm)
 	})
 }
 
 // Remove takes the VM with that ID from the list.
 func (vmlist *VMList) Remove(id string) {
-	vmlist.change(func(vms []platform.VM) []platform.VM {
+	vmlist.change(func(vms []infra.VM) []infra.VM {
 		return without(vms, id)
 	})
 }
 
 // Leave marks the VM with that ID as leaving.
 func (vmlist *VMList) Leave(id string) {
-	vmlist.change(func(vms []platform.VM) []platform.VM {
+	vmlist.change(func(vms []infra.VM) []infra.VM {
 		changed := slices.Clone(vms)
 		for i := range changed {
 			changed[i].Leaving = changed[i].Leaving || changed[i].ID == id
@@ -86,7 +86,7 @@
 	vmlist.faults = faults
 }
 
-func (vmlist *VMList) change(apply func([]platform.VM) []platform.VM) {
+func (vmlist *VMList) change(apply func([]infra.VM) []infra.VM) {
 	vmlist.mu.Lock()
 	defer vmlist.mu.Unlock()
 	latest := vmlist.history[len(vmlist.history)-1].vms
@@ -94,7 +94,7 @@
 }
 
 // visible returns the newest list that is older than the lag.
-func (vmlist *VMList) visible() []platform.VM {
+func (vmlist *VMList) visible() []infra.VM {
 	cutoff := time.Now().Add(-vmlist.lag)
 	for len(vmlist.history) > 1 && vmlist.history[1].since.Before(cutoff) {
 		vmlist.history = vmlist.history[1:]
@@ -118,6 +118,6 @@
 	_ = json.NewEncoder(w).Encode(vms)
 }
 
-func without(vms []platform.VM, id string) []platform.VM {
-	return slices.DeleteFunc(slices.Clone(vms), func(vm platform.VM) bool { return vm.ID == id })
+func without(vms []infra.VM, id string) []infra.VM {
+	return slices.DeleteFunc(slices.Clone(vms), func(vm infra.VM) bool { return vm.ID == id })
 }
