--- /dev/null
+++ b/internal/catalog/service.go
@@ -0,0 +1,47 @@
+package catalog
+
+import "time"
+
+// Service is a group of like backend servers.
+type Service struct {
+	Name string
+	// MaxConnections is how many connections one server takes from all VMs
+	// together.
+	MaxConnections int
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Engine says how the model engines of a service work. A pass goes over all
+// requests at once; a pass in which any request writes has Stride steps.
+type Engine struct {
+	// Slots is how many requests an engine works on at once.
+	Slots int
+	// MemoryTokens is the KV memory of one engine.
+	MemoryTokens int
+	// Stride is the steps of a pass with writers.
+	Stride int
+	// Step is what each step takes.
+	Step time.Duration
+	// ReadPerSecond is the prompt tokens read in a second, pairs not counted.
+	ReadPerSecond float64
+	// PairsPerMillion is the time for a million pairs of a token and one
+	// before it.
+	PairsPerMillion time.Duration
+}
+
+// million scales the price of pairs.
+const million = 1e6
+
+// ReadTime is how long an engine that does nothing else reads a prompt.
+func (engine *Engine) ReadTime(tokens int) time.Duration {
+	length := float64(tokens)
+	linear := length / engine.ReadPerSecond * float64(time.Second)
+	pairs := length * length / 2 / million * float64(engine.PairsPerMillion)
+	return time.Duration(linear + pairs)
+}
+
+// PassTime is how long a pass with writers takes when nothing is read.
+func (engine *Engine) PassTime() time.Duration {
+	return time.Duration(engine.Stride) * engine.Step
+}
--- /dev/null
+++ b/internal/cmd/gatewaycmd.go
@@ -0,0 +1,94 @@
+package cmd
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/mastwinch/mastwinch/internal/gateway"
+	"github.com/mastwinch/mastwinch/internal/logging"
+	"github.com/mastwinch/mastwinch/internal/settings"
+	"github.com/mastwinch/mastwinch/internal/upstream"
+	"github.com/mastwinch/mastwinch/platform"
+)
+
+const (
+	flagSite = "site"
+	// memoryPart is the part of a VM's memory at which collecting garbage goes
+	// before speed.
+	memoryPart = 0.7
+	// storeIdle is how long a connection to the store is kept.
+	storeIdle = 10 * time.Second
+)
+
+// NewGatewayCommand returns the command line of mw-gateway.
+func NewGatewayCommand() *cli.Command {
+	return &cli.Command{
+		Name:                  "mw-gateway",
+		Usage:                 "serve callers on the users' platform",
+		EnableShellCompletion: true,
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name: flagSite, Usage: "read the VM's place from `FILE`",
+				Sources: cli.EnvVars(platform.SettingsVariable), Required: true,
+			},
+			&cli.StringFlag{Name: flagConfig, Aliases: []string{"c"}, Usage: "read tuning settings from `FILE`"},
+			&cli.BoolFlag{Name: flagCheck, Usage: "check the settings and exit"},
+		},
+		Action: runGateway,
+	}
+}
+
+func runGateway(ctx context.Context, command *cli.Command) error {
+	site, err := platform.LoadSettings(command.String(flagSite))
+	if err != nil {
+		return &exitError{code: exitUsage, err: err}
+	}
+	tuning := gateway.DefaultSettings()
+	if file := command.String(flagConfig); file != "" {
+		if tuning, err = settings.Load(file, tuning); err != nil {
+			return &exitError{code: exitUsage, err: err}
+		}
+	}
+	if command.Bool(flagCheck) {
+		_, err := command.Root().Writer.Write([]byte("settings are good\n"))
+		return errors.Wrap(err, "check")
+	}
+	if site.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(site.MemoryBytes)))
+	}
+	lines := logging.New(os.Stdout, tuning.Logging.Queue)
+	defer lines.Close()
+	logger := newGatewayLogger(lines, tuning.Logging.Level, site.VM)
+	store := platform.NewStore(site.Store, newStoreTransport(tuning.Upstream))
+	served, err := gateway.New(tuning, site, platform.Codec{}, gateway.Sources{
+		Configuration: platform.NewConfigurationTopic(store, logger),
+		Servers:       platform.NewServersTopic(store, logger),
+		Register:      platform.NewMembers(store),
+	}, logger)
+	if err != nil {
+		return err
+	}
+	return served.Run(ctx)
+}
+
+func newGatewayLogger(lines *logging.Writer, name, vm string) *slog.Logger {
+	level := slog.LevelInfo
+	_ = level.UnmarshalText([]byte(name)) // checked on load
+	handler := slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: level})
+	return slog.New(handler).With("vm", vm)
+}
+
+// newStoreTransport returns a transport that notices a store that is away as
+// soon as the clients of servers do.
+func newStoreTransport(settings upstream.Settings) *http.Transport {
+	dialer := &net.Dialer{Timeout: settings.DialTimeout, Control: upstream.Control(settings.UserTimeout)}
+	return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: storeIdle}
+}
--- /dev/null
+++ b/internal/exchange/codec.go
@@ -0,0 +1,44 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/mastwinch/mastwinch/internal/pool"
+	"github.com/mastwinch/mastwinch/internal/wire"
+)
+
+func encode(reports []pool.Report) []*wire.Sending {
+	sendings := make([]*wire.Sending, 0, len(reports))
+	for _, report := range reports {
+		sendings = append(sendings, &wire.Sending{
+			Id:           report.ID,
+			Server:       report.Server,
+			Phase:        wire.Phase(report.Phase),           //nolint:gosec // three values
+			WorkUs:       uint64(report.Work.Microseconds()), //nolint:gosec // never below zero
+			MemoryTokens: uint64(report.Memory),              //nolint:gosec // never below zero
+			GapMs:        uint32(report.Gap.Milliseconds()),  //nolint:gosec // seconds at most
+			Tight:        report.Tight,
+			Helps:        report.Helps,
+			AgeMs:        uint32(report.Age.Milliseconds()), //nolint:gosec // minutes at most
+		})
+	}
+	return sendings
+}
+
+func decode(sendings []*wire.Sending) []pool.Report {
+	reports := make([]pool.Report, 0, len(sendings))
+	for _, sending := range sendings {
+		reports = append(reports, pool.Report{
+			ID:     sending.GetId(),
+			Server: sending.GetServer(),
+			Phase:  pool.Phase(sending.GetPhase()),
+			Work:   time.Duration(sending.GetWorkUs()) * time.Microsecond, //nolint:gosec // hours at most
+			Memory: int(sending.GetMemoryTokens()),                        //nolint:gosec // bounded by any engine's memory
+			Gap:    time.Duration(sending.GetGapMs()) * time.Millisecond,
+			Tight:  sending.GetTight(),
+			Helps:  sending.GetHelps(),
+			Age:    time.Duration(sending.GetAgeMs()) * time.Millisecond,
+		})
+	}
+	return reports
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,152 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastwinch/mastwinch/internal/call"
+	"github.com/mastwinch/mastwinch/internal/catalog"
+	"github.com/mastwinch/mastwinch/internal/placement"
+	"github.com/mastwinch/mastwinch/internal/pool"
+	"github.com/mastwinch/mastwinch/internal/upstream"
+)
+
+// errSilent ends an attempt whose server says nothing for too long.
+var errSilent = errors.New("server is silent")
+
+// plainAnswer is a whole answer of a server.
+type plainAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// attempt sends the request to the servers of a plan.
+func (run *run) attempt(ctx context.Context, plan placement.Plan) result {
+	gateway := run.gateway
+	use := gateway.pool.Start(plan, run.placementRequest())
+	defer use.Over()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	patience := run.patience(plan)
+	var watchdog *time.Timer
+	if patience > 0 {
+		watchdog = time.AfterFunc(patience, func() { cancel(errSilent) })
+		defer watchdog.Stop()
+	}
+	dispatch := run.dispatch(plan)
+	request := upstream.Request{
+		Method: run.incoming.Method,
+		Target: run.incoming.RequestURI,
+		Host:   run.incoming.Host,
+		Header: gateway.codec.ServerHeader(run.incoming.Header, dispatch),
+		Body:   run.body,
+	}
+	response, err := gateway.upstream.Send(ctx, plan.Server.Address, request, func(header http.Header) bool {
+		return gateway.codec.Answer(http.StatusOK, header).ID == run.head.ID
+	})
+	if err != nil {
+		return sendFailed(err)
+	}
+	answer := gateway.codec.Answer(response.Status, response.Header)
+	defer func() { response.Close(answer.Idle) }()
+	if answer.Stream && answer.Whole && !answer.Encoded && response.Status/100 == 2 {
+		return run.relay(ctx, &attempted{plan: plan, use: use, response: response, watchdog: watchdog})
+	}
+	return run.receive(response, answer)
+}
+
+// sendFailed tells whether a request that could not be sent may have run.
+func sendFailed(err error) result {
+	var notSent *upstream.NotSentError
+	if errors.As(err, &notSent) {
+		return result{kind: resultNotRun, err: err}
+	}
+	return result{kind: resultUncertain, err: err}
+}
+
+// patience is how long the server may be silent, or zero for until the
+// deadline.
+func (run *run) patience(plan placement.Plan) time.Duration {
+	settings := run.gateway.settings.Request
+	if !run.route.Repeatable() || run.runs+1 >= run.route.MaxAttempts {
+		return 0
+	}
+	expected := plan.Predicted
+	if run.route.Kind != catalog.KindStream {
+		expected = run.route.Objective
+	}
+	return settings.Silence + time.Duration(settings.SilencePart*float64(expected))
+}
+
+// receive reads a plain answer whole, and passes it on when it is the last
+// word.
+func (run *run) receive(response *upstream.Response, answer call.Answer) result {
+	body, err := io.ReadAll(io.LimitReader(response, run.gateway.settings.Request.MaxAnswerBytes+1))
+	switch {
+	case err != nil:
+		return result{kind: resultUncertain, status: response.Status, err: errors.Wrap(err, "body")}
+	case int64(len(body)) > run.gateway.settings.Request.MaxAnswerBytes:
+		return result{kind: resultUncertain, status: response.Status, err: errors.New("body is too long")}
+	case answer.NotRun:
+		return result{
+			kind: resultNotRun, status: response.Status, closed: answer.Misdirected && answer.AtServer == "",
+			atFault: answer.AtServer, err: errors.Newf("status %d, not run", response.Status),
+		}
+	}
+	whole := &plainAnswer{status: response.Status, header: response.Header, body: body}
+	if response.Status >= http.StatusInternalServerError {
+		if !answer.Whole {
+			whole = nil
+		}
+		return result{
+			kind: resultUncertain, status: response.Status, answer: whole,
+			err: errors.Newf("status %d", response.Status),
+		}
+	}
+	if response.Status/100 == 2 && (!answer.Whole || answer.Encoded) {
+		return result{kind: resultUncertain, status: response.Status, err: errors.New("answer without a mark of origin")}
+	}
+	run.writePlain(whole)
+	return result{kind: resultAnswered, status: response.Status}
+}
+
+// writePlain passes a whole answer on.
+func (run *run) writePlain(answer *plainAnswer) {
+	run.copyHeader(answer.header)
+	run.writer.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	run.boundWrite()
+	run.writer.WriteHeader(answer.status)
+	_, _ = io.Copy(run.writer, bytes.NewReader(answer.body)) // a caller that is gone needs no answer
+}
+
+// copyHeader puts a server's header into the answer.
+func (run *run) copyHeader(header http.Header) {
+	target := run.writer.Header()
+	for name, values := range run.gateway.codec.ClientHeader(header) {
+		target[name] = values
+	}
+	if _, stated := target["Content-Type"]; !stated {
+		target["Content-Type"] = nil // net/http would guess one
+	}
+}
+
+// boundWrite bounds how long the caller may take to read what comes next.
+func (run *run) boundWrite() {
+	deadline := run.gateway.now().Add(run.gateway.settings.Request.WriteTime)
+	_ = http.NewResponseController(run.writer).SetWriteDeadline(deadline) // a connection that is gone fails the write
+}
+
+// attempted is an attempt whose server answers with a stream.
+type attempted struct {
+	plan     placement.Plan
+	use      *pool.Use
+	response *upstream.Response
+	watchdog *time.Timer
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,280 @@
+// Package gateway serves callers: it takes a request, checks it against the
+// configuration in force, sends it to backend servers, relays the answer, and
+// answers for the outcome.
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mastwinch/mastwinch/internal/catalog"
+	"github.com/mastwinch/mastwinch/internal/directory"
+	"github.com/mastwinch/mastwinch/internal/exchange"
+	"github.com/mastwinch/mastwinch/internal/follower"
+	"github.com/mastwinch/mastwinch/internal/placement"
+	"github.com/mastwinch/mastwinch/internal/pool"
+	"github.com/mastwinch/mastwinch/internal/retrybudget"
+	"github.com/mastwinch/mastwinch/internal/upstream"
+	"github.com/mastwinch/mastwinch/internal/wait"
+)
+
+// Times of the process itself.
+const (
+	// houseTick is the time between looks at connections and limits.
+	houseTick = 500 * time.Millisecond
+	// drainTick is the time between looks whether all requests have ended.
+	drainTick = 50 * time.Millisecond
+	// headerTimeout is the longest time for a head before a configuration says
+	// otherwise; the users' configurations say 3 s.
+	headerTimeout = 3 * time.Second
+	// maxHeaderBytes is the most that is ever read of a head; the users'
+	// configurations say 16 KiB.
+	maxHeaderBytes = 64 << 10
+	// freshPart is the part of the bound on revoked keys up to which a VM with
+	// that old a belief calls itself ready.
+	freshPart = 0.6
+)
+
+// Sources are where a gateway learns what it believes.
+type Sources struct {
+	Configuration follower.Source[*catalog.Catalog]
+	Servers       follower.Source[directory.Entry]
+	Register      exchange.Register
+}
+
+// Gateway is one gateway process.
+type Gateway struct {
+	settings Settings
+	site     Site
+	codec    Codec
+	logger   *slog.Logger
+	now      func() time.Time
+
+	belief        *belief
+	configuration *follower.Follower[*catalog.Catalog]
+	directory     *follower.Follower[directory.Entry]
+	exchange      *exchange.Exchange
+	pool          *pool.Pool
+	policy        placement.Policy
+	upstream      *upstream.Client
+	metrics       *metrics
+	idle          *idleConnections
+
+	// running counts requests in progress.
+	running atomic.Int64
+	// bodyBytes is the memory of the bodies of requests in progress.
+	bodyBytes atomic.Int64
+	// stopping says that the process was asked to stop.
+	stopping atomic.Bool
+	// life ends when what is in progress must end.
+	life context.Context //nolint:containedctx // requests outlive the call that stops the process
+	end  context.CancelCauseFunc
+
+	budgetMu sync.Mutex
+	// budgets has the retry budget of each service.
+	budgets map[string]*retrybudget.Budget
+}
+
+// errStopping ends what is in progress when the process must stop.
+var errStopping = errors.New("process stops")
+
+// New returns a gateway. It takes datagrams from now on.
+func New(settings Settings, site Site, codec Codec, sources Sources, logger *slog.Logger) (*Gateway, error) {
+	now := time.Now
+	exchange, err := exchange.New(settings.Exchange,
+		exchange.Member{VM: site.VM, Address: site.PeerAddress}, sources.Register, logger, now)
+	if err != nil {
+		return nil, err
+	}
+	life, end := context.WithCancelCause(context.Background())
+	gateway := &Gateway{
+		settings: settings,
+		site:     site,
+		codec:    codec,
+		logger:   logger,
+		now:      now,
+		belief:   &belief{logger: logger, now: now},
+		exchange: exchange,
+		pool:     pool.New(settings.Pool, site.VM, exchange, logger, now),
+		policy:   newPolicy(settings),
+		upstream: upstream.New(settings.Upstream, now),
+		idle:     newIdleConnections(now),
+		life:     life,
+		end:      end,
+		budgets:  make(map[string]*retrybudget.Budget),
+	}
+	gateway.metrics = newMetrics(gateway)
+	gateway.configuration = follower.New("configuration", sources.Configuration, gateway.belief,
+		settings.Configuration, logger, now)
+	gateway.directory = follower.New("servers", sources.Servers, gateway.pool, settings.Directory, logger, now)
+	return gateway, nil
+}
+
+// Run serves until ctx is done, and then until what is in progress has ended
+// or the grace is nearly over.
+func (gateway *Gateway) Run(ctx context.Context) error {
+	defer gateway.end(errStopping)
+	front := &http.Server{
+		Handler:           http.HandlerFunc(gateway.serve),
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         gateway.idle.changed,
+		ErrorLog:          slog.NewLogLogger(gateway.logger.Handler(), slog.LevelDebug),
+	}
+	ready := &http.Server{Handler: gateway.readyHandler(), ReadHeaderTimeout: headerTimeout}
+	group, working := errgroup.WithContext(gateway.life)
+	group.Go(func() error { return listenAndServe(working, front, gateway.site.Address) })
+	group.Go(func() error { return listenAndServe(working, ready, gateway.site.ReadyAddress) })
+	group.Go(func() error { return gateway.exchange.Run(working, gateway.pool) })
+	group.Go(func() error { gateway.configuration.Run(working); return nil })
+	group.Go(func() error { gateway.directory.Run(working); return nil })
+	group.Go(func() error { gateway.keepHouse(working); return nil })
+	drained := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(drained)
+		gateway.drain(front, ready)
+	})
+	gateway.logger.Info("gateway serves", "address", gateway.site.Address,
+		"data_centre", gateway.site.DataCentre, "policy", gateway.settings.Policy)
+	err := group.Wait()
+	if !stop() {
+		<-drained
+	}
+	gateway.logger.Info("gateway stopped", "running", gateway.running.Load(), "error", err)
+	return err
+}
+
+func listenAndServe(ctx context.Context, server *http.Server, address string) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", address)
+	if err != nil {
+		return errors.Wrap(err, "gateway")
+	}
+	err = server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "gateway")
+}
+
+// drain lets what is in progress end, and then stops the process.
+func (gateway *Gateway) drain(servers ...*http.Server) {
+	gateway.stopping.Store(true)
+	asked := gateway.now()
+	gateway.logger.Info("gateway drains", "running", gateway.running.Load())
+	latest := asked.Add(gateway.site.Bounds.Grace - gateway.settings.Drain.Reserve)
+	earliest := asked.Add(gateway.settings.Drain.Notice)
+	for gateway.now().Before(latest) {
+		if gateway.running.Load() == 0 && gateway.now().After(earliest) {
+			break
+		}
+		wait.For(gateway.life, drainTick)
+	}
+	gateway.logger.Info("gateway ends", "running", gateway.running.Load(), "after", gateway.now().Sub(asked))
+	gateway.end(errStopping)
+	bounded, cancel := context.WithTimeout(context.Background(), gateway.settings.Drain.Reserve/2)
+	defer cancel()
+	for _, server := range servers {
+		// What has not ended by now is cut by the end of the process.
+		if err := server.Shutdown(bounded); err != nil {
+			_ = server.Close() // says no more than Shutdown did
+		}
+	}
+}
+
+// keepHouse closes connections that were idle for too long, and brings limits
+// up to date.
+func (gateway *Gateway) keepHouse(ctx context.Context) {
+	for wait.For(ctx, houseTick) {
+		gateway.upstream.Sweep()
+		if catalog := gateway.belief.current.Load(); catalog != nil {
+			gateway.idle.close(catalog.Limits().IdleTimeout)
+		}
+		gateway.shareBudgets()
+	}
+}
+
+// keysFresh reports whether the belief is young enough to serve a request with
+// a key.
+func (gateway *Gateway) keysFresh() bool {
+	if !gateway.site.Bounds.RevokeFailClosed {
+		return true
+	}
+	age, known := gateway.configuration.Age()
+	return known && age < gateway.site.Bounds.Revoke-gateway.settings.Request.RevokeMargin
+}
+
+// ready reports whether new connections should come to this VM.
+func (gateway *Gateway) ready() bool {
+	if gateway.stopping.Load() || gateway.belief.current.Load() == nil {
+		return false
+	}
+	if _, known := gateway.directory.Age(); !known {
+		return false
+	}
+	age, known := gateway.configuration.Age()
+	fresh := time.Duration(freshPart * float64(gateway.site.Bounds.Revoke))
+	return known && (!gateway.site.Bounds.RevokeFailClosed || age < fresh)
+}
+
+func (gateway *Gateway) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", func(writer http.ResponseWriter, _ *http.Request) {
+		if !gateway.ready() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", gateway.metrics.handler())
+	return mux
+}
+
+// budget returns the retry budget of a service.
+func (gateway *Gateway) budget(service string) *retrybudget.Budget {
+	gateway.budgetMu.Lock()
+	defer gateway.budgetMu.Unlock()
+	budget := gateway.budgets[service]
+	if budget == nil {
+		budget = retrybudget.New(gateway.retryLimits(), gateway.now)
+		gateway.budgets[service] = budget
+	}
+	return budget
+}
+
+// shareBudgets brings the retry budgets up to date with the number of VMs.
+func (gateway *Gateway) shareBudgets() {
+	gateway.budgetMu.Lock()
+	defer gateway.budgetMu.Unlock()
+	limits := gateway.retryLimits()
+	for _, budget := range gateway.budgets {
+		budget.SetLimits(limits)
+	}
+}
+
+// retryLimits is this VM's share of the budget over all VMs. The slack is
+// divided by all VMs that were ever known, since one that is not heard may
+// still serve. A budget spends up to twice its burst in a window.
+func (gateway *Gateway) retryLimits() retrybudget.Limits {
+	bounds := gateway.site.Bounds
+	share := gateway.settings.Request.RetryPart * bounds.RetrySlack / float64(gateway.exchange.Known())
+	return retrybudget.Limits{
+		Ratio:  gateway.settings.Request.RetryPart * bounds.RetryRatio,
+		Burst:  share / 2,
+		Refill: bounds.RetryWindow,
+	}
+}
+
+// retryAfter returns when a refused caller may return, spread so that callers
+// do not return together.
+func (gateway *Gateway) retryAfter() time.Duration {
+	request := gateway.settings.Request
+	spread := request.RetryAfterMax - request.RetryAfterMin
+	return request.RetryAfterMin + time.Duration(rand.Float64()*float64(spread)) //nolint:gosec // no secret
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Names of labels.
+const (
+	labelRoute  = "route"
+	labelKind   = "kind"
+	labelStatus = "status"
+	labelReason = "reason"
+	labelResult = "result"
+)
+
+// metrics are the counters and histograms of a gateway.
+type metrics struct {
+	registry   *prometheus.Registry
+	requests   *prometheus.CounterVec
+	attempts   *prometheus.CounterVec
+	firstEvent *prometheus.HistogramVec
+	duration   *prometheus.HistogramVec
+	eventDelay prometheus.Histogram
+}
+
+func newMetrics(gateway *Gateway) *metrics {
+	buckets := prometheus.ExponentialBuckets(0.001, 2, 15) //nolint:mnd // 1 ms to 16 s
+	metrics := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mastwinch_requests_total", Help: "Requests that ended, by how.",
+		}, []string{labelRoute, labelKind, labelStatus, labelReason}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mastwinch_attempts_total", Help: "Requests sent to servers, by how it came out.",
+		}, []string{labelResult}),
+		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "mastwinch_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: buckets,
+		}, []string{labelRoute}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "mastwinch_request_seconds", Help: "Time from a request's head to its end.", Buckets: buckets,
+		}, []string{labelRoute, labelKind}),
+		eventDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "mastwinch_event_write_seconds", Help: "Time for passing on one event.", Buckets: buckets,
+		}),
+	}
+	metrics.registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstEvent, metrics.duration,
+		metrics.eventDelay,
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "mastwinch_running_requests", Help: "Requests in progress.",
+		}, func() float64 { return float64(gateway.running.Load()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "mastwinch_configuration_age_seconds", Help: "Age of the proof that the configuration is current.",
+		}, func() float64 {
+			age, _ := gateway.configuration.Age()
+			return age.Seconds()
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "mastwinch_members", Help: "VMs of the system that were heard lately.",
+		}, func() float64 {
+			members, _ := gateway.exchange.Members()
+			return float64(members)
+		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "mastwinch_connections_opened_total", Help: "Connections opened to servers.",
+		}, func() float64 { return float64(gateway.upstream.Opened()) }),
+	)
+	return metrics
+}
+
+func (metrics *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(metrics.registry, promhttp.HandlerOpts{})
+}
+
+// ended notes the end of a request.
+func (metrics *metrics) ended(route, kind string, outcome outcome, took time.Duration) {
+	metrics.requests.WithLabelValues(route, kind, strconv.Itoa(outcome.status), string(outcome.reason)).Inc()
+	metrics.duration.WithLabelValues(route, kind).Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/gateway/outcome.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Reason says why the gateway itself answered a request, or why a stream ended
+// early.
+type Reason string
+
+// Reasons.
+const (
+	ReasonNone            Reason = ""
+	ReasonBadRequest      Reason = "bad_request"
+	ReasonHeadTooLong     Reason = "head_too_long"
+	ReasonBodyTooLong     Reason = "body_too_long"
+	ReasonBodyNotRead     Reason = "body_not_read"
+	ReasonNoConfiguration Reason = "no_configuration"
+	ReasonStale           Reason = "configuration_too_old"
+	ReasonNoRoute         Reason = "no_route"
+	ReasonKeyMissing      Reason = "key_missing"
+	ReasonKeyUnknown      Reason = "key_unknown"
+	ReasonNoMemory        Reason = "no_memory"
+	ReasonNoServer        Reason = "no_server"
+	ReasonTooLong         Reason = "prompt_too_long"
+	ReasonTime            Reason = "time_over"
+	ReasonServerFailed    Reason = "server_failed"
+	ReasonRefused         Reason = "servers_refused"
+	ReasonStopping        Reason = "stopping"
+	ReasonCallerGone      Reason = "caller_gone"
+)
+
+// outcome is how a request ended.
+type outcome struct {
+	// status is what the caller got, or zero when it got none.
+	status int
+	reason Reason
+	// retryAfter is when a caller may return, or zero.
+	retryAfter time.Duration
+	// mayHaveRun says that a server may have run the request.
+	mayHaveRun bool
+	// answered says that an answer has been written, or begun, already.
+	answered bool
+	// broken says that the answer was begun and cannot be ended.
+	broken bool
+	server string
+}
+
+// failure returns the outcome of a request that ends without an answer of a
+// server. Not run is promised only where it is certain.
+func failure(reason Reason, mayHaveRun bool, retryAfter time.Duration) outcome {
+	if !mayHaveRun {
+		return outcome{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter}
+	}
+	status := http.StatusBadGateway
+	if reason == ReasonTime {
+		status = http.StatusGatewayTimeout
+	}
+	return outcome{status: status, reason: reason, mayHaveRun: true}
+}
+
+func refusal(status int, reason Reason) outcome {
+	return outcome{status: status, reason: reason}
+}
+
+// errorBody is the body of an answer of the gateway's own.
+type errorBody struct {
+	Error     Reason `json:"error"`
+	Detail    string `json:"detail,omitempty"`
+	RequestID string `json:"request_id,omitempty"`
+	// NotRun says that the request was not run and never will be.
+	NotRun bool `json:"not_run"`
+}
+
+// writeOutcome writes an answer of the gateway's own.
+func (gateway *Gateway) writeOutcome(writer http.ResponseWriter, id string, outcome outcome, detail string) {
+	body, err := json.Marshal(errorBody{
+		Error: outcome.reason, Detail: detail, RequestID: id, NotRun: !outcome.mayHaveRun,
+	})
+	if err != nil {
+		gateway.logger.Error("answer not made", "request_id", id, "error", err)
+	}
+	header := writer.Header()
+	gateway.codec.Refusal(header, id, outcome.retryAfter)
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if gateway.stopping.Load() || outcome.status == http.StatusBadRequest {
+		header.Set("Connection", "close")
+	}
+	writer.WriteHeader(outcome.status)
+	_, _ = writer.Write(body) // a caller that is gone needs no answer
+}
--- /dev/null
+++ b/internal/gateway/relay.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastwinch/mastwinch/internal/events"
+)
+
+// relay passes whole events on until the stream ends. When it is cut, what was
+// passed on is known by lastEvent, and the stream may go on at another server.
+func (run *run) relay(ctx context.Context, attempted *attempted) result {
+	reader := events.NewReader(attempted.response)
+	settings := run.gateway.settings.Request
+	gap := max(settings.GapMin, time.Duration(settings.GapTimes*float64(run.route.Gap)))
+	first := true
+	for {
+		event, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			return run.relayed(attempted)
+		}
+		if err != nil {
+			return run.cut(ctx, err)
+		}
+		if first {
+			first = false
+			attempted.use.Read()
+			run.observeFirst(attempted)
+		}
+		if attempted.watchdog != nil {
+			attempted.watchdog.Reset(gap)
+		}
+		if !follows(event.ID, run.lastEvent) {
+			continue
+		}
+		if err := run.pass(attempted, event); err != nil {
+			return result{kind: resultBroken, err: errors.Wrap(err, "caller")}
+		}
+	}
+}
+
+// observeFirst notes the first event of an attempt.
+func (run *run) observeFirst(attempted *attempted) {
+	gateway := run.gateway
+	took := gateway.now().Sub(run.arrived)
+	gateway.metrics.firstEvent.WithLabelValues(run.route.Name).Observe(took.Seconds())
+	gateway.logger.Debug("first event", "request_id", run.head.ID, "server", attempted.plan.Server.ID,
+		"took", took, "predicted", attempted.plan.Predicted)
+}
+
+// cut returns the result of a stream that broke off.
+func (run *run) cut(ctx context.Context, err error) result {
+	if cause := context.Cause(ctx); cause != nil {
+		err = errors.CombineErrors(cause, err)
+	}
+	return result{kind: resultUncertain, status: http.StatusOK, err: errors.Wrap(err, "stream")}
+}
+
+// relayed ends the answer.
+func (run *run) relayed(attempted *attempted) result {
+	run.begin(attempted)
+	return result{kind: resultAnswered, status: http.StatusOK}
+}
+
+// begin writes the head of the first server's answer, once.
+func (run *run) begin(attempted *attempted) {
+	if run.begun {
+		return
+	}
+	run.begun = true
+	run.copyHeader(attempted.response.Header)
+	run.writer.WriteHeader(attempted.response.Status)
+}
+
+// pass passes one event on at once.
+func (run *run) pass(attempted *attempted, event events.Event) error {
+	started := run.gateway.now()
+	run.boundWrite()
+	run.begin(attempted)
+	if _, err := run.writer.Write(event.Raw); err != nil {
+		return errors.WithStack(err)
+	}
+	if err := http.NewResponseController(run.writer).Flush(); err != nil {
+		return errors.WithStack(err)
+	}
+	if event.ID != "" {
+		run.lastEvent = event.ID
+	}
+	run.gateway.metrics.eventDelay.Observe(run.gateway.now().Sub(started).Seconds())
+	return nil
+}
+
+// follows reports whether the caller does not have the event yet. IDs rise; one
+// that is no number is always new.
+func follows(id, last string) bool {
+	next, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return true
+	}
+	had, err := strconv.ParseInt(last, 10, 64)
+	return err != nil || next > had
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,266 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastwinch/mastwinch/internal/call"
+	"github.com/mastwinch/mastwinch/internal/placement"
+)
+
+// run is the life of one admitted request. It is used by one goroutine.
+type run struct {
+	*admitted
+
+	gateway *Gateway
+	body    []byte
+	writer  http.ResponseWriter
+	// sends counts the times that the request was sent to a server.
+	sends int
+	// runs counts the servers that may have run the request.
+	runs int
+	// tried has the servers that failed or refused the request.
+	tried []string
+	// begun says that the head of an answer was written.
+	begun bool
+	// lastEvent is the last event that the caller has, or empty.
+	lastEvent string
+	seed      uint64
+}
+
+func newRun(gateway *Gateway, admitted *admitted, body []byte, writer http.ResponseWriter) *run {
+	return &run{
+		admitted:  admitted,
+		gateway:   gateway,
+		body:      body,
+		writer:    writer,
+		lastEvent: admitted.head.LastEvent,
+		seed:      rand.Uint64(), //nolint:gosec // no secret
+	}
+}
+
+// randomFraction returns a number from zero up to one.
+func randomFraction() float64 {
+	return rand.Float64() //nolint:gosec // no secret
+}
+
+// resultKind says how one attempt came out.
+type resultKind string
+
+const (
+	// resultAnswered: the caller has the whole answer.
+	resultAnswered resultKind = "answered"
+	// resultNotRun: the server certainly did not run the request.
+	resultNotRun resultKind = "not_run"
+	// resultUncertain: the server may have run the request, in part or whole.
+	resultUncertain resultKind = "uncertain"
+	// resultBroken: the answer to the caller was begun and cannot be ended.
+	resultBroken resultKind = "broken"
+)
+
+// result is how one attempt came out.
+type result struct {
+	kind   resultKind
+	status int
+	err    error
+	// atFault is the server that failed, if it is not the one asked.
+	atFault string
+	// closed says that the server takes nothing more.
+	closed bool
+	// answer is an answer of the server that may be passed on when no other
+	// attempt does better.
+	answer *plainAnswer
+}
+
+// execute sends the request to servers until it has an outcome.
+func (run *run) execute(ctx context.Context) outcome {
+	budget := run.gateway.budget(run.service.Name)
+	budget.Earn()
+	for {
+		plan, ok := run.place(ctx)
+		if !ok {
+			return run.interrupted(ctx)
+		}
+		if run.sends > 0 && !budget.Spend() {
+			return run.fail(ReasonRefused, result{})
+		}
+		run.sends++
+		result := run.attempt(ctx, plan)
+		if final, done := run.conclude(ctx, plan, result); done {
+			return final
+		}
+	}
+}
+
+// place waits for a server with room. It reports false when ctx ended first.
+func (run *run) place(ctx context.Context) (placement.Plan, bool) {
+	gateway := run.gateway
+	asked := gateway.now()
+	for {
+		changed := gateway.pool.Changed()
+		servers := gateway.pool.Open(run.service, run.tried)
+		if len(servers) == 0 {
+			run.tried = nil // all failed once: any may do better now
+		}
+		plan, ok := gateway.policy.Place(servers, run.placementRequest())
+		if ok {
+			run.logPlan(plan, len(servers), gateway.now().Sub(asked))
+			return plan, true
+		}
+		look := time.NewTimer(gateway.settings.Request.Look)
+		select {
+		case <-changed:
+			look.Stop()
+		case <-look.C:
+		case <-ctx.Done():
+			look.Stop()
+			gateway.logger.Info("not placed", "request_id", run.head.ID, "servers", len(servers),
+				"waited", gateway.now().Sub(asked))
+			return placement.Plan{}, false
+		}
+	}
+}
+
+func (run *run) logPlan(plan placement.Plan, servers int, waited time.Duration) {
+	helpers := make([]string, 0, len(plan.Helpers))
+	for _, helper := range plan.Helpers {
+		helpers = append(helpers, helper.ID)
+	}
+	run.gateway.logger.Info("placed", "request_id", run.head.ID, "send", run.sends, "route", run.route.Name,
+		"tokens", run.tokens(), "server", plan.Server.ID, "helpers", helpers, "reason", plan.Reason,
+		"predicted", plan.Predicted, "part", plan.Part, "backlog", plan.Server.Backlog,
+		"running", plan.Server.Running, "tight", plan.Server.Tight, "memory_free", plan.Server.MemoryFree,
+		"servers", servers, "waited", waited)
+}
+
+func (run *run) tokens() int {
+	if run.head.Prompt == nil {
+		return 0
+	}
+	return run.head.Prompt.Tokens
+}
+
+// placementRequest describes the request to the policy.
+func (run *run) placementRequest() placement.Request {
+	request := placement.Request{
+		DataCentre: run.gateway.site.DataCentre,
+		Gap:        run.route.Gap,
+		Left:       run.arrived.Add(run.route.Objective).Sub(run.gateway.now()),
+		Seed:       run.seed + uint64(run.sends), //nolint:gosec // a small count
+	}
+	if run.head.Prompt != nil {
+		request.Engine = run.service.Engine
+		request.Tokens = run.head.Prompt.Tokens
+		request.Memory = run.head.Prompt.Tokens + run.head.Prompt.MaxTokens
+	}
+	return request
+}
+
+// dispatch is what the server of a plan is told.
+func (run *run) dispatch(plan placement.Plan) call.Dispatch {
+	dispatch := call.Dispatch{
+		Instance:  plan.Server.ID,
+		Time:      run.callerDeadline.Sub(run.gateway.now()),
+		LastEvent: run.lastEvent,
+		Urgency:   run.urgency(),
+	}
+	if run.organisation != nil {
+		dispatch.Organisation = run.organisation.Name
+	}
+	for _, helper := range plan.Helpers {
+		dispatch.Helpers = append(dispatch.Helpers, call.Helper{Address: helper.Address})
+	}
+	return dispatch
+}
+
+// Objectives that tell urgencies apart.
+const (
+	urgentObjective = 500 * time.Millisecond
+	normalObjective = 2 * time.Second
+)
+
+// urgency ranks requests at an engine by how soon they are wanted.
+func (run *run) urgency() call.Urgency {
+	switch {
+	case run.head.Prompt == nil:
+		return call.UrgencyNone
+	case run.route.Objective <= urgentObjective:
+		return call.UrgencyHigh
+	case run.route.Objective <= normalObjective:
+		return call.UrgencyNormal
+	default:
+		return call.UrgencyLow
+	}
+}
+
+// conclude returns the outcome after an attempt, unless another one follows.
+func (run *run) conclude(ctx context.Context, plan placement.Plan, result result) (outcome, bool) {
+	gateway := run.gateway
+	gateway.metrics.attempts.WithLabelValues(string(result.kind)).Inc()
+	if result.kind == resultAnswered {
+		gateway.pool.Succeeded(plan.Server.ID)
+		return outcome{status: result.status, answered: true, server: plan.Server.ID}, true
+	}
+	if ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		run.noteFailure(plan, result)
+	}
+	if result.kind != resultNotRun {
+		run.runs++
+	}
+	switch {
+	case ctx.Err() != nil:
+		return run.interrupted(ctx), true
+	case result.kind == resultBroken, result.kind == resultUncertain && !run.route.Repeatable(),
+		run.runs >= run.route.MaxAttempts:
+		return run.fail(ReasonServerFailed, result), true
+	}
+	return outcome{}, false
+}
+
+// noteFailure tells the pool of a failed attempt, and logs it.
+func (run *run) noteFailure(plan placement.Plan, result result) {
+	atFault := plan.Server.ID
+	if result.atFault != "" {
+		atFault = result.atFault
+	}
+	run.tried = append(run.tried, atFault)
+	suspect := false
+	switch {
+	case result.closed:
+		run.gateway.pool.Closed(atFault)
+	default:
+		suspect = run.gateway.pool.Failed(atFault)
+	}
+	run.gateway.logger.Warn("attempt failed", "request_id", run.head.ID, "send", run.sends-1,
+		"server", plan.Server.ID, "at_fault", atFault, "result", result.kind, "status", result.status,
+		"suspect", suspect, "error", result.err)
+}
+
+// interrupted returns the outcome of a request whose context ended.
+func (run *run) interrupted(ctx context.Context) outcome {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
+		return run.fail(ReasonTime, result{})
+	case errors.Is(cause, errStopping):
+		return run.fail(ReasonStopping, result{})
+	default:
+		return outcome{reason: ReasonCallerGone, mayHaveRun: run.runs > 0, broken: run.begun, answered: run.begun}
+	}
+}
+
+// fail returns the outcome of a request without a whole answer. An answer of
+// the last server goes before one of our own.
+func (run *run) fail(reason Reason, last result) outcome {
+	if run.begun {
+		return outcome{status: http.StatusOK, reason: reason, mayHaveRun: true, answered: true, broken: true}
+	}
+	if last.answer != nil {
+		run.writePlain(last.answer)
+		return outcome{status: last.answer.status, reason: reason, mayHaveRun: true, answered: true}
+	}
+	return failure(reason, run.runs > 0, run.gateway.retryAfter())
+}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,211 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastwinch/mastwinch/internal/call"
+	"github.com/mastwinch/mastwinch/internal/catalog"
+)
+
+// serve answers one request of a caller.
+func (gateway *Gateway) serve(writer http.ResponseWriter, incoming *http.Request) {
+	arrived := gateway.now()
+	gateway.running.Add(1)
+	defer gateway.running.Add(-1)
+	if gateway.stopping.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	admitted, refused, detail := gateway.admit(incoming, arrived)
+	if refused.status != 0 {
+		gateway.writeOutcome(writer, admitted.head.ID, refused, detail)
+		gateway.ended(admitted, refused, arrived)
+		return
+	}
+	body, refused := gateway.readBody(writer, incoming, admitted)
+	if refused.status != 0 {
+		gateway.writeOutcome(writer, admitted.head.ID, refused, "")
+		gateway.ended(admitted, refused, arrived)
+		return
+	}
+	defer gateway.bodyBytes.Add(-int64(len(body)))
+	ctx, cancel := gateway.bound(incoming.Context(), admitted.deadline)
+	defer cancel()
+	run := newRun(gateway, admitted, body, writer)
+	outcome := run.execute(ctx)
+	if !outcome.answered && outcome.reason != ReasonCallerGone {
+		gateway.writeOutcome(writer, admitted.head.ID, outcome, "")
+	}
+	gateway.ended(admitted, outcome, arrived)
+	if outcome.broken {
+		panic(http.ErrAbortHandler) // net/http's way of cutting an answer that must not look whole
+	}
+}
+
+// bound returns a context that ends when the caller is gone, when the time is
+// over, or when the process must stop.
+func (gateway *Gateway) bound(parent context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	cancellable, cancel := context.WithCancelCause(parent)
+	stop := context.AfterFunc(gateway.life, func() { cancel(errStopping) })
+	ctx, end := context.WithDeadline(cancellable, deadline)
+	return ctx, func() {
+		stop()
+		end()
+		cancel(nil)
+	}
+}
+
+// admitted is a request that the configuration in force allows.
+type admitted struct {
+	head     call.Head
+	incoming *http.Request
+	catalog  *catalog.Catalog
+	route    *catalog.Route
+	service  *catalog.Service
+	// organisation is nil for a request without a key.
+	organisation *catalog.Organisation
+	arrived      time.Time
+	// deadline is when the caller must have an answer.
+	deadline time.Time
+	// callerDeadline is until when the caller waits.
+	callerDeadline time.Time
+}
+
+// admit checks the head of a request. An outcome with a status refuses it.
+func (gateway *Gateway) admit(incoming *http.Request, arrived time.Time) (*admitted, outcome, string) {
+	result := &admitted{incoming: incoming, arrived: arrived}
+	head, err := gateway.codec.Head(incoming)
+	result.head = head
+	current := gateway.belief.current.Load()
+	if current == nil {
+		return result, failure(ReasonNoConfiguration, false, gateway.retryAfter()), ""
+	}
+	result.catalog = current
+	if headBytes(incoming) > current.Limits().MaxHeaderBytes && current.Limits().MaxHeaderBytes > 0 {
+		return result, refusal(http.StatusRequestHeaderFieldsTooLarge, ReasonHeadTooLong), ""
+	}
+	var field *call.FieldError
+	if errors.As(err, &field) {
+		return result, refusal(http.StatusBadRequest, ReasonBadRequest), field.Error()
+	}
+	if !strings.HasPrefix(incoming.RequestURI, "/") {
+		return result, refusal(http.StatusBadRequest, ReasonBadRequest), "target: must be a path"
+	}
+	path, _, _ := strings.Cut(incoming.RequestURI, "?")
+	route, found := current.Route(incoming.Host, path)
+	if !found {
+		return result, refusal(http.StatusNotFound, ReasonNoRoute), ""
+	}
+	result.route = route
+	if refused := gateway.admitKey(result); refused.status != 0 {
+		return result, refused, ""
+	}
+	service, found := current.Service(route.Target(randomFraction()))
+	if !found {
+		return result, failure(ReasonNoServer, false, gateway.retryAfter()), "service not configured"
+	}
+	result.service = service
+	result.setDeadlines(gateway.settings.Request.Margin)
+	return result, outcome{}, ""
+}
+
+// admitKey finds the organisation of a request by its key.
+func (gateway *Gateway) admitKey(result *admitted) outcome {
+	if !result.catalog.HasOrganisations() {
+		return outcome{}
+	}
+	key := result.head.Key
+	if key == "" && result.route.Anonymous {
+		return outcome{}
+	}
+	if key == "" {
+		return refusal(http.StatusUnauthorized, ReasonKeyMissing)
+	}
+	if !gateway.keysFresh() {
+		return failure(ReasonStale, false, gateway.retryAfter())
+	}
+	organisation, found := result.catalog.Organisation(key)
+	if !found && !result.route.Anonymous {
+		return refusal(http.StatusUnauthorized, ReasonKeyUnknown)
+	}
+	result.organisation = organisation
+	return outcome{}
+}
+
+// setDeadlines reckons until when the request may take.
+func (admitted *admitted) setDeadlines(margin time.Duration) {
+	limit := admitted.route.Timeout
+	admitted.callerDeadline = admitted.arrived.Add(limit)
+	if admitted.head.Time > 0 {
+		admitted.callerDeadline = admitted.arrived.Add(admitted.head.Time)
+		limit = min(limit, admitted.head.Time)
+	}
+	admitted.deadline = admitted.arrived.Add(limit - margin)
+}
+
+// headBytes is the size of a head, near enough.
+func headBytes(incoming *http.Request) int {
+	const perLine = 4 // colon, blank and the end of the line
+	count := len(incoming.Method) + len(incoming.RequestURI) + len(incoming.Host) + perLine
+	for name, values := range incoming.Header {
+		for _, value := range values {
+			count += len(name) + len(value) + perLine
+		}
+	}
+	return count
+}
+
+// readBody reads the whole body within the limits.
+func (gateway *Gateway) readBody(
+	writer http.ResponseWriter, incoming *http.Request, admitted *admitted,
+) ([]byte, outcome) {
+	limit := admitted.catalog.Limits().MaxBodyBytes
+	if incoming.ContentLength > limit {
+		return nil, refusal(http.StatusRequestEntityTooLarge, ReasonBodyTooLong)
+	}
+	if incoming.Body == nil || incoming.Body == http.NoBody {
+		return nil, outcome{}
+	}
+	known := max(0, incoming.ContentLength)
+	most := int64(gateway.settings.Request.MaxBodyPart * float64(gateway.site.MemoryBytes))
+	if most > 0 && gateway.bodyBytes.Load()+known > most {
+		return nil, failure(ReasonNoMemory, false, gateway.retryAfter())
+	}
+	controller := http.NewResponseController(writer)
+	_ = controller.SetReadDeadline(admitted.deadline) // a connection that is gone fails the read
+	body, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, limit))
+	_ = controller.SetReadDeadline(time.Time{}) // as above
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		return nil, refusal(http.StatusRequestEntityTooLarge, ReasonBodyTooLong)
+	}
+	if err != nil {
+		gateway.logger.Info("body not read", "request_id", admitted.head.ID, "error", err)
+		return nil, refusal(http.StatusBadRequest, ReasonBodyNotRead)
+	}
+	gateway.bodyBytes.Add(int64(len(body)))
+	return body, outcome{}
+}
+
+// ended logs and counts the end of a request.
+func (gateway *Gateway) ended(admitted *admitted, outcome outcome, arrived time.Time) {
+	took := gateway.now().Sub(arrived)
+	route, kind, version := "", "", int64(0)
+	if admitted.route != nil {
+		route, kind = admitted.route.Name, string(admitted.route.Kind)
+	}
+	if admitted.catalog != nil {
+		version = admitted.catalog.Version()
+	}
+	age, _ := gateway.configuration.Age()
+	gateway.metrics.ended(route, kind, outcome, took)
+	gateway.logger.Info("ended", "request_id", admitted.head.ID, "route", route,
+		"status", outcome.status, "reason", outcome.reason, "may_have_run", outcome.mayHaveRun,
+		"server", outcome.server, "broken", outcome.broken, "took", took,
+		"version", version, "version_age", age)
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/mastwinch/mastwinch/internal/exchange"
+	"github.com/mastwinch/mastwinch/internal/follower"
+	"github.com/mastwinch/mastwinch/internal/placement"
+	"github.com/mastwinch/mastwinch/internal/pool"
+	"github.com/mastwinch/mastwinch/internal/upstream"
+)
+
+// Names of policies.
+const (
+	PolicyLengthAware = "length_aware"
+	PolicyLeastInHand = "least_in_hand"
+	PolicyRoundRobin  = "round_robin"
+)
+
+// Settings tune a gateway. The defaults are for one city.
+type Settings struct {
+	// Policy chooses engines.
+	Policy        string             `yaml:"policy" validate:"oneof=length_aware least_in_hand round_robin"`
+	Placement     placement.Settings `yaml:"placement"`
+	Pool          pool.Settings      `yaml:"pool"`
+	Exchange      exchange.Settings  `yaml:"exchange"`
+	Upstream      upstream.Settings  `yaml:"upstream"`
+	Configuration follower.Settings  `yaml:"configuration"`
+	Directory     follower.Settings  `yaml:"directory"`
+	Request       RequestSettings    `yaml:"request"`
+	Drain         DrainSettings      `yaml:"drain"`
+	Logging       LoggingSettings    `yaml:"logging"`
+}
+
+// RequestSettings tune the life of a request.
+type RequestSettings struct {
+	// RevokeMargin is taken off the bound on revoked keys.
+	RevokeMargin time.Duration `yaml:"revoke_margin" validate:"min=0"`
+	// Margin is how long before its time is over a request gets its answer.
+	Margin time.Duration `yaml:"margin" validate:"min=0,max=1s"`
+	// Look is the time between looks for a server that has room.
+	Look time.Duration `yaml:"look" validate:"min=1ms"`
+	// Silence is how long beyond the prediction a first event may take before
+	// another server is tried, and SilencePart the part of the prediction that
+	// is added.
+	Silence     time.Duration `yaml:"silence" validate:"min=10ms"`
+	SilencePart float64       `yaml:"silence_part" validate:"min=0"`
+	// GapMin is the shortest silence within a stream after which it goes on at
+	// another server, and GapTimes its multiple of the pause in time.
+	GapMin   time.Duration `yaml:"gap_min" validate:"min=10ms"`
+	GapTimes float64       `yaml:"gap_times" validate:"min=1"`
+	// RetryAfterMin and RetryAfterMax bound when a refused caller may return.
+	RetryAfterMin time.Duration `yaml:"retry_after_min" validate:"min=0"`
+	RetryAfterMax time.Duration `yaml:"retry_after_max" validate:"min=1ms"`
+	// MaxAnswerBytes bounds an answer of a plain service, which is held whole.
+	MaxAnswerBytes int64 `yaml:"max_answer_bytes" validate:"min=1024"`
+	// MaxBodyPart is the part of the memory for bodies of all requests.
+	MaxBodyPart float64 `yaml:"max_body_part" validate:"min=0.01,max=0.9"`
+	// WriteTime is how long a caller may take to read one event or answer.
+	WriteTime time.Duration `yaml:"write_time" validate:"min=100ms"`
+	// RetryPart is the part of the retry budget that is used.
+	RetryPart float64 `yaml:"retry_part" validate:"min=0,max=1"`
+}
+
+// DrainSettings tune a planned stop.
+type DrainSettings struct {
+	// Notice is how long after the request to stop the balancer may still send
+	// connections.
+	Notice time.Duration `yaml:"notice" validate:"min=0"`
+	// Reserve is kept of the grace for ending what has not ended.
+	Reserve time.Duration `yaml:"reserve" validate:"min=0"`
+}
+
+// LoggingSettings tune the log.
+type LoggingSettings struct {
+	Level string `yaml:"level" validate:"oneof=debug info warn error"`
+	// Queue is how many lines wait to be written before lines are left out.
+	Queue int `yaml:"queue" validate:"min=1"`
+}
+
+// DefaultSettings returns settings for data centres of one city.
+func DefaultSettings() Settings {
+	return Settings{
+		Policy:    PolicyLengthAware,
+		Placement: placement.DefaultSettings(),
+		Pool:      pool.DefaultSettings(),
+		Exchange:  exchange.DefaultSettings(),
+		Upstream:  upstream.DefaultSettings(),
+		Configuration: follower.Settings{
+			Wait: 1500 * time.Millisecond, Patience: 700 * time.Millisecond,
+			RetryMin: 100 * time.Millisecond, RetryMax: 800 * time.Millisecond,
+		},
+		Directory: follower.Settings{
+			Pause: 800 * time.Millisecond, Patience: 700 * time.Millisecond,
+			RetryMin: 100 * time.Millisecond, RetryMax: 800 * time.Millisecond,
+		},
+		Request: RequestSettings{
+			RevokeMargin:   500 * time.Millisecond,
+			Margin:         20 * time.Millisecond,
+			Look:           20 * time.Millisecond,
+			Silence:        900 * time.Millisecond,
+			SilencePart:    2,
+			GapMin:         1600 * time.Millisecond,
+			GapTimes:       4,
+			RetryAfterMin:  200 * time.Millisecond,
+			RetryAfterMax:  600 * time.Millisecond,
+			MaxAnswerBytes: 4 << 20,
+			MaxBodyPart:    0.3,
+			WriteTime:      5 * time.Second,
+			RetryPart:      0.8,
+		},
+		Drain: DrainSettings{
+			Notice:  3 * time.Second,
+			Reserve: 1100 * time.Millisecond,
+		},
+		Logging: LoggingSettings{Level: "info", Queue: 2048},
+	}
+}
+
+// newPolicy returns the policy that the settings name.
+func newPolicy(settings Settings) placement.Policy {
+	switch settings.Policy {
+	case PolicyLeastInHand:
+		return placement.LeastInHand{}
+	case PolicyRoundRobin:
+		return placement.RoundRobin{}
+	default:
+		return placement.New(settings.Placement)
+	}
+}
--- /dev/null
+++ b/internal/gateway/site.go
@@ -0,0 +1,41 @@
+package gateway
+
+import "time"
+
+// Site is what a VM learns of its place from its settings.
+type Site struct {
+	VM         string
+	DataCentre string
+	// Address is where callers connect.
+	Address string
+	// ReadyAddress is where the balancer asks whether the VM is ready.
+	ReadyAddress string
+	// PeerAddress is where other VMs send datagrams.
+	PeerAddress string
+	// Store is the address of the platform's store.
+	Store string
+	// MemoryBytes is what the process may use, or zero.
+	MemoryBytes int64
+	Bounds      Bounds
+}
+
+// Bounds are what the operator holds the system to.
+type Bounds struct {
+	// Drain is how long after a server's leaving is known it may get new work.
+	Drain time.Duration
+	// Grace is the time from the request to stop until the process is killed.
+	Grace time.Duration
+	// Revoke is how long after its removal a key may still be served.
+	Revoke time.Duration
+	// RevokeFailClosed says that Revoke holds whatever is away.
+	RevokeFailClosed bool
+	// RetryRatio and RetrySlack bound retries to a service in RetryWindow, over
+	// all VMs: RetryRatio for each request, and RetrySlack beside.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// Stall is how long an engine waits for another one that is away.
+	Stall time.Duration
+	// HoldMax is the longest time for which memory may be set aside at once.
+	HoldMax time.Duration
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,79 @@
+// Package placement decides which backend servers get a request. A policy is a
+// pure function of what is known of the servers: it does no I/O and reads no
+// clock.
+package placement
+
+import (
+	"time"
+
+	"github.com/mastwinch/mastwinch/internal/catalog"
+)
+
+// Server is what is known of one backend server.
+type Server struct {
+	ID         string
+	Address    string
+	DataCentre string
+	// Slots is how many requests it works on at once.
+	Slots int
+	// Running is how many requests of all VMs are there.
+	Running int
+	// Tight is how many of them have tight pauses.
+	Tight int
+	// Backlog is the reading of prompts that is not done yet.
+	Backlog time.Duration
+	// Loose is the part of Backlog of requests without tight pauses.
+	Loose time.Duration
+	// MinGap is the shortest pause that is in time among the requests there, or
+	// zero when there is none.
+	MinGap time.Duration
+	// MemoryFree is the KV memory that no request there will need, in tokens.
+	// It may be negative.
+	MemoryFree int
+	// Suspect says that recent answers were failures.
+	Suspect bool
+}
+
+// Request is what a decision needs to know of a request.
+type Request struct {
+	// DataCentre is where the request is.
+	DataCentre string
+	// Engine is nil for a plain service.
+	Engine *catalog.Engine
+	// Tokens is the length of the prompt.
+	Tokens int
+	// Memory is the KV memory that the request needs when it ends, in tokens.
+	Memory int
+	// Gap is the longest pause between events that is in time.
+	Gap time.Duration
+	// Left is what is left until the objective. It may be negative.
+	Left time.Duration
+	// Seed orders what is equal, so that VMs do not all choose alike.
+	Seed uint64
+}
+
+// Plan is the servers that get a request.
+type Plan struct {
+	Server Server
+	// Helpers read parts of the prompt.
+	Helpers []Server
+	// Part is the reading that each server does.
+	Part time.Duration
+	// Shares is the memory that is set aside at each server, the first one's
+	// first, or nil when the first server's own memory is enough.
+	Shares []int
+	// Predicted is when the first event is expected, from now.
+	Predicted time.Duration
+	// Tight says that the request counts as one with tight pauses.
+	Tight bool
+	// Reason names the rule that decided.
+	Reason Reason
+}
+
+// Reason names the rule that decided.
+type Reason string
+
+// Policy chooses servers. It reports false when none fits now.
+type Policy interface {
+	Place(servers []Server, request Request) (Plan, bool)
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,289 @@
+// Package pool holds what a VM knows of the backend servers: the list, the
+// requests that all VMs have there, and how their answers came out.
+package pool
+
+import (
+	"cmp"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mastwinch/mastwinch/internal/catalog"
+	"github.com/mastwinch/mastwinch/internal/directory"
+	"github.com/mastwinch/mastwinch/internal/follower"
+	"github.com/mastwinch/mastwinch/internal/placement"
+	"github.com/mastwinch/mastwinch/internal/rendezvous"
+)
+
+// packOrder names the order in which tight requests fill servers.
+const packOrder = "pack"
+
+// Settings tune the pool.
+type Settings struct {
+	// ReturnTime is how long after the list's source came back a server that is
+	// missing from it is still taken to be there.
+	ReturnTime time.Duration `yaml:"return_time" validate:"min=0,max=1m"`
+	// EjectAfter is how many failures in a row make a server suspect.
+	EjectAfter int `yaml:"eject_after" validate:"min=1"`
+	// EjectTime is how long it is suspect at first; each further failure
+	// doubles the time up to EjectTimeMax.
+	EjectTime    time.Duration `yaml:"eject_time" validate:"min=10ms"`
+	EjectTimeMax time.Duration `yaml:"eject_time_max" validate:"min=10ms"`
+	// RemoteTime is for how long what another VM told holds without being told
+	// again.
+	RemoteTime time.Duration `yaml:"remote_time" validate:"min=100ms"`
+}
+
+// DefaultSettings returns the settings for data centres of one city.
+func DefaultSettings() Settings {
+	return Settings{
+		ReturnTime:   2 * time.Second,
+		EjectAfter:   2,
+		EjectTime:    time.Second,
+		EjectTimeMax: 8 * time.Second,
+		RemoteTime:   1600 * time.Millisecond,
+	}
+}
+
+// Pool is the backend servers. It listens to the list of servers.
+type Pool struct {
+	settings  Settings
+	vm        string
+	publisher Publisher
+	logger    *slog.Logger
+	now       func() time.Time
+
+	mu sync.Mutex
+	// servers has the listed servers, those that are leaving, and those that
+	// are missing but may come back.
+	servers map[string]*server
+	// byService has the servers of each service in the order of packOrder.
+	byService map[string][]*server
+	// sourceLost says that the list's source does not answer, and returned is
+	// when it last came back.
+	sourceLost bool
+	returned   time.Time
+	own        map[uint64]*sending
+	// nextID starts anywhere, so that a VM that was started again is not taken
+	// for what it was before.
+	nextID uint64
+	// changed is closed, and replaced, when a server may have room again.
+	changed chan struct{}
+}
+
+var _ follower.Listener[directory.Entry] = (*Pool)(nil)
+
+// Publisher tells other VMs of sendings.
+type Publisher interface {
+	Publish(report Report)
+}
+
+// New returns an empty pool of the VM with that name.
+func New(settings Settings, vm string, publisher Publisher, logger *slog.Logger, now func() time.Time) *Pool {
+	return &Pool{
+		settings:  settings,
+		vm:        vm,
+		publisher: publisher,
+		logger:    logger,
+		now:       now,
+		servers:   make(map[string]*server),
+		byService: make(map[string][]*server),
+		own:       make(map[uint64]*sending),
+		nextID:    rand.Uint64(), //nolint:gosec // no secret
+		changed:   make(chan struct{}),
+	}
+}
+
+// Replace implements follower.Listener: servers that are not among values are
+// missing.
+func (pool *Pool) Replace(values []follower.Change[directory.Entry]) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	listed := make(map[string]bool, len(values))
+	for _, value := range values {
+		listed[value.Key] = value.Value != nil
+		pool.apply(value)
+	}
+	for id := range pool.servers {
+		if !listed[id] {
+			pool.miss(id)
+		}
+	}
+	pool.arrange()
+}
+
+// Apply implements follower.Listener.
+func (pool *Pool) Apply(changes []follower.Change[directory.Entry]) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	for _, change := range changes {
+		pool.apply(change)
+	}
+	pool.arrange()
+}
+
+// Lost implements follower.Listener.
+func (pool *Pool) Lost() {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	pool.sourceLost = true
+}
+
+// Regained implements follower.Listener.
+func (pool *Pool) Regained() {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	pool.sourceLost = false
+	pool.returned = pool.now()
+}
+
+func (pool *Pool) apply(change follower.Change[directory.Entry]) {
+	if change.Value == nil {
+		pool.miss(change.Key)
+		return
+	}
+	entry := *change.Value
+	known := pool.servers[entry.ID]
+	if known == nil {
+		pool.servers[entry.ID] = &server{entry: entry}
+		pool.logger.Info("server listed", "server", entry.ID, "service", entry.Service,
+			"address", entry.Address, "leaving", entry.Leaving)
+		return
+	}
+	if entry.Leaving && !known.entry.Leaving {
+		pool.logger.Info("server leaves", "server", entry.ID)
+	}
+	// A server that was leaving once never takes new work again.
+	entry.Leaving = entry.Leaving || known.entry.Leaving
+	known.entry = entry
+	known.missingSince = time.Time{}
+}
+
+// miss notes that a server is not listed any more. While the source is away,
+// and shortly after, entries lapse although their servers live.
+func (pool *Pool) miss(id string) {
+	known := pool.servers[id]
+	if known == nil || !known.missingSince.IsZero() {
+		return
+	}
+	known.missingSince = pool.now()
+	pool.logger.Info("server not listed", "server", id, "source_lost", pool.sourceLost)
+}
+
+// gone reports whether a missing server counts as gone.
+func (pool *Pool) gone(server *server, now time.Time) bool {
+	if server.missingSince.IsZero() {
+		return false
+	}
+	unsure := pool.sourceLost || now.Before(pool.returned.Add(pool.settings.ReturnTime))
+	return !unsure
+}
+
+// arrange drops servers that are gone, and orders the others.
+func (pool *Pool) arrange() {
+	now := pool.now()
+	byService := make(map[string][]*server)
+	for id, server := range pool.servers {
+		if pool.gone(server, now) && len(server.sendings) == 0 {
+			delete(pool.servers, id)
+			continue
+		}
+		service := server.entry.Service
+		byService[service] = append(byService[service], server)
+	}
+	for _, servers := range byService {
+		order(servers)
+	}
+	pool.byService = byService
+	pool.wake()
+}
+
+func order(servers []*server) {
+	ids := make([]string, 0, len(servers))
+	for _, server := range servers {
+		ids = append(ids, server.entry.ID)
+	}
+	ranks := make(map[string]int, len(ids))
+	for rank, id := range rendezvous.Order(packOrder, ids) {
+		ranks[id] = rank
+	}
+	slices.SortFunc(servers, func(a, b *server) int {
+		return cmp.Compare(ranks[a.entry.ID], ranks[b.entry.ID])
+	})
+}
+
+// Open returns the servers of a service that may get a request which went to
+// those in tried before.
+func (pool *Pool) Open(service *catalog.Service, tried []string) []placement.Server {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	now := pool.now()
+	open := make([]placement.Server, 0, len(pool.byService[service.Name]))
+	for _, server := range pool.byService[service.Name] {
+		if server.entry.Leaving || server.closed || pool.gone(server, now) || slices.Contains(tried, server.entry.ID) {
+			continue
+		}
+		pool.forget(server, now)
+		view := server.view(now)
+		if service.Engine != nil {
+			view.MemoryFree += service.Engine.MemoryTokens
+		}
+		open = append(open, view)
+	}
+	return open
+}
+
+// Changed returns a channel that is closed when a server may have room again.
+func (pool *Pool) Changed() <-chan struct{} {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	return pool.changed
+}
+
+func (pool *Pool) wake() {
+	close(pool.changed)
+	pool.changed = make(chan struct{})
+}
+
+// Succeeded notes a good answer of a server.
+func (pool *Pool) Succeeded(id string) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	if server := pool.servers[id]; server != nil {
+		server.failures = 0
+		server.suspectUntil = time.Time{}
+	}
+}
+
+// Failed notes a failure of a server, and reports whether it is suspect now.
+func (pool *Pool) Failed(id string) bool {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	server := pool.servers[id]
+	if server == nil {
+		return false
+	}
+	server.failures++
+	over := server.failures - pool.settings.EjectAfter
+	if over < 0 {
+		return false
+	}
+	duration := pool.settings.EjectTime
+	for range over {
+		duration = min(2*duration, pool.settings.EjectTimeMax)
+	}
+	server.suspectUntil = pool.now().Add(duration)
+	return true
+}
+
+// Closed notes that a server said itself that it takes nothing more.
+func (pool *Pool) Closed(id string) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	if server := pool.servers[id]; server != nil && !server.closed {
+		server.closed = true
+		pool.logger.Info("server closed", "server", id)
+	}
+}
--- /dev/null
+++ b/internal/pool/sending.go
@@ -0,0 +1,221 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/mastwinch/mastwinch/internal/placement"
+)
+
+// Phase says how far a request at a server is.
+type Phase int
+
+// Phases.
+const (
+	// PhaseReading: no event has come yet.
+	PhaseReading Phase = iota
+	// PhaseWriting: events come.
+	PhaseWriting
+	// PhaseOver: the request is not at the server any more.
+	PhaseOver
+)
+
+// Report is what VMs tell each other of one request at one server.
+type Report struct {
+	// ID is unique to the VM that sent the request.
+	ID     uint64
+	Server string
+	Phase  Phase
+	// Work is the reading that the server does.
+	Work time.Duration
+	// Memory is the KV memory that the request takes there, in tokens.
+	Memory int
+	// Gap is the longest pause between events that is in time.
+	Gap time.Duration
+	// Tight says that the request counts as one with tight pauses.
+	Tight bool
+	// Helps says that the server only reads a part of the prompt.
+	Helps bool
+	// Age is how long ago the request was sent.
+	Age time.Duration
+}
+
+// sending is a request at a server.
+type sending struct {
+	Report
+
+	// vm is the VM that sent it.
+	vm     string
+	sentAt time.Time
+	// toldAt is when the VM last told of it.
+	toldAt time.Time
+}
+
+// Use is a request of this VM at the servers of one plan.
+type Use struct {
+	pool *Pool
+	ids  []uint64
+}
+
+// Start notes that a request goes to the servers of a plan.
+func (pool *Pool) Start(plan placement.Plan, request placement.Request) *Use {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	now := pool.now()
+	use := &Use{pool: pool}
+	report := Report{Server: plan.Server.ID, Work: plan.Part, Memory: request.Memory, Gap: request.Gap, Tight: plan.Tight}
+	if len(plan.Shares) > 0 {
+		report.Memory = plan.Shares[0]
+	}
+	use.ids = append(use.ids, pool.start(report, now))
+	for i, helper := range plan.Helpers {
+		report := Report{Server: helper.ID, Work: plan.Part, Helps: true}
+		if len(plan.Shares) > 0 {
+			report.Memory = plan.Shares[i+1]
+		}
+		use.ids = append(use.ids, pool.start(report, now))
+	}
+	return use
+}
+
+func (pool *Pool) start(report Report, now time.Time) uint64 {
+	pool.nextID++
+	report.ID = pool.nextID
+	started := &sending{Report: report, vm: pool.vm, sentAt: now, toldAt: now}
+	pool.own[report.ID] = started
+	if server := pool.servers[report.Server]; server != nil {
+		server.add(started)
+	}
+	pool.publisher.Publish(report)
+	return report.ID
+}
+
+// Read notes that the prompt is read: helpers are free, the server writes.
+func (use *Use) Read() {
+	use.pool.mu.Lock()
+	defer use.pool.mu.Unlock()
+	for _, id := range use.ids {
+		use.pool.read(id)
+	}
+}
+
+func (pool *Pool) read(id uint64) {
+	own := pool.own[id]
+	if own == nil || own.Phase != PhaseReading {
+		return
+	}
+	if own.Helps && own.Memory == 0 {
+		pool.over(id)
+		return
+	}
+	own.Phase = PhaseWriting
+	if server := pool.servers[own.Server]; server != nil {
+		server.lastRead = pool.now()
+	}
+	pool.publisher.Publish(own.Report)
+	pool.wake()
+}
+
+// Over notes that the request is at its servers no more.
+func (use *Use) Over() {
+	use.pool.mu.Lock()
+	defer use.pool.mu.Unlock()
+	for _, id := range use.ids {
+		use.pool.over(id)
+	}
+}
+
+func (pool *Pool) over(id uint64) {
+	own := pool.own[id]
+	if own == nil {
+		return
+	}
+	delete(pool.own, id)
+	pool.end(own)
+	report := own.Report
+	report.Phase = PhaseOver
+	pool.publisher.Publish(report)
+	pool.wake()
+}
+
+// end takes a sending off its server.
+func (pool *Pool) end(ended *sending) {
+	server := pool.servers[ended.Server]
+	if server == nil {
+		return
+	}
+	if ended.Phase == PhaseReading {
+		server.lastRead = pool.now()
+	}
+	server.remove(ended)
+}
+
+// Own returns the requests of this VM at servers.
+func (pool *Pool) Own() []Report {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	now := pool.now()
+	reports := make([]Report, 0, len(pool.own))
+	for _, own := range pool.own {
+		report := own.Report
+		report.Age = now.Sub(own.sentAt)
+		reports = append(reports, report)
+	}
+	return reports
+}
+
+// Told takes over what another VM told of its requests.
+func (pool *Pool) Told(vm string, reports []Report) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	now := pool.now()
+	freed := false
+	for _, report := range reports {
+		freed = pool.told(vm, report, now) || freed
+	}
+	if freed {
+		pool.wake()
+	}
+}
+
+// told takes over one report, and tells whether it may have made room.
+func (pool *Pool) told(vm string, report Report, now time.Time) bool {
+	server := pool.servers[report.Server]
+	if server == nil {
+		return false
+	}
+	for _, known := range server.sendings {
+		if known.vm != vm || known.ID != report.ID {
+			continue
+		}
+		if report.Phase < known.Phase {
+			return false // told earlier, and late
+		}
+		advanced := report.Phase > known.Phase
+		if report.Phase == PhaseOver {
+			pool.end(known)
+			return true
+		}
+		if advanced {
+			server.lastRead = now
+		}
+		known.Phase = report.Phase
+		known.toldAt = now
+		return advanced
+	}
+	if report.Phase != PhaseOver {
+		server.add(&sending{Report: report, vm: vm, sentAt: now.Add(-report.Age), toldAt: now})
+	}
+	return false
+}
+
+// forget drops what other VMs have not told of for too long.
+func (pool *Pool) forget(server *server, now time.Time) {
+	oldest := now.Add(-pool.settings.RemoteTime)
+	kept := server.sendings[:0]
+	for _, sending := range server.sendings {
+		if sending.vm == pool.vm || !sending.toldAt.Before(oldest) {
+			kept = append(kept, sending)
+		}
+	}
+	server.sendings = kept
+}
--- /dev/null
+++ b/internal/pool/server.go
@@ -0,0 +1,85 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mastwinch/mastwinch/internal/directory"
+	"github.com/mastwinch/mastwinch/internal/placement"
+)
+
+// server is what is known of one backend server.
+type server struct {
+	entry directory.Entry
+	// missingSince is when it was found not to be listed, or zero.
+	missingSince time.Time
+	// closed says that the address belongs to another server by now.
+	closed       bool
+	failures     int
+	suspectUntil time.Time
+	// sendings has the requests of all VMs there, in the order of sending.
+	sendings []*sending
+	// lastRead is when a prompt was last known to be read.
+	lastRead time.Time
+}
+
+// view returns what a policy sees, MemoryFree being less than zero by what is
+// taken.
+func (server *server) view(now time.Time) placement.Server {
+	view := placement.Server{
+		ID:         server.entry.ID,
+		Address:    server.entry.Address,
+		DataCentre: server.entry.DataCentre,
+		Slots:      server.entry.Slots,
+		Suspect:    now.Before(server.suspectUntil),
+	}
+	free := server.lastRead
+	var loose time.Duration
+	for _, sending := range server.sendings {
+		if !sending.Helps {
+			view.Running++
+			view.MinGap = shorter(view.MinGap, sending.Gap)
+		}
+		if sending.Tight {
+			view.Tight++
+		}
+		view.MemoryFree -= sending.Memory
+		if sending.Phase != PhaseReading {
+			continue
+		}
+		free = later(free, sending.sentAt).Add(sending.Work)
+		if !sending.Tight {
+			loose += sending.Work
+		}
+	}
+	view.Backlog = max(0, free.Sub(now))
+	view.Loose = min(loose, view.Backlog)
+	return view
+}
+
+func shorter(a, b time.Duration) time.Duration {
+	if a == 0 || (b != 0 && b < a) {
+		return b
+	}
+	return a
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// add puts a sending in its place.
+func (server *server) add(added *sending) {
+	at, _ := slices.BinarySearchFunc(server.sendings, added, func(a, b *sending) int {
+		return cmp.Or(a.sentAt.Compare(b.sentAt), 1)
+	})
+	server.sendings = slices.Insert(server.sendings, at, added)
+}
+
+func (server *server) remove(removed *sending) {
+	server.sendings = slices.DeleteFunc(server.sendings, func(sending *sending) bool { return sending == removed })
+}
--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,218 @@
+// Package upstream sends requests to backend servers over kept connections.
+//
+// It stands beside net/http's transport since that one sends some requests
+// again by itself and hides which connection an answer came on. Here each send
+// happens at most once, and a connection is used again only when nothing on it
+// was out of the ordinary.
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// readBuffer is the size of a connection's read buffer. Heads and most plain
+// answers fit.
+const readBuffer = 4 << 10
+
+// Settings bound the connections.
+type Settings struct {
+	// DialTimeout is how long a new connection may take. Data centres are a
+	// few milliseconds apart; a server that takes longer is dark.
+	DialTimeout time.Duration `yaml:"dial_timeout" validate:"min=10ms,max=10s"`
+	// UserTimeout is how long sent bytes may stay without acknowledgement.
+	UserTimeout time.Duration `yaml:"user_timeout" validate:"min=100ms,max=30s"`
+	// MaxIdle is how many connections are kept for one server.
+	MaxIdle int `yaml:"max_idle" validate:"min=0,max=1024"`
+	// IdleTime is how long a connection is kept when the server names no time.
+	IdleTime time.Duration `yaml:"idle_time" validate:"min=10ms"`
+	// IdleMargin is taken off the time that a server names.
+	IdleMargin time.Duration `yaml:"idle_margin" validate:"min=0"`
+}
+
+// DefaultSettings returns settings for data centres of one city.
+func DefaultSettings() Settings {
+	return Settings{
+		DialTimeout: 500 * time.Millisecond,
+		UserTimeout: 1200 * time.Millisecond,
+		MaxIdle:     32,
+		IdleTime:    4 * time.Second,
+		IdleMargin:  700 * time.Millisecond,
+	}
+}
+
+// Request is a request as it goes to a server.
+type Request struct {
+	Method string
+	// Target is the path and the query exactly as the caller sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// NotSentError says that nothing of the request reached the server.
+type NotSentError struct {
+	Address string
+	Err     error
+}
+
+// Error implements error.
+func (e *NotSentError) Error() string {
+	return "not sent to " + e.Address + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error {
+	return e.Err
+}
+
+// Client keeps connections to servers.
+type Client struct {
+	settings Settings
+	now      func() time.Time
+	dialer   net.Dialer
+
+	mu sync.Mutex
+	// idle has the kept connections by address, the last used last.
+	idle   map[string][]*connection
+	opened int
+}
+
+// New returns a client without connections.
+func New(settings Settings, now func() time.Time) *Client {
+	return &Client{
+		settings: settings,
+		now:      now,
+		dialer:   net.Dialer{Timeout: settings.DialTimeout, Control: Control(settings.UserTimeout)},
+		idle:     make(map[string][]*connection),
+	}
+}
+
+// Opened returns how many connections were opened so far.
+func (client *Client) Opened() int {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	return client.opened
+}
+
+// Send sends a request and returns the head of the answer to it. fits tells an
+// answer to this request from a late one to an earlier request, which is
+// skipped. The connection is closed when ctx ends before the answer was read.
+func (client *Client) Send(
+	ctx context.Context, address string, request Request, fits func(http.Header) bool,
+) (*Response, error) {
+	connection, err := client.take(ctx, address)
+	if err != nil {
+		return nil, &NotSentError{Address: address, Err: err}
+	}
+	connection.stop = context.AfterFunc(ctx, connection.close)
+	response, err := connection.roundTrip(request, fits)
+	if err != nil {
+		connection.close()
+		if ctx.Err() != nil {
+			return nil, errors.Wrap(context.Cause(ctx), err.Error())
+		}
+		return nil, err
+	}
+	response.client = client
+	return response, nil
+}
+
+// take returns a kept connection that is still good, or a new one.
+func (client *Client) take(ctx context.Context, address string) (*connection, error) {
+	for {
+		kept := client.pop(address)
+		if kept == nil {
+			break
+		}
+		if kept.quiet() && client.now().Before(kept.goodUntil) {
+			return kept, nil
+		}
+		kept.close()
+	}
+	dialled, err := client.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	client.mu.Lock()
+	client.opened++
+	client.mu.Unlock()
+	return &connection{
+		address: address,
+		conn:    dialled,
+		reader:  bufio.NewReaderSize(dialled, readBuffer),
+	}, nil
+}
+
+func (client *Client) pop(address string) *connection {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	kept := client.idle[address]
+	if len(kept) == 0 {
+		return nil
+	}
+	last := kept[len(kept)-1]
+	client.idle[address] = kept[:len(kept)-1]
+	return last
+}
+
+// keep takes a connection back that the server keeps for that long.
+func (client *Client) keep(connection *connection, idle time.Duration) {
+	if idle <= 0 {
+		idle = client.settings.IdleTime
+	}
+	connection.goodUntil = client.now().Add(idle - client.settings.IdleMargin)
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	kept := client.idle[connection.address]
+	if len(kept) >= client.settings.MaxIdle {
+		connection.close()
+		return
+	}
+	client.idle[connection.address] = append(kept, connection)
+}
+
+// Sweep closes kept connections whose time is over.
+func (client *Client) Sweep() {
+	now := client.now()
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	for address, kept := range client.idle {
+		good := kept[:0]
+		for _, connection := range kept {
+			if now.Before(connection.goodUntil) {
+				good = append(good, connection)
+				continue
+			}
+			connection.close()
+		}
+		client.idle[address] = good
+		if len(good) == 0 {
+			delete(client.idle, address)
+		}
+	}
+}
+
+// encode returns the bytes of a request.
+func encode(request Request) []byte {
+	buffer := &bytes.Buffer{}
+	buffer.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
+	_ = request.Header.Write(buffer) // a buffer takes all
+	if len(request.Body) > 0 || (request.Method != http.MethodGet && request.Method != http.MethodHead) {
+		buffer.WriteString("Content-Length: " + itoa(len(request.Body)) + "\r\n")
+	}
+	buffer.WriteString("\r\n")
+	buffer.Write(request.Body)
+	return buffer.Bytes()
+}
+
+var _ io.Reader = (*Response)(nil)
--- /dev/null
+++ b/internal/upstream/response.go
@@ -0,0 +1,58 @@
+package upstream
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Response is the answer of a server. It is used by one goroutine.
+type Response struct {
+	Status int
+	Header http.Header
+
+	answer     *http.Response
+	connection *connection
+	client     *Client
+	// ended says that the whole body was read.
+	ended bool
+}
+
+// Read implements io.Reader over the body.
+func (response *Response) Read(buffer []byte) (int, error) {
+	count, err := response.answer.Body.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		response.ended = true
+	}
+	return count, err //nolint:wrapcheck // io.Reader's own errors
+}
+
+// SetReadDeadline bounds how long a read may wait.
+func (response *Response) SetReadDeadline(deadline time.Time) error {
+	return errors.WithStack(response.connection.conn.SetReadDeadline(deadline))
+}
+
+// Framed reports whether the answer states where it ends.
+func (response *Response) Framed() bool {
+	return response.answer.ContentLength >= 0 || len(response.answer.TransferEncoding) > 0
+}
+
+// Close ends the use of the connection. It is kept for idle when the whole
+// answer was read, nothing is left over, and the server does not close it.
+func (response *Response) Close(idle time.Duration) {
+	connection := response.connection
+	watched := connection.stop()
+	clean := response.ended && response.Framed() && !response.answer.Close && !connection.odd &&
+		connection.wroteAll() && connection.reader.Buffered() == 0
+	if !clean || !watched {
+		connection.close()
+		return
+	}
+	if err := connection.conn.SetReadDeadline(time.Time{}); err != nil {
+		connection.close()
+		return
+	}
+	response.client.keep(connection, idle)
+}
