pool: an entry that is missing alone has left, also after the list was away

A VM cut from the store from 1 to 13 s came back, found one entry of 21 missing and took it for one that lapsed while the store was away, so it sent to it 2.7 s after the server had left. Ruled out: a late read (the VM had read the list 0.8 s after the drop) and a shorter waiting time, which would drop all servers after a real outage. Change: lapsed entries count only while they are more than those listed.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -215,12 +215,15 @@
 }
 
 // Open returns the servers of a service that may get a request which went to
-// those in tried before.
+// those in tried before. Servers that lapsed from the list while its source was
+// away count only while they are more than the listed ones: then the list is
+// not whole again yet, else they left.
 func (pool *Pool) Open(service *catalog.Service, tried []string) []placement.Server {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	now := pool.now()
 	open := make([]placement.Server, 0, len(pool.byService[service.Name]))
+	var lapsed []placement.Server
 	for _, server := range pool.byService[service.Name] {
 		if server.entry.Leaving || server.closed || pool.gone(server, now) || slices.Contains(tried, server.entry.ID) {
 			continue
@@ -230,7 +233,14 @@
 		if service.Engine != nil {
 			view.MemoryFree += service.Engine.MemoryTokens
 		}
-		open = append(open, view)
+		if server.missingSince.IsZero() {
+			open = append(open, view)
+			continue
+		}
+		lapsed = append(lapsed, view)
+	}
+	if len(lapsed) > len(open) {
+		return append(open, lapsed...)
 	}
 	return open
 }
