gateway: a VM that stops refuses what comes late, tests in virtual time

Ruled out: slow servers (the streams ran 1.2 s as usual). Change: after drain.notice (3 s) new requests get 503, not run, with a time to return; the process ends as soon as the rest has ended. Also a follower whose source was lost asks without waiting, so that the belief is proven at once; the test 'not when the store is back' found that and failed before. The gateway, a stand-in of the store and scripted servers run on a network in memory in virtual time; TestStoppingVMRefusesWhatComesLate failed before.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -76,8 +76,6 @@
 	Whole bool
 	// AtServer names the server at fault, or is empty.
 	AtServer string
-	// Leaving says that the server wants no more requests on the connection.
-	Leaving bool
 	// Idle is how long the server keeps the connection, or zero.
 	Idle time.Duration
 	// Stream says that the body is a series of events.
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -14,8 +14,8 @@
 
 	"github.com/mastwinch/mastwinch/internal/gateway"
 	"github.com/mastwinch/mastwinch/internal/logging"
+	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/settings"
-	"github.com/mastwinch/mastwinch/internal/upstream"
 	"github.com/mastwinch/mastwinch/platform"
 )
 
@@ -67,12 +67,13 @@
 	lines := logging.New(os.Stdout, tuning.Logging.Queue)
 	defer lines.Close()
 	logger := newGatewayLogger(lines, tuning.Logging.Level, site.VM)
-	store := platform.NewStore(site.Store, newStoreTransport(tuning.Upstream))
+	system := network.New(tuning.Network)
+	store := platform.NewStore(site.Store, newStoreTransport(system))
 	served, err := gateway.New(tuning, site, platform.Codec{}, gateway.Sources{
 		Configuration: platform.NewConfigurationTopic(store, logger),
 		Servers:       platform.NewServersTopic(store, logger),
 		Register:      platform.NewMembers(store),
-	}, logger)
+	}, system, logger)
 	if err != nil {
 		return err
 	}
@@ -86,9 +87,12 @@
 	return slog.New(handler).With("vm", vm)
 }
 
-// newStoreTransport returns a transport that notices a store that is away as
-// soon as the clients of servers do.
-func newStoreTransport(settings upstream.Settings) *http.Transport {
-	dialer := &net.Dialer{Timeout: settings.DialTimeout, Control: upstream.Control(settings.UserTimeout)}
-	return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: storeIdle}
+// newStoreTransport returns a transport for the store's client.
+func newStoreTransport(network network.Network) *http.Transport {
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return network.Dial(ctx, address)
+		},
+		IdleConnTimeout: storeIdle,
+	}
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -72,7 +73,7 @@
 
 // peer is another VM.
 type peer struct {
-	address *net.UDPAddr
+	address net.Addr
 	// heard is when its last datagram came, or zero.
 	heard time.Time
 }
@@ -84,7 +85,7 @@
 	register Register
 	logger   *slog.Logger
 	now      func() time.Time
-	conn     *net.UDPConn
+	conn     net.PacketConn
 
 	mu sync.Mutex
 	// peers has the other VMs by name.
@@ -99,17 +100,11 @@
 
 var _ pool.Publisher = (*Exchange)(nil)
 
-// New returns an exchange that takes datagrams at the address of self.
-func New(settings Settings, self Member, register Register, logger *slog.Logger, now func() time.Time) (*Exchange, error) {
-	address, err := net.ResolveUDPAddr("udp4", self.Address)
-	if err != nil {
-		return nil, errors.Wrap(err, "exchange")
-	}
-	conn, err := net.ListenUDP("udp4", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "exchange")
-	}
-	self.Address = conn.LocalAddr().String()
+// New returns an exchange that takes datagrams on conn, the address of self.
+func New(
+	settings Settings, self Member, conn net.PacketConn, register Register,
+	logger *slog.Logger, now func() time.Time,
+) *Exchange {
 	return &Exchange{
 		settings: settings,
 		self:     self,
@@ -119,7 +114,7 @@
 		conn:     conn,
 		peers:    make(map[string]*peer),
 		wake:     make(chan struct{}, 1),
-	}, nil
+	}
 }
 
 // Publish implements pool.Publisher. It never blocks.
@@ -217,7 +212,7 @@
 	if member.VM == exchange.self.VM {
 		return
 	}
-	address, err := net.ResolveUDPAddr("udp4", member.Address)
+	parsed, err := netip.ParseAddrPort(member.Address)
 	if err != nil {
 		exchange.logger.Error("address of a VM not understood", "peer", member.VM, "address", member.Address, "error", err)
 		return
@@ -229,7 +224,7 @@
 		known = &peer{}
 		exchange.peers[member.VM] = known
 	}
-	known.address = address
+	known.address = net.UDPAddrFromAddrPort(parsed)
 }
 
 // tellChanges tells live VMs of changes as they come.
@@ -264,10 +259,10 @@
 }
 
 // addresses returns where VMs take datagrams, all of them or the live ones.
-func (exchange *Exchange) addresses(liveOnly bool) []*net.UDPAddr {
+func (exchange *Exchange) addresses(liveOnly bool) []net.Addr {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
-	addresses := make([]*net.UDPAddr, 0, len(exchange.peers))
+	addresses := make([]net.Addr, 0, len(exchange.peers))
 	for _, peer := range exchange.peers {
 		if !liveOnly || exchange.live(peer) {
 			addresses = append(addresses, peer.address)
@@ -277,7 +272,7 @@
 }
 
 // send sends reports to addresses, in as many datagrams as they take.
-func (exchange *Exchange) send(addresses []*net.UDPAddr, reports []pool.Report, hello bool) {
+func (exchange *Exchange) send(addresses []net.Addr, reports []pool.Report, hello bool) {
 	if len(addresses) == 0 {
 		return
 	}
@@ -294,7 +289,7 @@
 		}
 		for _, address := range addresses {
 			// A datagram that cannot be sent is as good as lost.
-			if _, err := exchange.conn.WriteToUDP(data, address); err != nil {
+			if _, err := exchange.conn.WriteTo(data, address); err != nil {
 				exchange.logger.Debug("datagram not sent", "address", address.String(), "error", err)
 			}
 		}
@@ -305,7 +300,7 @@
 func (exchange *Exchange) receive(ctx context.Context, sink Sink) error {
 	buffer := make([]byte, maxDatagram)
 	for {
-		count, _, err := exchange.conn.ReadFromUDP(buffer)
+		count, _, err := exchange.conn.ReadFrom(buffer)
 		if ctx.Err() != nil {
 			return nil //nolint:nilerr // the socket was closed to end this
 		}
@@ -344,7 +339,7 @@
 		exchange.logger.Info("VM heard", "peer", update.GetVm(), "address", update.GetAddress())
 	}
 	if returned || update.GetHello() {
-		exchange.send([]*net.UDPAddr{address}, sink.Own(), false)
+		exchange.send([]net.Addr{address}, sink.Own(), false)
 	}
 	sink.Told(update.GetVm(), decode(update.GetSendings()))
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -98,7 +98,11 @@
 	pause := follower.settings.RetryMin
 	lost := false
 	for ctx.Err() == nil {
-		next, err := follower.ask(ctx, offset)
+		patience := follower.settings.Wait
+		if lost {
+			patience = 0 // the answer proves the belief; a change may take long to come
+		}
+		next, err := follower.ask(ctx, offset, patience)
 		if err == nil {
 			if lost {
 				lost = false
@@ -128,8 +132,9 @@
 	}
 }
 
-// ask asks for everything when offset is below zero, else for changes.
-func (follower *Follower[T]) ask(ctx context.Context, offset int64) (int64, error) {
+// ask asks for everything when offset is below zero, else for changes, for
+// which it waits that long.
+func (follower *Follower[T]) ask(ctx context.Context, offset int64, waiting time.Duration) (int64, error) {
 	asked := follower.now()
 	if offset < 0 {
 		bounded, cancel := context.WithTimeout(ctx, follower.settings.Patience)
@@ -142,9 +147,9 @@
 		follower.proven.Store(&asked)
 		return next, nil
 	}
-	bounded, cancel := context.WithTimeout(ctx, follower.settings.Wait+follower.settings.Patience)
+	bounded, cancel := context.WithTimeout(ctx, waiting+follower.settings.Patience)
 	defer cancel()
-	changes, next, err := follower.source.Since(bounded, offset, follower.settings.Wait)
+	changes, next, err := follower.source.Since(bounded, offset, waiting)
 	if err != nil {
 		return offset, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,7 +7,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -20,6 +19,7 @@
 	"github.com/mastwinch/mastwinch/internal/directory"
 	"github.com/mastwinch/mastwinch/internal/exchange"
 	"github.com/mastwinch/mastwinch/internal/follower"
+	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/placement"
 	"github.com/mastwinch/mastwinch/internal/pool"
 	"github.com/mastwinch/mastwinch/internal/retrybudget"
@@ -56,6 +56,7 @@
 	settings Settings
 	site     Site
 	codec    Codec
+	network  network.Network
 	logger   *slog.Logger
 	now      func() time.Time
 
@@ -75,6 +76,8 @@
 	bodyBytes atomic.Int64
 	// stopping says that the process was asked to stop.
 	stopping atomic.Bool
+	// closing says that new requests are refused, so that the process can end.
+	closing atomic.Bool
 	// life ends when what is in progress must end.
 	life context.Context //nolint:containedctx // requests outlive the call that stops the process
 	end  context.CancelCauseFunc
@@ -88,25 +91,29 @@
 var errStopping = errors.New("process stops")
 
 // New returns a gateway. It takes datagrams from now on.
-func New(settings Settings, site Site, codec Codec, sources Sources, logger *slog.Logger) (*Gateway, error) {
+func New(
+	settings Settings, site Site, codec Codec, sources Sources, network network.Network, logger *slog.Logger,
+) (*Gateway, error) {
 	now := time.Now
-	exchange, err := exchange.New(settings.Exchange,
-		exchange.Member{VM: site.VM, Address: site.PeerAddress}, sources.Register, logger, now)
+	packets, err := network.ListenPacket(context.Background(), site.PeerAddress)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "gateway")
 	}
+	self := exchange.Member{VM: site.VM, Address: site.PeerAddress}
+	exchange := exchange.New(settings.Exchange, self, packets, sources.Register, logger, now)
 	life, end := context.WithCancelCause(context.Background())
 	gateway := &Gateway{
 		settings: settings,
 		site:     site,
 		codec:    codec,
+		network:  network,
 		logger:   logger,
 		now:      now,
 		belief:   &belief{logger: logger, now: now},
 		exchange: exchange,
 		pool:     pool.New(settings.Pool, site.VM, exchange, logger, now),
 		policy:   newPolicy(settings),
-		upstream: upstream.New(settings.Upstream, now),
+		upstream: upstream.New(settings.Upstream, network, now),
 		idle:     newIdleConnections(now),
 		life:     life,
 		end:      end,
@@ -132,8 +139,8 @@
 	}
 	ready := &http.Server{Handler: gateway.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	group, working := errgroup.WithContext(gateway.life)
-	group.Go(func() error { return listenAndServe(working, front, gateway.site.Address) })
-	group.Go(func() error { return listenAndServe(working, ready, gateway.site.ReadyAddress) })
+	group.Go(func() error { return gateway.listenAndServe(working, front, gateway.site.Address) })
+	group.Go(func() error { return gateway.listenAndServe(working, ready, gateway.site.ReadyAddress) })
 	group.Go(func() error { return gateway.exchange.Run(working, gateway.pool) })
 	group.Go(func() error { gateway.configuration.Run(working); return nil })
 	group.Go(func() error { gateway.directory.Run(working); return nil })
@@ -153,8 +160,8 @@
 	return err
 }
 
-func listenAndServe(ctx context.Context, server *http.Server, address string) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", address)
+func (gateway *Gateway) listenAndServe(ctx context.Context, server *http.Server, address string) error {
+	listener, err := gateway.network.Listen(ctx, address)
 	if err != nil {
 		return errors.Wrap(err, "gateway")
 	}
@@ -172,10 +179,9 @@
 	gateway.logger.Info("gateway drains", "running", gateway.running.Load())
 	latest := asked.Add(gateway.site.Bounds.Grace - gateway.settings.Drain.Reserve)
 	earliest := asked.Add(gateway.settings.Drain.Notice)
-	for gateway.now().Before(latest) {
-		if gateway.running.Load() == 0 && gateway.now().After(earliest) {
-			break
-		}
+	wait.For(gateway.life, earliest.Sub(asked))
+	gateway.closing.Store(true)
+	for gateway.running.Load() > 0 && gateway.now().Before(latest) {
 		wait.For(gateway.life, drainTick)
 	}
 	gateway.logger.Info("gateway ends", "running", gateway.running.Load(), "after", gateway.now().Sub(asked))
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,382 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestOutcomes has what callers get for what servers do. Both servers of a
+// service do the same unless the script says otherwise.
+func TestOutcomes(t *testing.T) {
+	tests := map[string]struct {
+		backend    backend
+		caller     caller
+		wantStatus int
+		wantBody   string
+		// wantRuns is how many servers must have got the request.
+		wantRuns int
+		// wantCut says that the answer must not look whole.
+		wantCut bool
+	}{
+		"a plain answer is passed on": {
+			backend: answers(http.StatusOK, "found"), caller: plain(http.MethodPost, "pay"),
+			wantStatus: http.StatusOK, wantBody: "found", wantRuns: 1,
+		},
+		"a client error is passed on": {
+			backend: answers(http.StatusNotFound, "none"), caller: plain(http.MethodGet, "look"),
+			wantStatus: http.StatusNotFound, wantBody: "none", wantRuns: 1,
+		},
+		"a repeatable request goes to another server after a failure": {
+			backend: anyFirst(answers(http.StatusInternalServerError, "no"), answers(http.StatusOK, "yes")),
+			caller:  plain(http.MethodGet, "look"), wantStatus: http.StatusOK, wantBody: "yes", wantRuns: 2,
+		},
+		"the last server's failure is passed on": {
+			backend: answers(http.StatusInternalServerError, "no"), caller: plain(http.MethodGet, "look"),
+			wantStatus: http.StatusInternalServerError, wantBody: "no", wantRuns: 2,
+		},
+		"a request to run once is not sent again after a failure": {
+			backend: answers(http.StatusInternalServerError, "no"), caller: plain(http.MethodPost, "pay"),
+			wantStatus: http.StatusInternalServerError, wantBody: "no", wantRuns: 1,
+		},
+		"a request to run once is not sent again after a broken connection": {
+			backend: breaks(), caller: plain(http.MethodPost, "pay"),
+			wantStatus: http.StatusBadGateway, wantRuns: 1,
+		},
+		"a request to run once goes to another server that did not run it": {
+			backend: anyFirst(refuses(http.StatusServiceUnavailable), answers(http.StatusOK, "yes")),
+			caller:  plain(http.MethodPost, "pay"), wantStatus: http.StatusOK, wantBody: "yes", wantRuns: 2,
+		},
+		"another server at the address did not run it": {
+			backend: anyFirst(refuses(http.StatusMisdirectedRequest), answers(http.StatusOK, "yes")),
+			caller:  plain(http.MethodPost, "pay"), wantStatus: http.StatusOK, wantBody: "yes", wantRuns: 2,
+		},
+		"a repeatable request goes on after a broken connection": {
+			backend: anyFirst(breaks(), answers(http.StatusOK, "yes")), caller: plain(http.MethodGet, "look"),
+			wantStatus: http.StatusOK, wantBody: "yes", wantRuns: 2,
+		},
+		"a repeatable request goes on after silence": {
+			backend: anyFirst(hangs(), answers(http.StatusOK, "yes")), caller: plain(http.MethodGet, "look"),
+			wantStatus: http.StatusOK, wantBody: "yes", wantRuns: 2,
+		},
+		"a success without a mark of origin is no answer": {
+			backend: func(_ *world, _ int, writer http.ResponseWriter, request *http.Request) {
+				writer.Header().Set("Request-Id", request.Header.Get("Request-Id"))
+				_, _ = writer.Write([]byte("forged"))
+			},
+			caller: plain(http.MethodPost, "pay"), wantStatus: http.StatusBadGateway, wantRuns: 1,
+		},
+		"an answer to another request is no answer": {
+			backend: func(_ *world, _ int, writer http.ResponseWriter, _ *http.Request) {
+				writer.Header().Set("Request-Id", "of-another")
+				writer.Header().Set("Response-Seal", "x")
+				_, _ = writer.Write([]byte("of another"))
+			},
+			caller: plain(http.MethodPost, "pay"), wantStatus: http.StatusGatewayTimeout, wantRuns: 1,
+		},
+		"an encoded success is no answer": {
+			backend: func(_ *world, _ int, writer http.ResponseWriter, request *http.Request) {
+				seal(writer, request)
+				writer.Header().Set("Content-Encoding", "gzip")
+				_, _ = writer.Write([]byte("zipped"))
+			},
+			caller: plain(http.MethodPost, "pay"), wantStatus: http.StatusBadGateway, wantRuns: 1,
+		},
+		"an answer cut short is no answer": {
+			backend: func(_ *world, _ int, writer http.ResponseWriter, request *http.Request) {
+				seal(writer, request)
+				writer.Header().Set("Content-Length", "100")
+				_, _ = writer.Write([]byte("part"))
+				panic(http.ErrAbortHandler)
+			},
+			caller: plain(http.MethodPost, "pay"), wantStatus: http.StatusBadGateway, wantRuns: 1,
+		},
+		"silence ends at the route's time": {
+			backend: hangs(), caller: plain(http.MethodPost, "pay"), wantStatus: http.StatusGatewayTimeout, wantRuns: 1,
+		},
+		"a stream is passed on": {
+			backend: streams(5, 0), caller: stream("chat"), wantStatus: http.StatusOK, wantBody: wholeStream(5), wantRuns: 1,
+		},
+		"a stream goes on where the caller has it": {
+			backend: streams(5, 0), caller: stream("chat").with("Last-Event-Id", "3"), wantStatus: http.StatusOK,
+			wantBody: "id: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n", wantRuns: 1,
+		},
+		"a cut stream goes on at another server": {
+			backend: anyFirst(streams(5, 2), streams(5, 0)), caller: stream("chat"),
+			wantStatus: http.StatusOK, wantBody: wholeStream(5), wantRuns: 2,
+		},
+		"a stream cut again is not made to look whole": {
+			backend: streams(5, 2), caller: stream("chat"), wantStatus: http.StatusOK,
+			wantBody: wholeStream(2), wantCut: true, wantRuns: 2,
+		},
+		"a stream that must not be repeated is not": {
+			backend: anyFirst(streams(5, 2), streams(5, 0)), caller: stream("bill"),
+			wantStatus: http.StatusOK, wantBody: wholeStream(2), wantCut: true, wantRuns: 1,
+		},
+		"a stream that fell silent goes on at another server": {
+			backend: anyFirst(func(_ *world, _ int, writer http.ResponseWriter, request *http.Request) {
+				seal(writer, request)
+				writer.Header().Set("Content-Type", "text/event-stream")
+				_, _ = writer.Write([]byte("id: 1\ndata: piece 1\n\n"))
+				_ = http.NewResponseController(writer).Flush()
+				<-request.Context().Done()
+			}, streams(5, 0)), caller: stream("chat"),
+			wantStatus: http.StatusOK, wantBody: wholeStream(5), wantRuns: 2,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			servers := map[string]backend{"one": test.backend, "two": test.backend}
+			inWorld(t, servers, servers, func(world *world) {
+				got := world.ask(test.caller)
+				assert.Equal(t, got.status, test.wantStatus, got.body)
+				if test.wantBody != "" {
+					assert.Equal(t, got.body, test.wantBody)
+				}
+				assert.Equal(t, got.whole, !test.wantCut)
+				assert.Equal(t, len(world.requests()), test.wantRuns)
+			})
+		})
+	}
+}
+
+// TestRefusals has the requests that reach no server.
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		caller     caller
+		wantStatus int
+	}{
+		"unknown path":        {caller: plain(http.MethodGet, "none"), wantStatus: http.StatusNotFound},
+		"unknown host":        {caller: plain(http.MethodGet, "look").with("Host", "other.example"), wantStatus: http.StatusNotFound},
+		"no key":              {caller: plain(http.MethodGet, "look").with("Authorization", ""), wantStatus: http.StatusUnauthorized},
+		"unknown key":         {caller: plain(http.MethodGet, "look").with("Authorization", "Bearer x"), wantStatus: http.StatusUnauthorized},
+		"no ID":               {caller: plain(http.MethodGet, "look").with("Request-Id", ""), wantStatus: http.StatusBadRequest},
+		"time is no number":   {caller: plain(http.MethodGet, "look").with("Deadline-Ms", "soon"), wantStatus: http.StatusBadRequest},
+		"counts are no pair":  {caller: stream("chat").with("Token-Counts", "12"), wantStatus: http.StatusBadRequest},
+		"counts below zero":   {caller: stream("chat").with("Token-Counts", "-1,3"), wantStatus: http.StatusBadRequest},
+		"body over the limit": {caller: caller{method: http.MethodPost, path: "/pay/x", body: string(make([]byte, 65_537))}, wantStatus: http.StatusRequestEntityTooLarge},
+		"head over the limit": {caller: plain(http.MethodGet, "look").with("X-Long", string(make16k())), wantStatus: http.StatusRequestHeaderFieldsTooLarge},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			servers := map[string]backend{"one": answers(http.StatusOK, "run")}
+			inWorld(t, servers, servers, func(world *world) {
+				assert.Equal(t, world.ask(test.caller).status, test.wantStatus)
+				assert.Equal(t, len(world.requests()), 0)
+			})
+		})
+	}
+}
+
+func make16k() []byte {
+	long := make([]byte, 16_384)
+	for i := range long {
+		long[i] = 'x'
+	}
+	return long
+}
+
+// TestSmuggling has heads that mean different things to different readers.
+// Whatever the answer, no server may see more than the one request.
+func TestSmuggling(t *testing.T) {
+	head := "POST /pay/x HTTP/1.1\r\nHost: register.example\r\nRequest-Id: a\r\nAuthorization: Bearer " + testKey + "\r\n"
+	inner := "GET /look/hidden HTTP/1.1\r\nHost: register.example\r\nRequest-Id: b\r\n\r\n"
+	tests := map[string]string{
+		"both lengths":           head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner,
+		"two lengths":            head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcd" + inner,
+		"length with a sign":     head + "Content-Length: +4\r\n\r\nabcd",
+		"odd chunk size":         head + "Transfer-Encoding: chunked\r\n\r\n0x4\r\nabcd\r\n0\r\n\r\n",
+		"blank before a colon":   head + "Content-Length : 4\r\n\r\nabcd" + inner,
+		"folded line":            head + "X-A: b\r\n c: d\r\nContent-Length: 4\r\n\r\nabcd",
+		"unknown encoding":       head + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + inner,
+		"target that is no path": "GET http://register.example/look/x HTTP/1.1\r\nHost: register.example\r\nRequest-Id: a\r\n\r\n",
+		"line within the target": "GET /look/x\nHost: y HTTP/1.1\r\nHost: register.example\r\n\r\n",
+	}
+	for name, bytes := range tests {
+		t.Run(name, func(t *testing.T) {
+			servers := map[string]backend{"one": answers(http.StatusOK, "run")}
+			inWorld(t, servers, servers, func(world *world) {
+				world.raw(bytes, time.Second)
+				for _, request := range world.requests() {
+					assert.Equal(t, request.Target, "/pay/x")
+					assert.Equal(t, request.Header.Get("Request-Id"), "a")
+				}
+			})
+		})
+	}
+}
+
+func TestServerSeesTheRequestUnaltered(t *testing.T) {
+	servers := map[string]backend{"one": streams(1, 0)}
+	inWorld(t, servers, nil, func(world *world) {
+		got := world.ask(stream("chat").with("X-Own", "kept").with("Tenant", "forged").
+			with("Expect-Instance", "forged").with("Connection", "X-Hop").with("X-Hop", "dropped"))
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, got.header.Get("Response-Seal"), "seal-of-engines-one")
+		request := world.requests()[0]
+		assert.Equal(t, request.Method, http.MethodPost)
+		assert.Equal(t, request.Target, "/chat/x?a=%2F&b=1")
+		assert.Equal(t, request.Body, "prompt")
+		assert.Equal(t, request.Header.Get("Request-Id"), "request-1")
+		assert.Equal(t, request.Header.Get("Token-Counts"), "4960,500")
+		assert.Equal(t, request.Header.Get("Prefix-Hash"), "5c1e07a2:800")
+		assert.Equal(t, request.Header.Get("X-Own"), "kept")
+		assert.Equal(t, request.Header.Get("Expect-Instance"), "engines-one")
+		assert.DeepEqual(t, request.Header.Values("Tenant"), []string{"register"})
+		assert.Equal(t, request.Header.Get("Authorization"), "", "a key never leaves the gateway")
+		assert.Equal(t, request.Header.Get("X-Hop"), "")
+	})
+}
+
+func TestCallerThatLeavesFreesTheServer(t *testing.T) {
+	left := make(chan time.Time, 1)
+	servers := map[string]backend{"one": func(_ *world, _ int, _ http.ResponseWriter, request *http.Request) {
+		<-request.Context().Done()
+		left <- time.Now()
+	}}
+	inWorld(t, servers, nil, func(world *world) {
+		caller := stream("chat")
+		caller.give = 300 * time.Millisecond
+		started := time.Now()
+		world.ask(caller)
+		assert.Assert(t, (<-left).Sub(started) < 800*time.Millisecond)
+	})
+}
+
+func TestRevokedKeyIsRefused(t *testing.T) {
+	servers := map[string]backend{"one": answers(http.StatusOK, "run")}
+	withoutKey := func(configuration map[string]any) {
+		configuration["tenants"] = []any{map[string]any{"name": "register", "api_keys": []string{"another"}}}
+	}
+	tests := map[string]struct {
+		before func(world *world)
+		// wantKeyed and wantOpen are the statuses with and without a key.
+		wantKeyed int
+		wantOpen  int
+		wantReady bool
+	}{
+		"soon after its removal": {
+			before: func(world *world) {
+				world.configure(2, withoutKey)
+				time.Sleep(time.Second)
+			},
+			wantKeyed: http.StatusUnauthorized, wantOpen: http.StatusOK, wantReady: true,
+		},
+		"when the store is away for long": {
+			before: func(world *world) {
+				world.store.SetFault(metastoreSilent)
+				time.Sleep(5 * time.Second)
+			},
+			wantKeyed: http.StatusServiceUnavailable, wantOpen: http.StatusOK, wantReady: false,
+		},
+		"not when the store is away for a moment": {
+			before: func(world *world) {
+				world.store.SetFault(metastoreSilent)
+				time.Sleep(1500 * time.Millisecond)
+			},
+			wantKeyed: http.StatusOK, wantOpen: http.StatusOK, wantReady: true,
+		},
+		"not when the store is back": {
+			before: func(world *world) {
+				world.store.SetFault(metastoreBusy)
+				time.Sleep(8 * time.Second)
+				world.store.SetFault("")
+				time.Sleep(time.Second)
+			},
+			wantKeyed: http.StatusOK, wantOpen: http.StatusOK, wantReady: true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, nil, servers, func(world *world) {
+				test.before(world)
+				assert.Equal(t, world.ask(plain(http.MethodGet, "look")).status, test.wantKeyed)
+				assert.Equal(t, world.ask(plain(http.MethodGet, "open").with("Authorization", "")).status, test.wantOpen)
+				assert.Equal(t, world.ready(), test.wantReady)
+			})
+		})
+	}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	servers := map[string]backend{"one": answers(http.StatusOK, "run")}
+	inWorld(t, nil, servers, func(world *world) {
+		world.configure(5, func(configuration map[string]any) {
+			routes, _ := configuration["routes"].([]any)
+			configuration["routes"] = routes[:2]
+		})
+		time.Sleep(time.Second)
+		world.configure(3, nil)
+		time.Sleep(time.Second)
+		assert.Equal(t, world.ask(plain(http.MethodGet, "look")).status, http.StatusNotFound)
+		world.store.Trim("keyed.op")
+		world.configure(7, nil)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, world.ask(plain(http.MethodGet, "look")).status, http.StatusOK, "history was forgotten")
+	})
+}
+
+func TestVMWithoutConfigurationPromisesNotRun(t *testing.T) {
+	inWorld(t, nil, map[string]backend{"one": answers(http.StatusOK, "run")}, func(world *world) {
+		world.finish()
+		world.store.SetFault(metastoreSilent)
+		world.start()
+		assert.Assert(t, !world.ready())
+		got := world.ask(plain(http.MethodGet, "look"))
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Assert(t, got.header.Get("Retry-After") != "")
+	})
+}
+
+func TestLeavingServerGetsNothingNew(t *testing.T) {
+	servers := map[string]backend{"one": answers(http.StatusOK, "one"), "two": answers(http.StatusOK, "two")}
+	inWorld(t, nil, servers, func(world *world) {
+		world.list("plain-one", "plain", "10.0.2.1:80", "draining")
+		time.Sleep(1500 * time.Millisecond)
+		world.store.SetFault(metastoreSilent)
+		for range 10 {
+			assert.Equal(t, world.ask(plain(http.MethodGet, "open")).body, "two")
+		}
+	})
+}
+
+func TestPlannedStop(t *testing.T) {
+	servers := map[string]backend{"one": streams(60, 0), "two": streams(60, 0)}
+	inWorld(t, servers, servers, func(world *world) {
+		answered := make(chan answer, 1)
+		go func() { answered <- world.ask(stream("chat")) }()
+		time.Sleep(500 * time.Millisecond)
+		world.askStop()
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, !world.ready())
+		during := world.ask(stream("chat").with("Last-Event-Id", "55"))
+		assert.Equal(t, during.status, http.StatusOK, "a request that comes before the balancer knows is served")
+		assert.Assert(t, during.last)
+		got := <-answered
+		assert.Assert(t, got.whole)
+		assert.Equal(t, got.body, wholeStream(60))
+	})
+}
+
+// A VM whose data centre has no other one gets new connections all the while
+// it stops. It took them, and had to cut them at the end.
+func TestStoppingVMRefusesWhatComesLate(t *testing.T) {
+	servers := map[string]backend{"one": streams(60, 0)}
+	inWorld(t, servers, servers, func(world *world) {
+		held := make(chan answer, 1)
+		time.Sleep(time.Second)
+		world.askStop()
+		time.Sleep(2500 * time.Millisecond)
+		go func() { held <- world.ask(stream("chat")) }()
+		time.Sleep(time.Second)
+		late := world.ask(stream("chat"))
+		assert.Equal(t, late.status, http.StatusServiceUnavailable)
+		assert.Assert(t, late.header.Get("Retry-After") != "")
+		assert.Assert(t, (<-held).whole)
+		assert.NilError(t, <-world.stopped)
+		assert.Assert(t, time.Since(world.stopAt) < 8*time.Second)
+		world.stopped <- nil
+	})
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -81,6 +81,9 @@
 	result := &admitted{incoming: incoming, arrived: arrived}
 	head, err := gateway.codec.Head(incoming)
 	result.head = head
+	if gateway.closing.Load() {
+		return result, failure(ReasonStopping, false, gateway.retryAfter()), ""
+	}
 	current := gateway.belief.current.Load()
 	if current == nil {
 		return result, failure(ReasonNoConfiguration, false, gateway.retryAfter()), ""
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/mastwinch/mastwinch/internal/exchange"
 	"github.com/mastwinch/mastwinch/internal/follower"
+	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/placement"
 	"github.com/mastwinch/mastwinch/internal/pool"
 	"github.com/mastwinch/mastwinch/internal/upstream"
@@ -24,6 +25,7 @@
 	Placement     placement.Settings `yaml:"placement"`
 	Pool          pool.Settings      `yaml:"pool"`
 	Exchange      exchange.Settings  `yaml:"exchange"`
+	Network       network.Settings   `yaml:"network"`
 	Upstream      upstream.Settings  `yaml:"upstream"`
 	Configuration follower.Settings  `yaml:"configuration"`
 	Directory     follower.Settings  `yaml:"directory"`
@@ -85,6 +87,7 @@
 		Placement: placement.DefaultSettings(),
 		Pool:      pool.DefaultSettings(),
 		Exchange:  exchange.DefaultSettings(),
+		Network:   network.DefaultSettings(),
 		Upstream:  upstream.DefaultSettings(),
 		Configuration: follower.Settings{
 			Wait: 1500 * time.Millisecond, Patience: 700 * time.Millisecond,
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -25,11 +25,6 @@
 
 // Settings bound the connections.
 type Settings struct {
-	// DialTimeout is how long a new connection may take. Data centres are a
-	// few milliseconds apart; a server that takes longer is dark.
-	DialTimeout time.Duration `yaml:"dial_timeout" validate:"min=10ms,max=10s"`
-	// UserTimeout is how long sent bytes may stay without acknowledgement.
-	UserTimeout time.Duration `yaml:"user_timeout" validate:"min=100ms,max=30s"`
 	// MaxIdle is how many connections are kept for one server.
 	MaxIdle int `yaml:"max_idle" validate:"min=0,max=1024"`
 	// IdleTime is how long a connection is kept when the server names no time.
@@ -41,11 +36,9 @@
 // DefaultSettings returns settings for data centres of one city.
 func DefaultSettings() Settings {
 	return Settings{
-		DialTimeout: 500 * time.Millisecond,
-		UserTimeout: 1200 * time.Millisecond,
-		MaxIdle:     32,
-		IdleTime:    4 * time.Second,
-		IdleMargin:  700 * time.Millisecond,
+		MaxIdle:    32,
+		IdleTime:   4 * time.Second,
+		IdleMargin: 700 * time.Millisecond,
 	}
 }
 
@@ -78,8 +71,8 @@
 // Client keeps connections to servers.
 type Client struct {
 	settings Settings
+	dialer   Dialer
 	now      func() time.Time
-	dialer   net.Dialer
 
 	mu sync.Mutex
 	// idle has the kept connections by address, the last used last.
@@ -87,12 +80,17 @@
 	opened int
 }
 
+// Dialer opens connections.
+type Dialer interface {
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
 // New returns a client without connections.
-func New(settings Settings, now func() time.Time) *Client {
+func New(settings Settings, dialer Dialer, now func() time.Time) *Client {
 	return &Client{
 		settings: settings,
 		now:      now,
-		dialer:   net.Dialer{Timeout: settings.DialTimeout, Control: Control(settings.UserTimeout)},
+		dialer:   dialer,
 		idle:     make(map[string][]*connection),
 	}
 }
@@ -139,7 +137,7 @@
 		}
 		kept.close()
 	}
-	dialled, err := client.dialer.DialContext(ctx, "tcp", address)
+	dialled, err := client.dialer.Dial(ctx, address)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -124,15 +124,3 @@
 func itoa(value int) string {
 	return strconv.Itoa(value)
 }
-
-// Control sets how long sent bytes may stay without acknowledgement, so that a
-// dark server is noticed.
-func Control(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var failed error
-		err := raw.Control(func(fd uintptr) {
-			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-		})
-		return errors.CombineErrors(err, failed)
-	}
-}
