--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -69,7 +69,7 @@
 	logger := newGatewayLogger(lines, tuning.Logging.Level, site.VM)
 	system := network.New(tuning.Network)
 	store := platform.NewStore(site.Store, newStoreTransport(system))
-	served, err := gateway.New(tuning, site, platform.Codec{}, gateway.Sources{
+	served, err := gateway.New(tuning, site, platform.Codec{}, platform.Orders{}, gateway.Sources{
 		Configuration: platform.NewConfigurationTopic(store, logger),
 		Servers:       platform.NewServersTopic(store, logger),
 		Register:      platform.NewMembers(store),
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -11,9 +12,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastwinch/mastwinch/internal/call"
-	"github.com/mastwinch/mastwinch/internal/catalog"
 	"github.com/mastwinch/mastwinch/internal/placement"
 	"github.com/mastwinch/mastwinch/internal/pool"
+	"github.com/mastwinch/mastwinch/internal/reservation"
 	"github.com/mastwinch/mastwinch/internal/upstream"
 )
 
@@ -32,6 +33,13 @@
 	gateway := run.gateway
 	use := gateway.pool.Start(plan, run.placementRequest())
 	defer use.Over()
+	held, err := run.reserve(ctx, plan)
+	if err != nil {
+		return result{kind: resultNoMemory, err: err}
+	}
+	if held != nil {
+		defer held.Release()
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	patience := run.patience(plan)
@@ -40,7 +48,7 @@
 		watchdog = time.AfterFunc(patience, func() { cancel(errSilent) })
 		defer watchdog.Stop()
 	}
-	dispatch := run.dispatch(plan)
+	dispatch := run.dispatch(plan, held)
 	request := upstream.Request{
 		Method: run.incoming.Method,
 		Target: run.incoming.RequestURI,
@@ -62,6 +70,24 @@
 	return run.receive(response, answer)
 }
 
+// reserve sets memory aside at the servers of a plan that needs it.
+func (run *run) reserve(ctx context.Context, plan placement.Plan) (*reservation.Held, error) {
+	if len(plan.Shares) == 0 {
+		return nil, nil //nolint:nilnil // nothing is to be set aside
+	}
+	servers := append([]placement.Server{plan.Server}, plan.Helpers...)
+	wants := make([]reservation.Want, 0, len(servers))
+	for i, server := range servers {
+		if plan.Shares[i] == 0 {
+			continue
+		}
+		wants = append(wants, reservation.Want{Instance: server.ID, Address: server.Address, Tokens: plan.Shares[i]})
+	}
+	ticket := fmt.Sprintf("%s-%016x-%d", run.gateway.site.VM, run.seed, run.looks)
+	held, err := run.gateway.reservations.Gather(ctx, ticket, wants)
+	return held, errors.Wrap(err, "reserve")
+}
+
 // sendFailed tells whether a request that could not be sent may have run.
 func sendFailed(err error) result {
 	var notSent *upstream.NotSentError
@@ -78,10 +104,7 @@
 	if !run.route.Repeatable() || run.runs+1 >= run.route.MaxAttempts {
 		return 0
 	}
-	expected := plan.Predicted
-	if run.route.Kind != catalog.KindStream {
-		expected = run.route.Objective
-	}
+	expected := max(plan.Predicted, run.route.Objective)
 	return settings.Silence + time.Duration(settings.SilencePart*float64(expected))
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/placement"
 	"github.com/mastwinch/mastwinch/internal/pool"
+	"github.com/mastwinch/mastwinch/internal/reservation"
 	"github.com/mastwinch/mastwinch/internal/retrybudget"
 	"github.com/mastwinch/mastwinch/internal/upstream"
 	"github.com/mastwinch/mastwinch/internal/wait"
@@ -67,6 +68,7 @@
 	pool          *pool.Pool
 	policy        placement.Policy
 	upstream      *upstream.Client
+	reservations  *reservation.Book
 	metrics       *metrics
 	idle          *idleConnections
 
@@ -92,7 +94,8 @@
 
 // New returns a gateway. It takes datagrams from now on.
 func New(
-	settings Settings, site Site, codec Codec, sources Sources, network network.Network, logger *slog.Logger,
+	settings Settings, site Site, codec Codec, orders reservation.Codec, sources Sources,
+	network network.Network, logger *slog.Logger,
 ) (*Gateway, error) {
 	now := time.Now
 	packets, err := network.ListenPacket(context.Background(), site.PeerAddress)
@@ -119,6 +122,7 @@
 		end:      end,
 		budgets:  make(map[string]*retrybudget.Budget),
 	}
+	gateway.reservations = reservation.New(life, settings.Reservation, orders, gateway.upstream, logger, now)
 	gateway.metrics = newMetrics(gateway)
 	gateway.configuration = follower.New("configuration", sources.Configuration, gateway.belief,
 		settings.Configuration, logger, now)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -49,7 +49,7 @@
 	gateway := run.gateway
 	took := gateway.now().Sub(run.arrived)
 	gateway.metrics.firstEvent.WithLabelValues(run.route.Name).Observe(took.Seconds())
-	gateway.logger.Debug("first event", "request_id", run.head.ID, "server", attempted.plan.Server.ID,
+	gateway.logger.Info("first event", "request_id", run.head.ID, "server", attempted.plan.Server.ID,
 		"took", took, "predicted", attempted.plan.Predicted)
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -10,6 +10,8 @@
 
 	"github.com/mastwinch/mastwinch/internal/call"
 	"github.com/mastwinch/mastwinch/internal/placement"
+	"github.com/mastwinch/mastwinch/internal/reservation"
+	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
 // run is the life of one admitted request. It is used by one goroutine.
@@ -21,6 +23,8 @@
 	writer  http.ResponseWriter
 	// sends counts the times that the request was sent to a server.
 	sends int
+	// looks counts the plans that were tried.
+	looks int
 	// runs counts the servers that may have run the request.
 	runs int
 	// tried has the servers that failed or refused the request.
@@ -58,6 +62,8 @@
 	resultNotRun resultKind = "not_run"
 	// resultUncertain: the server may have run the request, in part or whole.
 	resultUncertain resultKind = "uncertain"
+	// resultNoMemory: nothing was sent, since memory could not be set aside.
+	resultNoMemory resultKind = "no_memory"
 	// resultBroken: the answer to the caller was begun and cannot be ended.
 	resultBroken resultKind = "broken"
 )
@@ -88,8 +94,14 @@
 		if run.sends > 0 && !budget.Spend() {
 			return run.fail(ReasonRefused, result{})
 		}
-		run.sends++
+		run.looks++
 		result := run.attempt(ctx, plan)
+		if result.kind == resultNoMemory {
+			run.gateway.logger.Info("memory not set aside", "request_id", run.head.ID, "look", run.looks, "error", result.err)
+			wait.For(ctx, run.gateway.settings.Request.Look)
+			continue
+		}
+		run.sends++
 		if final, done := run.conclude(ctx, plan, result); done {
 			return final
 		}
@@ -149,6 +161,7 @@
 	request := placement.Request{
 		DataCentre: run.gateway.site.DataCentre,
 		Gap:        run.route.Gap,
+		Objective:  run.route.Objective,
 		Left:       run.arrived.Add(run.route.Objective).Sub(run.gateway.now()),
 		Seed:       run.seed + uint64(run.sends), //nolint:gosec // a small count
 	}
@@ -161,7 +174,7 @@
 }
 
 // dispatch is what the server of a plan is told.
-func (run *run) dispatch(plan placement.Plan) call.Dispatch {
+func (run *run) dispatch(plan placement.Plan, held *reservation.Held) call.Dispatch {
 	dispatch := call.Dispatch{
 		Instance:  plan.Server.ID,
 		Time:      run.callerDeadline.Sub(run.gateway.now()),
@@ -171,8 +184,15 @@
 	if run.organisation != nil {
 		dispatch.Organisation = run.organisation.Name
 	}
-	for _, helper := range plan.Helpers {
-		dispatch.Helpers = append(dispatch.Helpers, call.Helper{Address: helper.Address})
+	if held != nil {
+		dispatch.Helpers = append(dispatch.Helpers, call.Helper{Address: plan.Server.Address, Ticket: held.Ticket()})
+	}
+	for i, helper := range plan.Helpers {
+		added := call.Helper{Address: helper.Address}
+		if held != nil && plan.Shares[i+1] > 0 {
+			added.Ticket = held.Ticket()
+		}
+		dispatch.Helpers = append(dispatch.Helpers, added)
 	}
 	return dispatch
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -8,6 +8,7 @@
 	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/placement"
 	"github.com/mastwinch/mastwinch/internal/pool"
+	"github.com/mastwinch/mastwinch/internal/reservation"
 	"github.com/mastwinch/mastwinch/internal/upstream"
 )
 
@@ -21,17 +22,18 @@
 // Settings tune a gateway. The defaults are for one city.
 type Settings struct {
 	// Policy chooses engines.
-	Policy        string             `yaml:"policy" validate:"oneof=length_aware least_in_hand round_robin"`
-	Placement     placement.Settings `yaml:"placement"`
-	Pool          pool.Settings      `yaml:"pool"`
-	Exchange      exchange.Settings  `yaml:"exchange"`
-	Network       network.Settings   `yaml:"network"`
-	Upstream      upstream.Settings  `yaml:"upstream"`
-	Configuration follower.Settings  `yaml:"configuration"`
-	Directory     follower.Settings  `yaml:"directory"`
-	Request       RequestSettings    `yaml:"request"`
-	Drain         DrainSettings      `yaml:"drain"`
-	Logging       LoggingSettings    `yaml:"logging"`
+	Policy        string               `yaml:"policy" validate:"oneof=length_aware least_in_hand round_robin"`
+	Placement     placement.Settings   `yaml:"placement"`
+	Pool          pool.Settings        `yaml:"pool"`
+	Exchange      exchange.Settings    `yaml:"exchange"`
+	Network       network.Settings     `yaml:"network"`
+	Upstream      upstream.Settings    `yaml:"upstream"`
+	Configuration follower.Settings    `yaml:"configuration"`
+	Directory     follower.Settings    `yaml:"directory"`
+	Reservation   reservation.Settings `yaml:"reservation"`
+	Request       RequestSettings      `yaml:"request"`
+	Drain         DrainSettings        `yaml:"drain"`
+	Logging       LoggingSettings      `yaml:"logging"`
 }
 
 // RequestSettings tune the life of a request.
@@ -97,6 +99,7 @@
 			Pause: 800 * time.Millisecond, Patience: 700 * time.Millisecond,
 			RetryMin: 100 * time.Millisecond, RetryMax: 800 * time.Millisecond,
 		},
+		Reservation: reservation.DefaultSettings(),
 		Request: RequestSettings{
 			RevokeMargin:   500 * time.Millisecond,
 			Margin:         20 * time.Millisecond,
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -177,7 +177,7 @@
 		return world.network.Dial(ctx, address)
 	}, DisableKeepAlives: true}
 	store := platform.NewStore(storeAddress, transport)
-	served, err := gateway.New(gateway.DefaultSettings(), site, platform.Codec{}, gateway.Sources{
+	served, err := gateway.New(gateway.DefaultSettings(), site, platform.Codec{}, platform.Orders{}, gateway.Sources{
 		Configuration: platform.NewConfigurationTopic(store, logger),
 		Servers:       platform.NewServersTopic(store, logger),
 		Register:      platform.NewMembers(store),
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -39,6 +39,13 @@
 	}
 }
 
+// Probes of connections on which nothing is sent. The system takes whole
+// seconds; two probes notice a dark peer in about two.
+const (
+	keepAliveTime   = time.Second
+	keepAliveProbes = 2
+)
+
 // System is the real network.
 type System struct {
 	dialer net.Dialer
@@ -49,7 +56,13 @@
 
 // New returns the real network.
 func New(settings Settings) System {
-	return System{dialer: net.Dialer{Timeout: settings.DialTimeout, Control: control(settings.UserTimeout)}}
+	return System{dialer: net.Dialer{
+		Timeout: settings.DialTimeout,
+		Control: control(settings.UserTimeout),
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveTime, Interval: keepAliveTime, Count: keepAliveProbes,
+		},
+	}}
 }
 
 // Listen implements Network.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -46,8 +46,10 @@
 	Memory int
 	// Gap is the longest pause between events that is in time.
 	Gap time.Duration
-	// Left is what is left until the objective. It may be negative.
-	Left time.Duration
+	// Objective is the time within which a first event is in time, and Left
+	// what is left of it. Left may be negative.
+	Objective time.Duration
+	Left      time.Duration
 	// Seed orders what is equal, so that VMs do not all choose alike.
 	Seed uint64
 }
@@ -59,8 +61,9 @@
 	Helpers []Server
 	// Part is the reading that each server does.
 	Part time.Duration
-	// Shares is the memory that is set aside at each server, the first one's
-	// first, or nil when the first server's own memory is enough.
+	// Shares is the memory that is set aside at each server, in tokens, the
+	// first one's first. It is zero for those that only read, and nil when the
+	// first server's own memory is enough.
 	Shares []int
 	// Predicted is when the first event is expected, from now.
 	Predicted time.Duration
