placement: long prompts where they do most good less harm, VMs take turns

Cause: engines share their time among all they read (found by comparing the order of first tokens with the order of sending: the smallest came first, all near the end of the sum), so thin parts sent at once make each other late. Now: a plan is weighed by what the request is worth in time less what the pauses of others lose; a prompt is held while nothing good can be done for it and there is patience; one that does not fit lets others pass.

--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -20,6 +20,7 @@
 			Tight:        report.Tight,
 			Helps:        report.Helps,
 			AgeMs:        uint32(report.Age.Milliseconds()), //nolint:gosec // minutes at most
+			DueMs:        int32(report.Due.Milliseconds()),  //nolint:gosec // minutes at most
 		})
 	}
 	return sendings
@@ -38,6 +39,7 @@
 			Tight:  sending.GetTight(),
 			Helps:  sending.GetHelps(),
 			Age:    time.Duration(sending.GetAgeMs()) * time.Millisecond,
+			Due:    time.Duration(sending.GetDueMs()) * time.Millisecond,
 		})
 	}
 	return reports
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/mastwinch/mastwinch/internal/call"
 	"github.com/mastwinch/mastwinch/internal/placement"
+	"github.com/mastwinch/mastwinch/internal/pool"
 	"github.com/mastwinch/mastwinch/internal/reservation"
 	"github.com/mastwinch/mastwinch/internal/wait"
 )
@@ -108,20 +109,30 @@
 	}
 }
 
-// place waits for a server with room. It reports false when ctx ended first.
+// place waits for servers with room. It reports false when ctx ended first.
 func (run *run) place(ctx context.Context) (placement.Plan, bool) {
 	gateway := run.gateway
 	asked := gateway.now()
+	var turn *pool.Turn
+	if run.takesTurns() {
+		turn = gateway.pool.Wait(run.service.Name, run.arrived.Add(run.route.Objective))
+		defer turn.End()
+	}
 	for {
 		changed := gateway.pool.Changed()
 		servers := gateway.pool.Open(run.service, run.tried)
 		if len(servers) == 0 {
 			run.tried = nil // all failed once: any may do better now
 		}
-		plan, ok := gateway.policy.Place(servers, run.placementRequest())
-		if ok {
-			run.logPlan(plan, len(servers), gateway.now().Sub(asked))
-			return plan, true
+		if turn == nil || turn.Mine() {
+			plan, ok := gateway.policy.Place(servers, run.placementRequest())
+			if ok {
+				run.logPlan(plan, len(servers), gateway.now().Sub(asked))
+				return plan, true
+			}
+			if turn != nil {
+				turn.Block(true)
+			}
 		}
 		look := time.NewTimer(gateway.settings.Request.Look)
 		select {
@@ -137,6 +148,12 @@
 	}
 }
 
+// takesTurns reports whether the request waits in turn with those of other VMs.
+func (run *run) takesTurns() bool {
+	return run.head.Prompt != nil && run.service.Engine != nil &&
+		run.route.Gap > run.gateway.settings.Placement.TightGap
+}
+
 func (run *run) logPlan(plan placement.Plan, servers int, waited time.Duration) {
 	helpers := make([]string, 0, len(plan.Helpers))
 	for _, helper := range plan.Helpers {
--- a/internal/placement/lengthaware.go
+++ b/internal/placement/lengthaware.go
@@ -11,7 +11,6 @@
 	ReasonPacked  Reason = "packed beside short ones"
 	ReasonSoonest Reason = "soonest"
 	ReasonApart   Reason = "apart from tight pauses"
-	ReasonNoApart Reason = "no server apart"
 	ReasonSpread  Reason = "memory of several servers"
 )
 
@@ -27,9 +26,14 @@
 type Settings struct {
 	// TightGap is the pause up to which a request counts as tight.
 	TightGap time.Duration `yaml:"tight_gap" validate:"min=1ms"`
-	// PackSlots is the part of the slots of a server that tight requests fill
-	// before they go to the next one.
+	// PackSlots is the part of the slots of a server that tight requests fill.
 	PackSlots float64 `yaml:"pack_slots" validate:"min=0.1,max=1"`
+	// KeepSpare is how many servers beside the filled ones are kept for tight
+	// requests, and LeaveLong how many are never kept.
+	KeepSpare int `yaml:"keep_spare" validate:"min=0"`
+	LeaveLong int `yaml:"leave_long" validate:"min=0"`
+	// NearBacklog is the reading up to which servers count as equally busy.
+	NearBacklog time.Duration `yaml:"near_backlog" validate:"min=1ms"`
 	// PassSpare is what a pass takes beside reading and the steps themselves:
 	// the context of what is written.
 	PassSpare time.Duration `yaml:"pass_spare" validate:"min=0"`
@@ -37,20 +41,40 @@
 	MaxParts int `yaml:"max_parts" validate:"min=1,max=17"`
 	// MinPart is the least that a server reads of a prompt read by several.
 	MinPart time.Duration `yaml:"min_part" validate:"min=1ms"`
-	// HoldPart is the part of the objective up to which a prompt is held until
-	// it does not make the pauses of others too long.
-	HoldPart float64 `yaml:"hold_part" validate:"min=0,max=1"`
+	// Room is the most that a server may have to read to get a part of another
+	// long prompt.
+	Room time.Duration `yaml:"room" validate:"min=0"`
+	// TightPass is the longest pass that keeps tight pauses in time.
+	TightPass time.Duration `yaml:"tight_pass" validate:"min=1ms"`
+	// TightLife is how long a tight request takes, about.
+	TightLife time.Duration `yaml:"tight_life" validate:"min=1ms"`
+	// LatePart is the part of its worth that a late request keeps.
+	LatePart float64 `yaml:"late_part" validate:"min=0,max=1"`
+	// GoodGain is the part of its worth that a plan must bring for a request
+	// that can still be in time.
+	GoodGain float64 `yaml:"good_gain" validate:"min=0,max=1"`
+	// Patience is the multiple of the objective, beyond it, for which a request
+	// is held at most.
+	Patience float64 `yaml:"patience" validate:"min=0"`
 }
 
 // DefaultSettings returns the settings that docs/RESULTS.md found best.
 func DefaultSettings() Settings {
 	return Settings{
-		TightGap:  400 * time.Millisecond,
-		PackSlots: 0.75,
-		PassSpare: 30 * time.Millisecond,
-		MaxParts:  MaxParts,
-		MinPart:   20 * time.Millisecond,
-		HoldPart:  0.5,
+		TightGap:    400 * time.Millisecond,
+		PackSlots:   0.6,
+		KeepSpare:   1,
+		LeaveLong:   3,
+		NearBacklog: 50 * time.Millisecond,
+		PassSpare:   30 * time.Millisecond,
+		MaxParts:    MaxParts,
+		MinPart:     20 * time.Millisecond,
+		Room:        100 * time.Millisecond,
+		TightPass:   240 * time.Millisecond,
+		TightLife:   1800 * time.Millisecond,
+		LatePart:    0.25,
+		GoodGain:    0.5,
+		Patience:    1.5,
 	}
 }
 
@@ -102,39 +126,66 @@
 	return sound
 }
 
+// placeTight chooses among the servers that are kept for tight requests, the
+// one with the least to do; then among all.
 func (lengthaware LengthAware) placeTight(servers []Server, request Request) (Plan, bool) {
 	work := request.Engine.ReadTime(request.Tokens)
-	plan := Plan{Part: work, Tight: true}
-	best := -1
+	kept := servers[:lengthaware.keep(servers)]
+	best, ok := lengthaware.leastBusy(kept, request, work)
+	reason := ReasonPacked
+	if !ok {
+		best, ok = lengthaware.leastBusy(servers, request, work)
+		reason = ReasonSoonest
+	}
+	if !ok {
+		return Plan{}, false
+	}
+	return Plan{
+		Server: best, Part: work, Tight: true, Reason: reason,
+		Predicted: best.Backlog + work + request.Engine.PassTime(),
+	}, true
+}
+
+// leastBusy returns the server whose passes are shortest among those where the
+// request keeps all pauses in time, or else the one with the least to read.
+func (lengthaware LengthAware) leastBusy(servers []Server, request Request, work time.Duration) (Server, bool) {
+	best, found, bestFits := Server{}, false, false
 	for i := range servers {
 		server := &servers[i]
 		if !server.writes(request) {
 			continue
 		}
-		if lengthaware.packs(server, request, work) {
-			plan.Server = *server
-			plan.Predicted = server.Backlog + work + request.Engine.PassTime()
-			plan.Reason = ReasonPacked
-			return plan, true
-		}
-		if best < 0 || server.Backlog < servers[best].Backlog {
-			best = i
+		fits := lengthaware.pass(server, request, work) < request.Gap && lengthaware.fits(server, request, work)
+		better := !found || (fits && !bestFits) ||
+			(fits == bestFits && lengthaware.lessBusy(server, &best))
+		if better {
+			best, found, bestFits = *server, true, fits
 		}
 	}
-	if best < 0 {
-		return Plan{}, false
+	return best, found
+}
+
+// lessBusy compares servers by what they read and, where that is near, by how
+// many requests they have.
+func (lengthaware LengthAware) lessBusy(a, b *Server) bool {
+	near := lengthaware.settings.NearBacklog
+	if a.Backlog/near != b.Backlog/near {
+		return a.Backlog < b.Backlog
 	}
-	plan.Server = servers[best]
-	plan.Predicted = plan.Server.Backlog + work + request.Engine.PassTime()
-	plan.Reason = ReasonSoonest
-	return plan, true
+	return a.Running < b.Running
 }
 
-// packs reports whether a tight request may be added without harm.
-func (lengthaware LengthAware) packs(server *Server, request Request, work time.Duration) bool {
-	return lengthaware.fits(server, request, work) &&
-		lengthaware.pass(server, request, work) < request.Gap &&
-		float64(server.Running) < lengthaware.settings.PackSlots*float64(server.Slots)
+// keep returns how many of the servers, in their order, are kept for tight
+// requests: as many as those in progress fill to PackSlots, and KeepSpare more.
+func (lengthaware LengthAware) keep(servers []Server) int {
+	tight, slots := 0, 0
+	for i := range servers {
+		tight += servers[i].Tight
+		slots = max(slots, servers[i].Slots)
+	}
+	filled := max(1, int(lengthaware.settings.PackSlots*float64(slots)))
+	count := (tight+filled-1)/filled + lengthaware.settings.KeepSpare
+	return min(count, max(1, len(servers)-lengthaware.settings.LeaveLong), len(servers))
 }
 
 // pass is how long the next pass of a server takes with more to read.
@@ -147,77 +198,126 @@
 	return server.MinGap == 0 || lengthaware.pass(server, request, part) < server.MinGap
 }
 
+// placeLong reads a prompt in parts at those servers where that does most good:
+// what the request is worth in time, less what the pauses of others lose. An
+// engine shares its time among all that it reads, so what is sent early makes
+// the others late: a prompt is held while nothing good can be done for it, until
+// Patience is over.
 func (lengthaware LengthAware) placeLong(servers []Server, request Request) (Plan, bool) {
+	forced := request.Left < -time.Duration(lengthaware.settings.Patience*float64(request.Objective))
+	open := lengthaware.withRoom(servers, forced)
 	work := request.Engine.ReadTime(request.Tokens)
-	most := min(lengthaware.settings.MaxParts, len(servers), max(1, int(work/lengthaware.settings.MinPart)))
-	best, found := Plan{}, false
-	for parts := most; parts >= 1; parts-- {
+	most := min(lengthaware.settings.MaxParts, len(open), max(1, int(work/lengthaware.settings.MinPart)))
+	best, bestGain, found := Plan{}, 0.0, false
+	for parts := 1; parts <= most; parts++ {
 		part := work / time.Duration(parts)
-		clean := make([]Server, 0, len(servers))
-		for i := range servers {
-			if lengthaware.fits(&servers[i], request, part) {
-				clean = append(clean, servers[i])
-			}
+		harms := lengthaware.harms(open, request, part)
+		plan, harm, ok := choose(harms, request, part, parts)
+		if !ok {
+			continue
 		}
-		plan, ok := choose(clean, request, work, parts, ReasonApart)
-		if ok && (!found || plan.Predicted < best.Predicted) {
-			best, found = plan, true
+		gain := lengthaware.gain(plan, request) - harm
+		if !found || gain > bestGain {
+			best, bestGain, found = plan, gain, true
 		}
 	}
-	if found && best.Predicted <= request.Left {
-		return best, true
+	late := request.Left < 0
+	worth := Weight(request.Memory)
+	if !found || forced {
+		return best, found
 	}
-	if request.Left > time.Duration((1-lengthaware.settings.HoldPart)*float64(request.Objective)) {
-		return Plan{}, false
+	if late {
+		return best, bestGain > 0
 	}
-	for parts := most; parts >= 1; parts-- {
-		plan, ok := choose(servers, request, work, parts, ReasonNoApart)
-		if ok && (!found || plan.Predicted < best.Predicted) {
-			best, found = plan, true
+	return best, bestGain > lengthaware.settings.GoodGain*worth
+}
+
+// withRoom returns the servers with little to read, or all when forced.
+func (lengthaware LengthAware) withRoom(servers []Server, forced bool) []Server {
+	open := make([]Server, 0, len(servers))
+	for _, server := range servers {
+		if forced || server.Backlog <= lengthaware.settings.Room {
+			open = append(open, server)
 		}
 	}
-	return best, found
+	return open
 }
 
-// choose takes the servers with the least to read. The one with most memory,
-// among those with the fewest tight requests, gets the request.
-func choose(servers []Server, request Request, work time.Duration, parts int, reason Reason) (Plan, bool) {
-	if len(servers) < parts {
-		return Plan{}, false
+// gain is what a plan brings for the request itself.
+func (lengthaware LengthAware) gain(plan Plan, request Request) float64 {
+	worth := Weight(request.Memory)
+	if plan.Predicted <= request.Left {
+		return worth
 	}
-	chosen := slices.Clone(servers)
-	slices.SortStableFunc(chosen, func(a, b Server) int {
-		return cmp.Or(cmp.Compare(a.Backlog, b.Backlog), cmp.Compare(a.Tight, b.Tight))
+	return lengthaware.settings.LatePart * worth
+}
+
+// harmed is a server with what others there lose by a part of a prompt.
+type harmed struct {
+	*Server
+
+	harm float64
+}
+
+// harms returns the servers with what others lose by a part, least first.
+func (lengthaware LengthAware) harms(servers []Server, request Request, part time.Duration) []harmed {
+	lost := 1 - lengthaware.settings.LatePart
+	list := make([]harmed, 0, len(servers))
+	for i := range servers {
+		server := &servers[i]
+		pass := lengthaware.pass(server, request, part)
+		// Tight requests that come while the part is read wait for it.
+		harm := lost * server.TightWeight * part.Seconds() / lengthaware.settings.TightLife.Seconds()
+		if pass > lengthaware.settings.TightPass {
+			harm += lost * server.TightWeight
+		}
+		if server.LooseGap > 0 && pass > server.LooseGap {
+			harm += lost * server.LooseWeight
+		}
+		list = append(list, harmed{Server: server, harm: harm})
+	}
+	slices.SortStableFunc(list, func(a, b harmed) int {
+		return cmp.Or(cmp.Compare(a.harm, b.harm), cmp.Compare(a.Backlog, b.Backlog))
 	})
-	if alone := slices.IndexFunc(chosen, func(server Server) bool { return server.writes(request) }); alone >= parts {
+	return list
+}
+
+// choose takes the servers with the least harm, and tells the harm. The one with
+// most memory, among those with the fewest tight requests, gets the request.
+func choose(harms []harmed, request Request, part time.Duration, parts int) (Plan, float64, bool) {
+	if len(harms) < parts {
+		return Plan{}, 0, false
+	}
+	if alone := slices.IndexFunc(harms, func(server harmed) bool { return server.writes(request) }); alone >= parts {
 		// One that can write must be among those that read.
-		chosen[parts-1], chosen[alone] = chosen[alone], chosen[parts-1]
+		harms[parts-1], harms[alone] = harms[alone], harms[parts-1]
+	}
+	harm := 0.0
+	chosen := make([]Server, 0, parts)
+	latest := time.Duration(0)
+	for _, server := range harms[:parts] {
+		harm += server.harm
+		chosen = append(chosen, *server.Server)
+		latest = max(latest, server.Backlog)
 	}
-	chosen = chosen[:parts]
 	slices.SortStableFunc(chosen, func(a, b Server) int {
 		return cmp.Or(cmp.Compare(a.Tight, b.Tight), cmp.Compare(b.MemoryFree, a.MemoryFree))
 	})
-	plan := Plan{Reason: reason}
+	plan := Plan{Reason: ReasonApart, Part: part, Predicted: latest + part + request.Engine.PassTime()}
 	if first := slices.IndexFunc(chosen, func(server Server) bool { return server.writes(request) }); first >= 0 {
 		chosen[0], chosen[first] = chosen[first], chosen[0]
 	} else {
 		slices.SortStableFunc(chosen, func(a, b Server) int { return cmp.Compare(b.MemoryFree, a.MemoryFree) })
 		shares, ok := share(chosen, request)
 		if !ok {
-			return Plan{}, false
+			return Plan{}, 0, false
 		}
 		plan.Shares = shares
 		plan.Reason = ReasonSpread
 	}
 	plan.Server = chosen[0]
 	plan.Helpers = chosen[1:]
-	plan.Part = work / time.Duration(parts)
-	latest := time.Duration(0)
-	for i := range chosen {
-		latest = max(latest, chosen[i].Backlog)
-	}
-	plan.Predicted = latest + plan.Part + request.Engine.PassTime()
-	return plan, true
+	return plan, harm, true
 }
 
 // writes reports whether a server may write the answer with memory of its own.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -18,12 +18,16 @@
 	Slots int
 	// Running is how many requests of all VMs are there.
 	Running int
-	// Tight is how many of them have tight pauses.
-	Tight int
+	// Tight is how many of them have tight pauses, and TightWeight what they
+	// are worth together.
+	Tight       int
+	TightWeight float64
+	// LooseWeight is what the others are worth together, and LooseGap the
+	// shortest pause that is in time among them, or zero when there is none.
+	LooseWeight float64
+	LooseGap    time.Duration
 	// Backlog is the reading of prompts that is not done yet.
 	Backlog time.Duration
-	// Loose is the part of Backlog of requests without tight pauses.
-	Loose time.Duration
 	// MinGap is the shortest pause that is in time among the requests there, or
 	// zero when there is none.
 	MinGap time.Duration
@@ -54,6 +58,16 @@
 	Seed uint64
 }
 
+// tokensPerWeight scales what a request is worth by its length: in the users'
+// sheets 5 k tokens are worth 1.3, 45 k 3.9 and 133 k 15.
+const tokensPerWeight = 10_000
+
+// Weight is what a request is worth beside others, near enough to weigh harm
+// against gain.
+func Weight(tokens int) float64 {
+	return 1 + float64(tokens)/tokensPerWeight
+}
+
 // Plan is the servers that get a request.
 type Plan struct {
 	Server Server
--- a/internal/pool/sending.go
+++ b/internal/pool/sending.go
@@ -11,8 +11,10 @@
 
 // Phases.
 const (
+	// PhaseWaiting: the request was not sent yet.
+	PhaseWaiting Phase = iota
 	// PhaseReading: no event has come yet.
-	PhaseReading Phase = iota
+	PhaseReading
 	// PhaseWriting: events come.
 	PhaseWriting
 	// PhaseOver: the request is not at the server any more.
@@ -21,8 +23,9 @@
 
 // Report is what VMs tell each other of one request at one server.
 type Report struct {
-	// ID is unique to the VM that sent the request.
-	ID     uint64
+	// ID is unique to the VM that has the request.
+	ID uint64
+	// Server is the server's ID, or the service's name of a request that waits.
 	Server string
 	Phase  Phase
 	// Work is the reading that the server does.
@@ -37,6 +40,9 @@
 	Helps bool
 	// Age is how long ago the request was sent.
 	Age time.Duration
+	// Due is when a request that waits must have its first event, from now. It
+	// is below zero when that time is over.
+	Due time.Duration
 }
 
 // sending is a request at a server.
@@ -62,13 +68,13 @@
 	defer pool.mu.Unlock()
 	now := pool.now()
 	use := &Use{pool: pool}
-	report := Report{Server: plan.Server.ID, Work: plan.Part, Memory: request.Memory, Gap: request.Gap, Tight: plan.Tight}
+	report := Report{Server: plan.Server.ID, Phase: PhaseReading, Work: plan.Part, Memory: request.Memory, Gap: request.Gap, Tight: plan.Tight}
 	if len(plan.Shares) > 0 {
 		report.Memory = plan.Shares[0]
 	}
 	use.ids = append(use.ids, pool.start(report, now))
 	for i, helper := range plan.Helpers {
-		report := Report{Server: helper.ID, Work: plan.Part, Helps: true}
+		report := Report{Server: helper.ID, Phase: PhaseReading, Work: plan.Part, Helps: true}
 		if len(plan.Shares) > 0 {
 			report.Memory = plan.Shares[i+1]
 		}
@@ -160,6 +166,11 @@
 		report.Age = now.Sub(own.sentAt)
 		reports = append(reports, report)
 	}
+	for _, waiting := range pool.queue {
+		if waiting.vm == pool.vm {
+			reports = append(reports, waiting.report(now))
+		}
+	}
 	return reports
 }
 
@@ -179,9 +190,15 @@
 
 // told takes over one report, and tells whether it may have made room.
 func (pool *Pool) told(vm string, report Report, now time.Time) bool {
+	if report.Phase == PhaseWaiting {
+		pool.toldWaiting(vm, report, now)
+		return false
+	}
 	server := pool.servers[report.Server]
 	if server == nil {
-		return false
+		// A request that waited, or a server that this VM does not know.
+		pool.leaveQueue(func(waiting *waiting) bool { return waiting.vm == vm && waiting.id == report.ID })
+		return report.Phase == PhaseOver
 	}
 	for _, known := range server.sendings {
 		if known.vm != vm || known.ID != report.ID {
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -35,29 +35,33 @@
 		Suspect:    now.Before(server.suspectUntil),
 	}
 	free := server.lastRead
-	var loose time.Duration
 	for _, sending := range server.sendings {
 		if !sending.Helps {
 			view.Running++
 			view.MinGap = shorter(view.MinGap, sending.Gap)
-		}
-		if sending.Tight {
-			view.Tight++
+			addWeight(&view, sending)
 		}
 		view.MemoryFree -= sending.Memory
-		if sending.Phase != PhaseReading {
-			continue
-		}
-		free = later(free, sending.sentAt).Add(sending.Work)
-		if !sending.Tight {
-			loose += sending.Work
+		if sending.Phase == PhaseReading {
+			free = later(free, sending.sentAt).Add(sending.Work)
 		}
 	}
 	view.Backlog = max(0, free.Sub(now))
-	view.Loose = min(loose, view.Backlog)
 	return view
 }
 
+// addWeight counts what a request at the server is worth.
+func addWeight(view *placement.Server, sending *sending) {
+	weight := placement.Weight(sending.Memory)
+	if sending.Tight {
+		view.Tight++
+		view.TightWeight += weight
+		return
+	}
+	view.LooseWeight += weight
+	view.LooseGap = shorter(view.LooseGap, sending.Gap)
+}
+
 func shorter(a, b time.Duration) time.Duration {
 	if a == 0 || (b != 0 && b < a) {
 		return b
