placement: blocked prompts look in turn; long reads keep apart

Changes: blocked prompts look in the order of due times, a moment apart; a server that reads a long prompt gets no part of another until 20 ms are left; a plan counts as in time within 0.9 of what is left; servers not kept for short prompts are tried first; one server at least is never kept.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -117,21 +117,22 @@
 	if run.takesTurns() {
 		turn = gateway.pool.Wait(run.service.Name, run.arrived.Add(run.route.Objective))
 		defer turn.End()
+		wait.For(ctx, gateway.settings.Request.Settle)
 	}
 	for {
 		changed := gateway.pool.Changed()
-		servers := gateway.pool.Open(run.service, run.tried)
-		if len(servers) == 0 {
-			run.tried = nil // all failed once: any may do better now
-		}
-		if turn == nil || turn.Mine() {
+		if run.comesNext(ctx, turn) {
+			servers := gateway.pool.Open(run.service, run.tried)
+			if len(servers) == 0 {
+				run.tried = nil // all failed once: any may do better now
+			}
 			plan, ok := gateway.policy.Place(servers, run.placementRequest())
 			if ok {
 				run.logPlan(plan, len(servers), gateway.now().Sub(asked))
 				return plan, true
 			}
 			if turn != nil {
-				turn.Block(true)
+				turn.Block()
 			}
 		}
 		look := time.NewTimer(gateway.settings.Request.Look)
@@ -141,13 +142,27 @@
 		case <-look.C:
 		case <-ctx.Done():
 			look.Stop()
-			gateway.logger.Info("not placed", "request_id", run.head.ID, "servers", len(servers),
+			gateway.logger.Info("not placed", "request_id", run.head.ID, "tried", run.tried,
 				"waited", gateway.now().Sub(asked))
 			return placement.Plan{}, false
 		}
 	}
 }
 
+// comesNext reports whether the request may look for servers. Behind requests
+// that found none it waits a moment, since they look first.
+func (run *run) comesNext(ctx context.Context, turn *pool.Turn) bool {
+	if turn == nil {
+		return true
+	}
+	rank, next := turn.Rank()
+	if next && rank > 0 {
+		settings := run.gateway.settings.Request
+		wait.For(ctx, min(time.Duration(rank)*settings.Settle, settings.Look))
+	}
+	return next
+}
+
 // takesTurns reports whether the request waits in turn with those of other VMs.
 func (run *run) takesTurns() bool {
 	return run.head.Prompt != nil && run.service.Engine != nil &&
@@ -180,6 +195,7 @@
 		Gap:        run.route.Gap,
 		Objective:  run.route.Objective,
 		Left:       run.arrived.Add(run.route.Objective).Sub(run.gateway.now()),
+		Stays:      run.stays(),
 		Seed:       run.seed + uint64(run.sends), //nolint:gosec // a small count
 	}
 	if run.head.Prompt != nil {
@@ -190,6 +206,24 @@
 	return request
 }
 
+// Silence after which callers leave a stream, as the users state it: the
+// longest of three.
+const (
+	staysMin            = 2 * time.Second
+	staysObjectiveTimes = 4
+	staysGapTimes       = 8
+)
+
+// stays is how long the caller still waits for the first event.
+func (run *run) stays() time.Duration {
+	silence := max(staysMin, staysObjectiveTimes*run.route.Objective, staysGapTimes*run.route.Gap)
+	until := run.arrived.Add(silence)
+	if run.deadline.Before(until) {
+		until = run.deadline
+	}
+	return until.Sub(run.gateway.now())
+}
+
 // dispatch is what the server of a plan is told.
 func (run *run) dispatch(plan placement.Plan, held *reservation.Held) call.Dispatch {
 	dispatch := call.Dispatch{
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -44,6 +44,9 @@
 	Margin time.Duration `yaml:"margin" validate:"min=0,max=1s"`
 	// Look is the time between looks for a server that has room.
 	Look time.Duration `yaml:"look" validate:"min=1ms"`
+	// Settle is how long a request that takes turns waits until other VMs know
+	// of it: one datagram between data centres, and what gathers it.
+	Settle time.Duration `yaml:"settle" validate:"min=0,max=1s"`
 	// Silence is how long beyond the prediction a first event may take before
 	// another server is tried, and SilencePart the part of the prediction that
 	// is added.
@@ -104,6 +107,7 @@
 			RevokeMargin:   500 * time.Millisecond,
 			Margin:         20 * time.Millisecond,
 			Look:           20 * time.Millisecond,
+			Settle:         4 * time.Millisecond,
 			Silence:        900 * time.Millisecond,
 			SilencePart:    2,
 			GapMin:         1600 * time.Millisecond,
--- a/internal/placement/lengthaware.go
+++ b/internal/placement/lengthaware.go
@@ -44,6 +44,10 @@
 	// Room is the most that a server may have to read to get a part of another
 	// long prompt.
 	Room time.Duration `yaml:"room" validate:"min=0"`
+	// LongRoom is the same for a server that reads another long prompt: the
+	// parts of several servers are read before the prompt of one, and late ones
+	// hold up the others.
+	LongRoom time.Duration `yaml:"long_room" validate:"min=0"`
 	// TightPass is the longest pass that keeps tight pauses in time.
 	TightPass time.Duration `yaml:"tight_pass" validate:"min=1ms"`
 	// TightLife is how long a tight request takes, about.
@@ -53,9 +57,17 @@
 	// GoodGain is the part of its worth that a plan must bring for a request
 	// that can still be in time.
 	GoodGain float64 `yaml:"good_gain" validate:"min=0,max=1"`
-	// Patience is the multiple of the objective, beyond it, for which a request
+	// AimPart is the part of the time left within which a first event must be
+	// predicted to count as in time.
+	AimPart float64 `yaml:"aim_part" validate:"min=0.1,max=1"`
+	// RiskPart is the part of its worth that a plan loses when it takes all of
+	// the time that is left.
+	RiskPart float64 `yaml:"risk_part" validate:"min=0,max=1"`
+	// Patience is the multiple of the objective, beyond it, for which a prompt
 	// is held at most.
 	Patience float64 `yaml:"patience" validate:"min=0"`
+	// StaySpare is how long its caller must stay for a prompt to be held.
+	StaySpare time.Duration `yaml:"stay_spare" validate:"min=0"`
 }
 
 // DefaultSettings returns the settings that docs/RESULTS.md found best.
@@ -64,17 +76,21 @@
 		TightGap:    400 * time.Millisecond,
 		PackSlots:   0.6,
 		KeepSpare:   1,
-		LeaveLong:   3,
+		LeaveLong:   1,
 		NearBacklog: 50 * time.Millisecond,
 		PassSpare:   30 * time.Millisecond,
 		MaxParts:    MaxParts,
 		MinPart:     20 * time.Millisecond,
 		Room:        100 * time.Millisecond,
+		LongRoom:    20 * time.Millisecond,
 		TightPass:   240 * time.Millisecond,
 		TightLife:   1800 * time.Millisecond,
 		LatePart:    0.25,
 		GoodGain:    0.5,
-		Patience:    1.5,
+		AimPart:     0.9,
+		RiskPart:    0.1,
+		Patience:    2,
+		StaySpare:   time.Second,
 	}
 }
 
@@ -201,18 +217,39 @@
 // placeLong reads a prompt in parts at those servers where that does most good:
 // what the request is worth in time, less what the pauses of others lose. An
 // engine shares its time among all that it reads, so what is sent early makes
-// the others late: a prompt is held while nothing good can be done for it, until
-// Patience is over.
+// the others late: a prompt is held while nothing good can be done for it and
+// its caller stays long enough.
 func (lengthaware LengthAware) placeLong(servers []Server, request Request) (Plan, bool) {
-	forced := request.Left < -time.Duration(lengthaware.settings.Patience*float64(request.Objective))
-	open := lengthaware.withRoom(servers, forced)
+	open := lengthaware.withRoom(servers)
+	free := lengthaware.withRoom(servers[lengthaware.keep(servers):])
+	for _, candidates := range [][]Server{free, open} {
+		plan, gain, ok := lengthaware.bestLong(candidates, request)
+		if ok && lengthaware.good(gain, request) {
+			return plan, true
+		}
+	}
+	plan, _, ok := lengthaware.bestLong(servers, request)
+	patience := time.Duration(lengthaware.settings.Patience * float64(request.Objective))
+	return plan, ok && (request.Left < -patience || request.Stays < lengthaware.settings.StaySpare)
+}
+
+// good reports whether a plan with that gain is worth taking now. A request that
+// can still be in time waits for better; a late one takes what harms nobody.
+func (lengthaware LengthAware) good(gain float64, request Request) bool {
+	if request.Left < 0 {
+		return gain > 0
+	}
+	return gain > lengthaware.settings.GoodGain*Weight(request.Memory)
+}
+
+// bestLong returns the plan with the most gain among those over servers.
+func (lengthaware LengthAware) bestLong(servers []Server, request Request) (Plan, float64, bool) {
 	work := request.Engine.ReadTime(request.Tokens)
-	most := min(lengthaware.settings.MaxParts, len(open), max(1, int(work/lengthaware.settings.MinPart)))
+	most := min(lengthaware.settings.MaxParts, len(servers), max(1, int(work/lengthaware.settings.MinPart)))
 	best, bestGain, found := Plan{}, 0.0, false
 	for parts := 1; parts <= most; parts++ {
 		part := work / time.Duration(parts)
-		harms := lengthaware.harms(open, request, part)
-		plan, harm, ok := choose(harms, request, part, parts)
+		plan, harm, ok := choose(lengthaware.harms(servers, request, part), request, part, parts)
 		if !ok {
 			continue
 		}
@@ -221,35 +258,36 @@
 			best, bestGain, found = plan, gain, true
 		}
 	}
-	late := request.Left < 0
-	worth := Weight(request.Memory)
-	if !found || forced {
-		return best, found
-	}
-	if late {
-		return best, bestGain > 0
-	}
-	return best, bestGain > lengthaware.settings.GoodGain*worth
+	return best, bestGain, found
 }
 
-// withRoom returns the servers with little to read, or all when forced.
-func (lengthaware LengthAware) withRoom(servers []Server, forced bool) []Server {
+// withRoom returns the servers with little to read.
+func (lengthaware LengthAware) withRoom(servers []Server) []Server {
 	open := make([]Server, 0, len(servers))
 	for _, server := range servers {
-		if forced || server.Backlog <= lengthaware.settings.Room {
+		room := lengthaware.settings.Room
+		if server.ReadsLong {
+			room = lengthaware.settings.LongRoom
+		}
+		if server.Backlog <= room {
 			open = append(open, server)
 		}
 	}
 	return open
 }
 
-// gain is what a plan brings for the request itself.
+// gain is what a plan brings for the request itself: the less of the time left
+// it takes, the surer it is.
 func (lengthaware LengthAware) gain(plan Plan, request Request) float64 {
 	worth := Weight(request.Memory)
-	if plan.Predicted <= request.Left {
-		return worth
+	switch {
+	case plan.Predicted > request.Stays:
+		return 0
+	case plan.Predicted > time.Duration(lengthaware.settings.AimPart*float64(request.Left)):
+		return lengthaware.settings.LatePart * worth
 	}
-	return lengthaware.settings.LatePart * worth
+	risk := float64(plan.Predicted) / float64(request.Left)
+	return worth * (1 - lengthaware.settings.RiskPart*risk)
 }
 
 // harmed is a server with what others there lose by a part of a prompt.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,6 +28,9 @@
 	LooseGap    time.Duration
 	// Backlog is the reading of prompts that is not done yet.
 	Backlog time.Duration
+	// ReadsLong says that a prompt of a request without tight pauses is read
+	// there, or a part of one.
+	ReadsLong bool
 	// MinGap is the shortest pause that is in time among the requests there, or
 	// zero when there is none.
 	MinGap time.Duration
@@ -54,6 +57,8 @@
 	// what is left of it. Left may be negative.
 	Objective time.Duration
 	Left      time.Duration
+	// Stays is how long the caller still waits for a first event.
+	Stays time.Duration
 	// Seed orders what is equal, so that VMs do not all choose alike.
 	Seed uint64
 }
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -43,6 +43,7 @@
 		}
 		view.MemoryFree -= sending.Memory
 		if sending.Phase == PhaseReading {
+			view.ReadsLong = view.ReadsLong || !sending.Tight
 			free = later(free, sending.sentAt).Add(sending.Work)
 		}
 	}
--- a/internal/pool/waiting.go
+++ b/internal/pool/waiting.go
@@ -43,25 +43,30 @@
 	}
 }
 
-// Mine reports whether no other request that waits goes first.
-func (turn *Turn) Mine() bool {
+// Rank returns how many requests go before this one, those left out that do not
+// fit anywhere now. It reports false when one that may fit goes first. Requests
+// that all did not fit look again in the order of their rank, each a moment
+// after the one before it, so that they do not take the same room.
+func (turn *Turn) Rank() (int, bool) {
 	pool := turn.pool
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	now := pool.now()
 	oldest := now.Add(-pool.settings.RemoteTime)
+	rank := 0
 	for _, other := range pool.queue {
-		if other == turn.waiting || other.service != turn.waiting.service || other.blocked {
+		if other == turn.waiting || other.service != turn.waiting.service || !other.before(turn.waiting, now) {
 			continue
 		}
 		if other.vm != pool.vm && other.toldAt.Before(oldest) {
 			continue
 		}
-		if other.before(turn.waiting, now) {
-			return false
+		if !other.blocked {
+			return 0, false
 		}
+		rank++
 	}
-	return true
+	return rank, true
 }
 
 // before orders requests: those that can still be in time first, then by when
@@ -77,15 +82,15 @@
 	return waiting.id < other.id
 }
 
-// Block notes whether the request does not fit although its turn came.
-func (turn *Turn) Block(blocked bool) {
+// Block notes that the request does not fit although its turn came.
+func (turn *Turn) Block() {
 	pool := turn.pool
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	if turn.waiting.blocked == blocked {
+	if turn.waiting.blocked {
 		return
 	}
-	turn.waiting.blocked = blocked
+	turn.waiting.blocked = true
 	pool.publisher.Publish(turn.waiting.report(pool.now()))
 	pool.wake()
 }
