tests of the gateway's parts; a short prompt leaves kept servers that are busy

'a short prompt keeps off a server that reads for long' failed before: the only kept server was taken although its passes were too long.

--- a/internal/cmd/cmd_test.go
+++ b/internal/cmd/cmd_test.go
@@ -13,6 +13,7 @@
 	testscript.Main(m, map[string]func(){
 		"mastwinch":  func() { os.Exit(cmd.Run(cmd.NewMastwinchCommand(), os.Args)) },
 		"mw-entry":   func() { os.Exit(cmd.Run(cmd.NewEntryCommand(), os.Args)) },
+		"mw-gateway": func() { os.Exit(cmd.Run(cmd.NewGatewayCommand(), os.Args)) },
 		"mw-keeper":  func() { os.Exit(cmd.Run(cmd.NewKeeperCommand(), os.Args)) },
 		"mw-load":    func() { os.Exit(cmd.Run(cmd.NewLoadCommand(), os.Args)) },
 		"mw-standin": func() { os.Exit(cmd.Run(cmd.NewStandinCommand(), os.Args)) },
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -37,7 +37,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{
 				Name: flagSite, Usage: "read the VM's place from `FILE`",
-				Sources: cli.EnvVars(platform.SettingsVariable), Required: true,
+				Sources: cli.EnvVars(platform.SettingsVariable),
 			},
 			&cli.StringFlag{Name: flagConfig, Aliases: []string{"c"}, Usage: "read tuning settings from `FILE`"},
 			&cli.BoolFlag{Name: flagCheck, Usage: "check the settings and exit"},
@@ -47,6 +47,9 @@
 }
 
 func runGateway(ctx context.Context, command *cli.Command) error {
+	if command.String(flagSite) == "" {
+		return &exitError{code: exitUsage, err: errors.New("--site is needed")}
+	}
 	site, err := platform.LoadSettings(command.String(flagSite))
 	if err != nil {
 		return &exitError{code: exitUsage, err: err}
--- a/internal/placement/lengthaware.go
+++ b/internal/placement/lengthaware.go
@@ -143,15 +143,15 @@
 }
 
 // placeTight chooses among the servers that are kept for tight requests, the
-// one with the least to do; then among all.
+// one with the least to do; then, when all pauses would grow too long there,
+// among all.
 func (lengthaware LengthAware) placeTight(servers []Server, request Request) (Plan, bool) {
 	work := request.Engine.ReadTime(request.Tokens)
-	kept := servers[:lengthaware.keep(servers)]
-	best, ok := lengthaware.leastBusy(kept, request, work)
 	reason := ReasonPacked
-	if !ok {
-		best, ok = lengthaware.leastBusy(servers, request, work)
+	best, fits, ok := lengthaware.leastBusy(servers[:lengthaware.keep(servers)], request, work)
+	if !fits {
 		reason = ReasonSoonest
+		best, _, ok = lengthaware.leastBusy(servers, request, work)
 	}
 	if !ok {
 		return Plan{}, false
@@ -163,9 +163,11 @@
 }
 
 // leastBusy returns the server whose passes are shortest among those where the
-// request keeps all pauses in time, or else the one with the least to read.
-func (lengthaware LengthAware) leastBusy(servers []Server, request Request, work time.Duration) (Server, bool) {
-	best, found, bestFits := Server{}, false, false
+// request keeps all pauses in time, or else the one with the least to read. It
+// tells whether all pauses stay in time, and whether there is a server at all.
+func (lengthaware LengthAware) leastBusy(
+	servers []Server, request Request, work time.Duration,
+) (best Server, bestFits, found bool) {
 	for i := range servers {
 		server := &servers[i]
 		if !server.writes(request) {
@@ -175,10 +177,10 @@
 		better := !found || (fits && !bestFits) ||
 			(fits == bestFits && lengthaware.lessBusy(server, &best))
 		if better {
-			best, found, bestFits = *server, true, fits
+			best, bestFits, found = *server, fits, true
 		}
 	}
-	return best, found
+	return best, bestFits, found
 }
 
 // lessBusy compares servers by what they read and, where that is near, by how
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,223 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/network"
+	"github.com/mastwinch/mastwinch/internal/upstream"
+)
+
+// server is a raw server on loopback that answers each connection by a script.
+type server struct {
+	listener net.Listener
+	accepted atomic.Int64
+}
+
+// newServer serves connections with script, one line of answers for each
+// request read.
+func newServer(t *testing.T, script func(conn net.Conn, requests *bufio.Reader, nth int64)) *server {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &server{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			nth := server.accepted.Add(1)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				script(conn, bufio.NewReader(conn), nth)
+			}()
+		}
+	}()
+	return server
+}
+
+func (server *server) address() string {
+	return server.listener.Addr().String()
+}
+
+// readRequest reads one request whole, and reports whether there was one.
+func readRequest(requests *bufio.Reader) (*http.Request, bool) {
+	request, err := http.ReadRequest(requests)
+	if err != nil {
+		return nil, false
+	}
+	_, err = io.Copy(io.Discard, request.Body)
+	return request, err == nil
+}
+
+func reply(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func send(ctx context.Context, client *upstream.Client, address, id, body string) (string, error) {
+	request := upstream.Request{
+		Method: http.MethodPost, Target: "/a%2Fb?c", Host: "h", Header: http.Header{"Request-Id": {id}}, Body: []byte(body),
+	}
+	response, err := client.Send(ctx, address, request, func(header http.Header) bool { return header.Get("Request-Id") == id })
+	if err != nil {
+		return "", err
+	}
+	read, err := io.ReadAll(response)
+	response.Close(0)
+	return string(read), err
+}
+
+func newClient() *upstream.Client {
+	return upstream.New(upstream.DefaultSettings(), network.New(network.DefaultSettings()), time.Now)
+}
+
+func TestSend(t *testing.T) {
+	tests := map[string]struct {
+		script func(conn net.Conn, requests *bufio.Reader, nth int64)
+		// wantBodies has what two requests in a row must give, empty for an error.
+		wantBodies [2]string
+		// wantOpened is how many connections they must take.
+		wantOpened int64
+	}{
+		"a connection is kept": {
+			script:     echoes,
+			wantBodies: [2]string{"/a%2Fb?c", "/a%2Fb?c"}, wantOpened: 1,
+		},
+		"not after a close that was announced": {
+			script: func(conn net.Conn, requests *bufio.Reader, _ int64) {
+				request, _ := readRequest(requests)
+				text := reply(request.Header.Get("Request-Id"), "x")
+				_, _ = io.WriteString(conn, strings.Replace(text, "\r\n", "\r\nConnection: close\r\n", 1))
+			},
+			wantBodies: [2]string{"x", "x"}, wantOpened: 2,
+		},
+		"not with bytes after the answer": {
+			script:     repeats,
+			wantBodies: [2]string{"x", "x"}, wantOpened: 2,
+		},
+		"an answer to an earlier request is skipped": {
+			script: func(conn net.Conn, requests *bufio.Reader, _ int64) {
+				request, _ := readRequest(requests)
+				_, _ = io.WriteString(conn, reply("another", "late")+reply(request.Header.Get("Request-Id"), "x"))
+				_, _ = readRequest(requests)
+			},
+			wantBodies: [2]string{"x", "x"}, wantOpened: 2,
+		},
+		"an answer before the body was read ends the connection": {
+			script: func(conn net.Conn, requests *bufio.Reader, _ int64) {
+				request, err := http.ReadRequest(requests)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, reply(request.Header.Get("Request-Id"), "x"))
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = http.ReadRequest(requests)
+			},
+			wantBodies: [2]string{"x", "x"}, wantOpened: 2,
+		},
+		"no answer": {
+			script:     func(_ net.Conn, requests *bufio.Reader, _ int64) { _, _ = readRequest(requests) },
+			wantOpened: 2,
+		},
+		"an answer cut short": {
+			script: func(conn net.Conn, requests *bufio.Reader, _ int64) {
+				request, _ := readRequest(requests)
+				text := reply(request.Header.Get("Request-Id"), "whole")
+				_, _ = io.WriteString(conn, text[:len(text)-2])
+			},
+			wantOpened: 2,
+		},
+		"only answers to others": {
+			script: func(conn net.Conn, requests *bufio.Reader, _ int64) {
+				_, _ = readRequest(requests)
+				_, _ = io.WriteString(conn, strings.Repeat(reply("another", "late"), 9))
+			},
+			wantOpened: 2,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := newServer(t, test.script)
+			client := newClient()
+			body := "b"
+			if strings.Contains(name, "before the body") {
+				body = strings.Repeat("b", 4<<20)
+			}
+			for i, want := range test.wantBodies {
+				got, err := send(t.Context(), client, server.address(), fmt.Sprintf("id-%d", i), body)
+				checkAnswer(t, got, err, want)
+			}
+			assert.Equal(t, server.accepted.Load(), test.wantOpened)
+			assert.Equal(t, client.Opened(), int(test.wantOpened))
+		})
+	}
+}
+
+// checkAnswer compares an answer with the wanted one, empty for an error.
+func checkAnswer(t *testing.T, got string, err error, want string) {
+	t.Helper()
+	if want == "" {
+		assert.Assert(t, err != nil)
+		return
+	}
+	assert.NilError(t, err)
+	assert.Equal(t, got, want)
+}
+
+// echoes answers all requests with their target.
+func echoes(conn net.Conn, requests *bufio.Reader, _ int64) {
+	for {
+		request, ok := readRequest(requests)
+		if !ok {
+			return
+		}
+		_, _ = io.WriteString(conn, reply(request.Header.Get("Request-Id"), request.RequestURI))
+	}
+}
+
+// repeats answers all requests twice.
+func repeats(conn net.Conn, requests *bufio.Reader, _ int64) {
+	for {
+		request, ok := readRequest(requests)
+		if !ok {
+			return
+		}
+		id := request.Header.Get("Request-Id")
+		_, _ = io.WriteString(conn, reply(id, "x")+reply(id, "again"))
+	}
+}
+
+func TestNothingListens(t *testing.T) {
+	server := newServer(t, nil)
+	_ = server.listener.Close()
+	_, err := send(t.Context(), newClient(), server.address(), "id", "b")
+	var notSent *upstream.NotSentError
+	assert.Assert(t, errors.As(err, &notSent))
+}
+
+func TestSendEndsWithItsContext(t *testing.T) {
+	closed := make(chan struct{})
+	server := newServer(t, func(conn net.Conn, requests *bufio.Reader, _ int64) {
+		_, _ = readRequest(requests)
+		_, _ = io.Copy(io.Discard, conn)
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err := send(ctx, newClient(), server.address(), "id", "b")
+	assert.ErrorIs(t, err, context.Canceled)
+	<-closed
+}
