feed: VMs read the store through one of their data centre; SIGHUP reads settings again

SIGHUP, or a changed file, reads the settings again: bounds are in force at once, a bad file changes nothing.

--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +26,8 @@
 	// memoryPart is the part of a VM's memory at which collecting garbage goes
 	// before speed.
 	memoryPart = 0.7
+	// siteLook is the time between looks whether the settings file has changed.
+	siteLook = 2 * time.Second
 	// storeIdle is how long a connection to the store is kept.
 	storeIdle = 10 * time.Second
 )
@@ -73,16 +77,57 @@
 	system := network.New(tuning.Network)
 	store := platform.NewStore(site.Store, newStoreTransport(system))
 	served, err := gateway.New(tuning, site, platform.Codec{}, platform.Orders{}, gateway.Sources{
-		Configuration: platform.NewConfigurationTopic(store, logger),
-		Servers:       platform.NewServersTopic(store, logger),
+		Configuration: platform.NewConfigurationSource(store),
+		Servers:       platform.NewServersSource(store),
 		Register:      platform.NewMembers(store),
 	}, system, logger)
 	if err != nil {
 		return err
 	}
+	reloading, stop := context.WithCancel(ctx)
+	defer stop()
+	go reloadSite(reloading, command.String(flagSite), served, logger)
 	return served.Run(ctx)
 }
 
+// reloadSite reads the settings file again on SIGHUP and when it has changed. A
+// file with a problem changes nothing.
+func reloadSite(ctx context.Context, file string, served *gateway.Gateway, logger *slog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ticker := time.NewTicker(siteLook)
+	defer ticker.Stop()
+	changed := changeTime(file)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-ticker.C:
+			if changeTime(file).Equal(changed) {
+				continue
+			}
+		}
+		changed = changeTime(file)
+		site, err := platform.LoadSettings(file)
+		if err != nil {
+			logger.Error("settings not taken", "error", err)
+			continue
+		}
+		served.Reload(site)
+	}
+}
+
+// changeTime returns when the file was changed last, or zero when it is away.
+func changeTime(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 func newGatewayLogger(lines *logging.Writer, name, vm string) *slog.Logger {
 	level := slog.LevelInfo
 	_ = level.UnmarshalText([]byte(name)) // checked on load
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -55,8 +55,11 @@
 // Member is a VM of the system.
 type Member struct {
 	VM string `json:"vm"`
-	// Address is where the VM takes datagrams.
-	Address string `json:"address"`
+	// Address is where the VM takes datagrams, and calls of other VMs.
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	// Capacity is that of the VM's link, in Mbit/s.
+	Capacity int `json:"capacity"`
 }
 
 // Register is where VMs find each other.
@@ -73,6 +76,8 @@
 
 // peer is another VM.
 type peer struct {
+	Member
+
 	address net.Addr
 	// heard is when its last datagram came, or zero.
 	heard time.Time
@@ -224,6 +229,10 @@
 		known = &peer{}
 		exchange.peers[member.VM] = known
 	}
+	if member.DataCentre == "" {
+		member.DataCentre, member.Capacity = known.DataCentre, known.Capacity
+	}
+	known.Member = member
 	known.address = net.UDPAddrFromAddrPort(parsed)
 }
 
@@ -282,6 +291,10 @@
 			Vm: exchange.self.VM, Address: exchange.self.Address, Hello: hello, Sendings: encode(reports[:count]),
 		}
 		reports = reports[count:]
+		if hello {
+			update.DataCentre = exchange.self.DataCentre
+			update.Capacity = uint32(exchange.self.Capacity) //nolint:gosec // a link's
+		}
 		data, err := proto.Marshal(update)
 		if err != nil {
 			exchange.logger.Error("datagram not made", "error", err)
@@ -324,7 +337,10 @@
 	if update.GetVm() == exchange.self.VM {
 		return
 	}
-	exchange.know(Member{VM: update.GetVm(), Address: update.GetAddress()})
+	exchange.know(Member{
+		VM: update.GetVm(), Address: update.GetAddress(),
+		DataCentre: update.GetDataCentre(), Capacity: int(update.GetCapacity()),
+	})
 	exchange.mu.Lock()
 	known := exchange.peers[update.GetVm()]
 	if known == nil {
--- /dev/null
+++ b/internal/feed/codec.go
@@ -0,0 +1,55 @@
+package feed
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/mastwinch/mastwinch/internal/follower"
+	"github.com/mastwinch/mastwinch/internal/wire"
+)
+
+// maxPageBytes bounds a page: a configuration of the users has some 100 KB.
+const maxPageBytes = 32 << 20
+
+func encode(page follower.Page) *wire.FeedPage {
+	encoded := &wire.FeedPage{Next: page.Next, Whole: page.Whole, AgeUs: page.Age.Microseconds()}
+	for _, record := range page.Records {
+		encoded.Records = append(encoded.Records, &wire.FeedRecord{Key: record.Key, Value: record.Value})
+	}
+	return encoded
+}
+
+func decode(encoded *wire.FeedPage) follower.Page {
+	page := follower.Page{
+		Next: encoded.GetNext(), Whole: encoded.GetWhole(), Age: time.Duration(encoded.GetAgeUs()) * time.Microsecond,
+	}
+	for _, record := range encoded.GetRecords() {
+		page.Records = append(page.Records, follower.Record{Key: record.GetKey(), Value: record.GetValue()})
+	}
+	return page
+}
+
+// get asks for one page.
+func (log *Log) get(request *http.Request) (follower.Page, error) {
+	response, err := log.client.Do(request)
+	if err != nil {
+		return follower.Page{}, errors.Wrap(err, "feed")
+	}
+	defer func() { _ = response.Body.Close() }() // nothing is left to lose
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxPageBytes))
+	if err != nil {
+		return follower.Page{}, errors.Wrap(err, "feed")
+	}
+	if response.StatusCode != http.StatusOK {
+		return follower.Page{}, errors.Newf("feed: status %d", response.StatusCode)
+	}
+	encoded := &wire.FeedPage{}
+	if err := proto.Unmarshal(data, encoded); err != nil {
+		return follower.Page{}, errors.Wrap(err, "feed")
+	}
+	return decode(encoded), nil
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -1,5 +1,5 @@
 // Package follower keeps a belief current: it reads the newest values once,
-// then their changes, and knows when the question was sent that last proved
+// then their changes, and knows when the question was asked that last proved
 // the belief current.
 package follower
 
@@ -14,8 +14,8 @@
 	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
-// ErrTrimmed says that the changes asked for are not kept any more.
-var ErrTrimmed = errors.New("changes are not kept any more")
+// ErrOtherKey is returned by decoders for keys that are not their matter.
+var ErrOtherKey = errors.New("another key")
 
 // Change is a new value of a key, or none when the key was dropped.
 type Change[T any] struct {
@@ -24,14 +24,19 @@
 	Value *T
 }
 
-// Source gives values and their changes.
-type Source[T any] interface {
-	// Newest returns the newest value of each key, and the offset from which
-	// changes are to be read.
-	Newest(ctx context.Context) ([]Change[T], int64, error)
-	// Since returns the changes from an offset on and the next offset. It waits
-	// that long for the first, and returns ErrTrimmed when there is a gap.
-	Since(ctx context.Context, offset int64, wait time.Duration) ([]Change[T], int64, error)
+// Source is a log and how its values are decoded.
+type Source[T any] struct {
+	// Name is for the log lines.
+	Name string
+	Log  Log
+	// Decode returns ErrOtherKey for keys that are not its matter.
+	Decode func(key string, value []byte) (T, error)
+}
+
+// WithLog returns the source with another log.
+func (source Source[T]) WithLog(log Log) Source[T] {
+	source.Log = log
+	return source
 }
 
 // Listener is told of changes, in order.
@@ -49,7 +54,7 @@
 type Settings struct {
 	// Wait is how long one question waits for a change.
 	Wait time.Duration `yaml:"wait" validate:"min=0,max=30s"`
-	// Pause is the time between questions.
+	// Pause is the least time from one question to the next.
 	Pause time.Duration `yaml:"pause" validate:"min=0,max=30s"`
 	// Patience is how long an answer may take beyond Wait.
 	Patience time.Duration `yaml:"patience" validate:"min=10ms,max=30s"`
@@ -60,25 +65,24 @@
 
 // Follower follows one source.
 type Follower[T any] struct {
-	name     string
 	source   Source[T]
 	listener Listener[T]
 	settings Settings
 	logger   *slog.Logger
 	now      func() time.Time
+	tail     *Tail
 
-	// proven is when the question was sent that was answered last. It is nil
-	// before the first answer.
+	// proven is when the question was asked that last proved the belief. It is
+	// nil before the first answer, and never goes back.
 	proven atomic.Pointer[time.Time]
 }
 
-// New returns a follower of source, which is called name in the log.
+// New returns a follower of source.
 func New[T any](
-	name string, source Source[T], listener Listener[T], settings Settings,
-	logger *slog.Logger, now func() time.Time,
+	source Source[T], listener Listener[T], settings Settings, logger *slog.Logger, now func() time.Time,
 ) *Follower[T] {
 	return &Follower[T]{
-		name: name, source: source, listener: listener, settings: settings, logger: logger, now: now,
+		source: source, listener: listener, settings: settings, logger: logger, now: now, tail: NewTail(now),
 	}
 }
 
@@ -92,39 +96,46 @@
 	return follower.now().Sub(*proven), true
 }
 
+// Tail returns what was read, for others to read.
+func (follower *Follower[T]) Tail() *Tail {
+	return follower.tail
+}
+
 // Run follows the source until ctx is done.
 func (follower *Follower[T]) Run(ctx context.Context) {
-	offset := int64(-1)
+	offset := Everything
 	pause := follower.settings.RetryMin
 	lost := false
 	for ctx.Err() == nil {
-		patience := follower.settings.Wait
+		waiting := follower.settings.Wait
 		if lost {
-			patience = 0 // the answer proves the belief; a change may take long to come
+			waiting = 0 // the answer proves the belief; a change may take long to come
 		}
-		next, err := follower.ask(ctx, offset, patience)
+		asked := follower.now()
+		next, err := follower.ask(ctx, offset, waiting)
 		if err == nil {
 			if lost {
 				lost = false
-				follower.logger.Info("source regained", "source", follower.name, "offset", next)
+				follower.logger.Info("source regained", "source", follower.source.Name, "offset", next)
 				follower.listener.Regained()
 			}
 			offset = next
 			pause = follower.settings.RetryMin
-			wait.For(ctx, follower.settings.Pause)
+			wait.For(ctx, follower.settings.Pause-follower.now().Sub(asked))
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		if errors.Is(err, ErrTrimmed) {
-			follower.logger.Warn("source trimmed, reading the newest values", "source", follower.name, "offset", offset)
-			offset = -1
+			follower.logger.Warn("source trimmed, reading the newest values",
+				"source", follower.source.Name, "offset", offset)
+			offset = Everything
 			continue
 		}
 		if !lost {
 			lost = true
-			follower.logger.Warn("source lost", "source", follower.name, "offset", offset, "error", err)
+			follower.logger.Warn("source lost", "source", follower.source.Name, "offset", offset, "error", err)
 			follower.listener.Lost()
 		}
 		wait.For(ctx, pause)
@@ -132,30 +143,49 @@
 	}
 }
 
-// ask asks for everything when offset is below zero, else for changes, for
-// which it waits that long.
+// ask asks for everything or for changes, for which it waits that long.
 func (follower *Follower[T]) ask(ctx context.Context, offset int64, waiting time.Duration) (int64, error) {
 	asked := follower.now()
-	if offset < 0 {
-		bounded, cancel := context.WithTimeout(ctx, follower.settings.Patience)
-		defer cancel()
-		values, next, err := follower.source.Newest(bounded)
-		if err != nil {
-			return offset, err
-		}
-		follower.listener.Replace(values)
-		follower.proven.Store(&asked)
-		return next, nil
-	}
 	bounded, cancel := context.WithTimeout(ctx, waiting+follower.settings.Patience)
 	defer cancel()
-	changes, next, err := follower.source.Since(bounded, offset, waiting)
+	page, err := follower.source.Log.Read(bounded, offset, waiting)
 	if err != nil {
-		return offset, err
+		return offset, err //nolint:wrapcheck // the log says what failed
 	}
-	if len(changes) > 0 {
+	changes := follower.decode(page.Records)
+	switch {
+	case page.Whole:
+		follower.listener.Replace(changes)
+	case len(changes) > 0:
 		follower.listener.Apply(changes)
 	}
-	follower.proven.Store(&asked)
-	return next, nil
+	proven := asked.Add(-page.Age)
+	follower.tail.Add(page, proven)
+	if last := follower.proven.Load(); last == nil || proven.After(*last) {
+		follower.proven.Store(&proven)
+	}
+	return page.Next, nil
+}
+
+// decode decodes records. One that cannot be decoded is logged and left out, so
+// that the value before it stays.
+func (follower *Follower[T]) decode(records []Record) []Change[T] {
+	changes := make([]Change[T], 0, len(records))
+	for _, record := range records {
+		change := Change[T]{Key: record.Key}
+		if len(record.Value) > 0 {
+			value, err := follower.source.Decode(record.Key, record.Value)
+			if errors.Is(err, ErrOtherKey) {
+				continue
+			}
+			if err != nil {
+				follower.logger.Error("record not understood",
+					"source", follower.source.Name, "key", record.Key, "error", err)
+				continue
+			}
+			change.Value = &value
+		}
+		changes = append(changes, change)
+	}
+	return changes
 }
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -14,57 +14,67 @@
 	"github.com/mastwinch/mastwinch/internal/follower"
 )
 
-var errDown = errors.New("down")
+var (
+	errDown = errors.New("down")
+	errOdd  = errors.New("odd")
+)
 
-// source is a scripted source: a list of values with one key each.
+// source is a scripted log: a list of values with one key each.
 type source struct {
 	mu     sync.Mutex
 	values []string
 	// first is the oldest offset that is kept.
-	first   int64
-	down    bool
-	asked   []time.Duration
-	newests int
+	first int64
+	down  bool
+	// age is what pages say of their age.
+	age time.Duration
 }
 
-var _ follower.Source[string] = (*source)(nil)
-
-func (source *source) Newest(context.Context) ([]follower.Change[string], int64, error) {
-	source.mu.Lock()
-	defer source.mu.Unlock()
-	source.newests++
-	if source.down {
-		return nil, 0, errDown
-	}
-	return source.from(0), int64(len(source.values)), nil
-}
+var _ follower.Log = (*source)(nil)
 
-func (source *source) Since(ctx context.Context, offset int64, wait time.Duration) ([]follower.Change[string], int64, error) {
+func (source *source) Read(ctx context.Context, offset int64, wait time.Duration) (follower.Page, error) {
 	source.mu.Lock()
-	source.asked = append(source.asked, wait)
-	down, first, changes := source.down, source.first, source.from(offset)
+	page := follower.Page{Whole: offset == follower.Everything, Age: source.age}
+	page.Records = source.from(max(0, offset))
+	page.Next = max(0, offset) + int64(len(page.Records))
+	down, trimmed := source.down, !page.Whole && offset < source.first
 	source.mu.Unlock()
 	switch {
 	case down:
-		return nil, offset, errDown
-	case offset < first:
-		return nil, offset, follower.ErrTrimmed
-	case len(changes) == 0 && wait > 0:
+		return follower.Page{}, errDown
+	case trimmed:
+		return follower.Page{}, follower.ErrTrimmed
+	case len(page.Records) == 0 && wait > 0:
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
-			return nil, offset, errors.WithStack(ctx.Err())
+			return follower.Page{}, errors.WithStack(ctx.Err())
 		}
 	}
-	return changes, offset + int64(len(changes)), nil
+	return page, nil
 }
 
-func (source *source) from(offset int64) []follower.Change[string] {
-	var changes []follower.Change[string]
+func (source *source) from(offset int64) []follower.Record {
+	var records []follower.Record
 	for _, value := range source.values[min(offset, int64(len(source.values))):] {
-		changes = append(changes, follower.Change[string]{Key: value, Value: &value})
+		records = append(records, follower.Record{Key: value, Value: []byte(value)})
 	}
-	return changes
+	return records
+}
+
+// follow returns a follower of the log.
+func (source *source) follow(listener follower.Listener[string]) *follower.Follower[string] {
+	settings := follower.Settings{
+		Wait: time.Second, Patience: time.Second, RetryMin: 100 * time.Millisecond, RetryMax: time.Second,
+	}
+	decode := func(_ string, value []byte) (string, error) {
+		if string(value) == "odd" {
+			return "", errOdd
+		}
+		return string(value), nil
+	}
+	return follower.New(follower.Source[string]{Name: "test", Log: source, Decode: decode},
+		listener, settings, slog.New(slog.DiscardHandler), time.Now)
 }
 
 func (source *source) set(change func(*source)) {
@@ -117,6 +127,10 @@
 			}},
 			want: []string{"replace", "a", "replace", "a", "b", "c"},
 		},
+		"what is not understood is left out": {
+			steps: []func(*source){func(source *source) { source.values = append(source.values, "odd", "c") }},
+			want:  []string{"replace", "a", "c"},
+		},
 		"lost and regained once each": {
 			steps: []func(*source){
 				func(source *source) { source.down = true },
@@ -129,10 +143,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				source, listener := &source{values: []string{"a"}}, &listener{}
-				settings := follower.Settings{
-					Wait: time.Second, Patience: time.Second, RetryMin: 100 * time.Millisecond, RetryMax: time.Second,
-				}
-				followed := follower.New("test", source, listener, settings, slog.New(slog.DiscardHandler), time.Now)
+				followed := source.follow(listener)
 				ctx, stop := context.WithCancel(t.Context())
 				done := make(chan struct{})
 				go func() {
@@ -157,10 +168,7 @@
 func TestAge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		scripted := &source{values: []string{"a"}}
-		settings := follower.Settings{
-			Wait: time.Second, Patience: time.Second, RetryMin: 100 * time.Millisecond, RetryMax: time.Second,
-		}
-		followed := follower.New("test", scripted, &listener{}, settings, slog.New(slog.DiscardHandler), time.Now)
+		followed := scripted.follow(&listener{})
 		_, known := followed.Age()
 		assert.Assert(t, !known)
 		ctx, stop := context.WithCancel(t.Context())
@@ -180,3 +188,69 @@
 		assert.Assert(t, age <= 1100*time.Millisecond, "the first question after a loss does not wait")
 	})
 }
+
+// TestTail has what one reads of another's tail.
+func TestTail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tail := follower.NewTail(time.Now)
+		_, err := tail.Read(t.Context(), follower.Everything, 0)
+		assert.Assert(t, err != nil, "nothing was read yet")
+		record := func(key, value string) follower.Record {
+			return follower.Record{Key: key, Value: []byte(value)}
+		}
+		tail.Add(follower.Page{Whole: true, Next: 10, Records: []follower.Record{record("a", "1"), record("b", "1")}}, time.Now())
+		tail.Add(follower.Page{Next: 12, Records: []follower.Record{record("a", "2"), {Key: "b"}}}, time.Now())
+		time.Sleep(300 * time.Millisecond)
+		page, err := tail.Read(t.Context(), follower.Everything, time.Second)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, page, follower.Page{
+			Whole: true, Next: 12, Records: []follower.Record{record("a", "2")}, Age: 300 * time.Millisecond,
+		})
+		page, err = tail.Read(t.Context(), 11, time.Second)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, page, follower.Page{Next: 12, Records: []follower.Record{{Key: "b"}}, Age: 300 * time.Millisecond})
+		page, err = tail.Read(t.Context(), 3, time.Second)
+		assert.NilError(t, err)
+		assert.Assert(t, page.Whole, "what is not kept any more is told whole")
+		// A newer proof answers a question that waits, and makes it younger.
+		time.AfterFunc(200*time.Millisecond, func() { tail.Add(follower.Page{Next: 12}, time.Now()) })
+		started := time.Now()
+		page, err = tail.Read(t.Context(), 12, time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(started), 200*time.Millisecond)
+		assert.Equal(t, page.Age, -200*time.Millisecond, "proven after the question was asked")
+		page, err = tail.Read(t.Context(), 12, time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, page.Age, time.Duration(0), "nothing came: proven when the question was asked")
+	})
+}
+
+// TestChainNeverLooksYounger follows a follower, whose source goes away.
+func TestChainNeverLooksYounger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scripted := &source{values: []string{"a"}}
+		near := scripted.follow(&listener{})
+		far := follower.New(follower.Source[string]{
+			Name: "far", Log: near.Tail(), Decode: func(_ string, value []byte) (string, error) { return string(value), nil },
+		}, &listener{}, follower.Settings{
+			Wait: time.Second, Patience: time.Second, RetryMin: 100 * time.Millisecond, RetryMax: time.Second,
+		}, slog.New(slog.DiscardHandler), time.Now)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go near.Run(ctx)
+		go far.Run(ctx)
+		for step := range 100 {
+			time.Sleep(170 * time.Millisecond)
+			if step == 50 {
+				scripted.set(func(source *source) { source.down = true })
+			}
+			nearAge, _ := near.Age()
+			farAge, known := far.Age()
+			if known {
+				assert.Assert(t, farAge >= nearAge, "step %d: %s and %s", step, farAge, nearAge)
+			}
+		}
+		age, _ := far.Age()
+		assert.Assert(t, age > 8*time.Second)
+	})
+}
--- /dev/null
+++ b/internal/follower/tail.go
@@ -0,0 +1,108 @@
+package follower
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxTail is how many changes a tail keeps. Who needs older ones gets the newest
+// values.
+const maxTail = 512
+
+// Tail keeps what was read of a log, so that others can read it here.
+type Tail struct {
+	now func() time.Time
+
+	mu     sync.Mutex
+	values map[string][]byte
+	// changes ends before next.
+	changes []Record
+	next    int64
+	// proven is when the question was asked that last proved this current. It is
+	// zero before the first.
+	proven time.Time
+	// renewed is closed, and replaced, when there is news or a newer proof.
+	renewed chan struct{}
+}
+
+var _ Log = (*Tail)(nil)
+
+// NewTail returns an empty tail.
+func NewTail(now func() time.Time) *Tail {
+	return &Tail{now: now, values: make(map[string][]byte), renewed: make(chan struct{})}
+}
+
+// Add takes over a page that was proven at that time.
+func (tail *Tail) Add(page Page, proven time.Time) {
+	tail.mu.Lock()
+	defer tail.mu.Unlock()
+	if page.Whole {
+		tail.values = make(map[string][]byte, len(page.Records))
+		tail.changes = nil
+	}
+	for _, record := range page.Records {
+		if len(record.Value) == 0 {
+			delete(tail.values, record.Key)
+			continue
+		}
+		tail.values[record.Key] = record.Value
+	}
+	if !page.Whole {
+		tail.changes = append(tail.changes, page.Records...)
+		tail.changes = slices.Clone(tail.changes[max(0, len(tail.changes)-maxTail):])
+	}
+	tail.next = page.Next
+	if proven.After(tail.proven) {
+		tail.proven = proven
+	}
+	close(tail.renewed)
+	tail.renewed = make(chan struct{})
+}
+
+// errUnproven says that a tail has nothing to tell yet.
+var errUnproven = errors.New("nothing was read yet")
+
+// Read implements Log. It answers as soon as there is a change or a newer proof.
+func (tail *Tail) Read(ctx context.Context, offset int64, wait time.Duration) (Page, error) {
+	asked := tail.now()
+	page, renewed, err := tail.page(offset, asked)
+	if err != nil || len(page.Records) > 0 || wait <= 0 {
+		return page, err
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	select {
+	case <-renewed:
+	case <-timeout.C:
+	case <-ctx.Done():
+		return Page{}, errors.WithStack(ctx.Err())
+	}
+	page, _, err = tail.page(offset, asked)
+	return page, err
+}
+
+// page returns what there is from offset on for a question of that time.
+func (tail *Tail) page(offset int64, asked time.Time) (Page, <-chan struct{}, error) {
+	tail.mu.Lock()
+	defer tail.mu.Unlock()
+	if tail.proven.IsZero() {
+		return Page{}, nil, errUnproven
+	}
+	page := Page{Next: tail.next, Age: asked.Sub(tail.proven)}
+	missing := tail.next - offset
+	if offset >= 0 && missing >= 0 && missing <= int64(len(tail.changes)) {
+		page.Records = slices.Clone(tail.changes[int64(len(tail.changes))-missing:])
+		return page, tail.renewed, nil
+	}
+	page.Whole = true
+	for key, value := range tail.values {
+		page.Records = append(page.Records, Record{Key: key, Value: value})
+	}
+	slices.SortFunc(page.Records, func(a, b Record) int { return strings.Compare(a.Key, b.Key) })
+	return page, tail.renewed, nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	"github.com/mastwinch/mastwinch/internal/catalog"
 	"github.com/mastwinch/mastwinch/internal/directory"
 	"github.com/mastwinch/mastwinch/internal/exchange"
+	"github.com/mastwinch/mastwinch/internal/feed"
 	"github.com/mastwinch/mastwinch/internal/follower"
 	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/placement"
@@ -40,6 +42,8 @@
 	// maxHeaderBytes is the most that is ever read of a head; the users'
 	// configurations say 16 KiB.
 	maxHeaderBytes = 64 << 10
+	// feedIdle is how long a connection to another VM is kept.
+	feedIdle = 10 * time.Second
 	// freshPart is the part of the bound on revoked keys up to which a VM with
 	// that old a belief calls itself ready.
 	freshPart = 0.6
@@ -56,21 +60,25 @@
 type Gateway struct {
 	settings Settings
 	site     Site
-	codec    Codec
-	network  network.Network
-	logger   *slog.Logger
-	now      func() time.Time
+	// bounds are those of the settings file as it was read last.
+	bounds  atomic.Pointer[Bounds]
+	codec   Codec
+	network network.Network
+	logger  *slog.Logger
+	now     func() time.Time
 
 	belief        *belief
 	configuration *follower.Follower[*catalog.Catalog]
 	directory     *follower.Follower[directory.Entry]
 	exchange      *exchange.Exchange
-	pool          *pool.Pool
-	policy        placement.Policy
-	upstream      *upstream.Client
-	reservations  *reservation.Book
-	metrics       *metrics
-	idle          *idleConnections
+	// tails has what is read, by the names of the sources, for other VMs.
+	tails        map[string]*follower.Tail
+	pool         *pool.Pool
+	policy       placement.Policy
+	upstream     *upstream.Client
+	reservations *reservation.Book
+	metrics      *metrics
+	idle         *idleConnections
 
 	// running counts requests in progress.
 	running atomic.Int64
@@ -102,7 +110,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway")
 	}
-	self := exchange.Member{VM: site.VM, Address: site.PeerAddress}
+	self := exchange.Member{
+		VM: site.VM, Address: site.PeerAddress, DataCentre: site.DataCentre, Capacity: site.Capacity,
+	}
 	exchange := exchange.New(settings.Exchange, self, packets, sources.Register, logger, now)
 	life, end := context.WithCancelCause(context.Background())
 	gateway := &Gateway{
@@ -124,12 +134,33 @@
 	}
 	gateway.reservations = reservation.New(life, settings.Reservation, orders, gateway.upstream, logger, now)
 	gateway.metrics = newMetrics(gateway)
-	gateway.configuration = follower.New("configuration", sources.Configuration, gateway.belief,
-		settings.Configuration, logger, now)
-	gateway.directory = follower.New("servers", sources.Servers, gateway.pool, settings.Directory, logger, now)
+	gateway.bounds.Store(&site.Bounds)
+	through := func(name string, direct follower.Log) follower.Log {
+		return feed.New(name, direct, exchange, newFeedTransport(network), settings.Feed, logger, now)
+	}
+	gateway.configuration = follower.New(
+		sources.Configuration.WithLog(through(sources.Configuration.Name, sources.Configuration.Log)),
+		gateway.belief, settings.Configuration, logger, now)
+	gateway.directory = follower.New(
+		sources.Servers.WithLog(through(sources.Servers.Name, sources.Servers.Log)),
+		gateway.pool, settings.Directory, logger, now)
+	gateway.tails = map[string]*follower.Tail{
+		sources.Configuration.Name: gateway.configuration.Tail(),
+		sources.Servers.Name:       gateway.directory.Tail(),
+	}
 	return gateway, nil
 }
 
+// newFeedTransport returns a transport for calls to other VMs.
+func newFeedTransport(network network.Network) *http.Transport {
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return network.Dial(ctx, address)
+		},
+		IdleConnTimeout: feedIdle,
+	}
+}
+
 // Run serves until ctx is done, and then until what is in progress has ended
 // or the grace is nearly over.
 func (gateway *Gateway) Run(ctx context.Context) error {
@@ -142,9 +173,11 @@
 		ErrorLog:          slog.NewLogLogger(gateway.logger.Handler(), slog.LevelDebug),
 	}
 	ready := &http.Server{Handler: gateway.readyHandler(), ReadHeaderTimeout: headerTimeout}
+	peers := &http.Server{Handler: feed.Handler(gateway.tails, gateway.logger), ReadHeaderTimeout: headerTimeout}
 	group, working := errgroup.WithContext(gateway.life)
 	group.Go(func() error { return gateway.listenAndServe(working, front, gateway.site.Address) })
 	group.Go(func() error { return gateway.listenAndServe(working, ready, gateway.site.ReadyAddress) })
+	group.Go(func() error { return gateway.listenAndServe(working, peers, gateway.site.PeerAddress) })
 	group.Go(func() error { return gateway.exchange.Run(working, gateway.pool) })
 	group.Go(func() error { gateway.configuration.Run(working); return nil })
 	group.Go(func() error { gateway.directory.Run(working); return nil })
@@ -152,7 +185,7 @@
 	drained := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(drained)
-		gateway.drain(front, ready)
+		gateway.drain(front, ready, peers)
 	})
 	gateway.logger.Info("gateway serves", "address", gateway.site.Address,
 		"data_centre", gateway.site.DataCentre, "policy", gateway.settings.Policy)
@@ -181,7 +214,7 @@
 	gateway.stopping.Store(true)
 	asked := gateway.now()
 	gateway.logger.Info("gateway drains", "running", gateway.running.Load())
-	latest := asked.Add(gateway.site.Bounds.Grace - gateway.settings.Drain.Reserve)
+	latest := asked.Add(gateway.bounds.Load().Grace - gateway.settings.Drain.Reserve)
 	earliest := asked.Add(gateway.settings.Drain.Notice)
 	wait.For(gateway.life, earliest.Sub(asked))
 	gateway.closing.Store(true)
@@ -212,14 +245,24 @@
 	}
 }
 
+// Reload takes over the settings file as it is now. Bounds are in force at once;
+// what else differs needs a new start.
+func (gateway *Gateway) Reload(site Site) {
+	bounds := site.Bounds
+	gateway.bounds.Store(&bounds)
+	gateway.shareBudgets()
+	site.Bounds = gateway.site.Bounds
+	gateway.logger.Info("settings read again", "bounds", bounds, "needs_restart", site != gateway.site)
+}
+
 // keysFresh reports whether the belief is young enough to serve a request with
 // a key.
 func (gateway *Gateway) keysFresh() bool {
-	if !gateway.site.Bounds.RevokeFailClosed {
+	if !gateway.bounds.Load().RevokeFailClosed {
 		return true
 	}
 	age, known := gateway.configuration.Age()
-	return known && age < gateway.site.Bounds.Revoke-gateway.settings.Request.RevokeMargin
+	return known && age < gateway.bounds.Load().Revoke-gateway.settings.Request.RevokeMargin
 }
 
 // ready reports whether new connections should come to this VM.
@@ -231,8 +274,8 @@
 		return false
 	}
 	age, known := gateway.configuration.Age()
-	fresh := time.Duration(freshPart * float64(gateway.site.Bounds.Revoke))
-	return known && (!gateway.site.Bounds.RevokeFailClosed || age < fresh)
+	fresh := time.Duration(freshPart * float64(gateway.bounds.Load().Revoke))
+	return known && (!gateway.bounds.Load().RevokeFailClosed || age < fresh)
 }
 
 func (gateway *Gateway) readyHandler() http.Handler {
@@ -272,7 +315,7 @@
 // divided by all VMs that were ever known, since one that is not heard may
 // still serve. A budget spends up to twice its burst in a window.
 func (gateway *Gateway) retryLimits() retrybudget.Limits {
-	bounds := gateway.site.Bounds
+	bounds := gateway.bounds.Load()
 	share := gateway.settings.Request.RetryPart * bounds.RetrySlack / float64(gateway.exchange.Known())
 	return retrybudget.Limits{
 		Ratio:  gateway.settings.Request.RetryPart * bounds.RetryRatio,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mastwinch/mastwinch/internal/exchange"
+	"github.com/mastwinch/mastwinch/internal/feed"
 	"github.com/mastwinch/mastwinch/internal/follower"
 	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/placement"
@@ -27,6 +28,7 @@
 	Pool          pool.Settings        `yaml:"pool"`
 	Exchange      exchange.Settings    `yaml:"exchange"`
 	Network       network.Settings     `yaml:"network"`
+	Feed          feed.Settings        `yaml:"feed"`
 	Upstream      upstream.Settings    `yaml:"upstream"`
 	Configuration follower.Settings    `yaml:"configuration"`
 	Directory     follower.Settings    `yaml:"directory"`
@@ -93,6 +95,7 @@
 		Pool:      pool.DefaultSettings(),
 		Exchange:  exchange.DefaultSettings(),
 		Network:   network.DefaultSettings(),
+		Feed:      feed.DefaultSettings(),
 		Upstream:  upstream.DefaultSettings(),
 		Configuration: follower.Settings{
 			Wait: 1500 * time.Millisecond, Patience: 700 * time.Millisecond,
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -10,8 +10,10 @@
 	Address string
 	// ReadyAddress is where the balancer asks whether the VM is ready.
 	ReadyAddress string
-	// PeerAddress is where other VMs send datagrams.
+	// PeerAddress is where other VMs send datagrams and calls.
 	PeerAddress string
+	// Capacity is that of the VM's link, in Mbit/s.
+	Capacity int
 	// Store is the address of the platform's store.
 	Store string
 	// MemoryBytes is what the process may use, or zero.
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -178,8 +178,8 @@
 	}, DisableKeepAlives: true}
 	store := platform.NewStore(storeAddress, transport)
 	served, err := gateway.New(gateway.DefaultSettings(), site, platform.Codec{}, platform.Orders{}, gateway.Sources{
-		Configuration: platform.NewConfigurationTopic(store, logger),
-		Servers:       platform.NewServersTopic(store, logger),
+		Configuration: platform.NewConfigurationSource(store),
+		Servers:       platform.NewServersSource(store),
 		Register:      platform.NewMembers(store),
 	}, world.network, logger)
 	assert.NilError(world.t, err)
