feed: only what another VM can prove within the bound on configurations

Change: content is taken only while its age, the next question and a margin fit into config_apply_ms; readers ask the store every 0.6 s; and one VM reads for the others only where six or more are live, since below that it saves nothing.

--- a/internal/exchange/reader.go
+++ b/internal/exchange/role.go
@@ -5,41 +5,44 @@
 	"github.com/mastwinch/mastwinch/internal/rendezvous"
 )
 
-var _ feed.Reader = (*Exchange)(nil)
+var _ feed.Members = (*Exchange)(nil)
 
 // readerOrder names the order of VMs that read the store for others.
 const readerOrder = "reader"
 
-// Reader implements feed.Reader: in each data centre the live VM with the
-// greatest capacity reads the store, among equal ones the first by rendezvous.
-// A VM that does not know the others yet reads it itself.
-func (exchange *Exchange) Reader(avoid func(address string) bool) (string, bool) {
+// Role implements feed.Members: in each data centre with at least min live VMs
+// the one with the greatest capacity reads the store, among equal ones the first
+// by rendezvous. A VM that does not know the others yet reads it itself.
+func (exchange *Exchange) Role(least int, avoid func(address string) bool) feed.Role {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
 	if !exchange.listed {
-		return "", false
+		return feed.Role{}
 	}
 	most := exchange.self.Capacity
+	live := 1
 	addresses := map[string]string{exchange.self.VM: ""}
 	for _, peer := range exchange.peers {
-		if peer.DataCentre != exchange.self.DataCentre || !exchange.live(peer) || avoid(peer.Address) {
+		if peer.DataCentre != exchange.self.DataCentre || !exchange.live(peer) {
+			continue
+		}
+		live++
+		if avoid(peer.Address) || peer.Capacity < most {
 			continue
 		}
 		if peer.Capacity > most {
 			most = peer.Capacity
 			clear(addresses)
 		}
-		if peer.Capacity == most {
-			addresses[peer.VM] = peer.Address
-		}
+		addresses[peer.VM] = peer.Address
 	}
-	if exchange.self.Capacity < most {
-		delete(addresses, exchange.self.VM)
+	if live < least {
+		return feed.Role{}
 	}
 	names := make([]string, 0, len(addresses))
 	for name := range addresses {
 		names = append(names, name)
 	}
-	first := rendezvous.Order(readerOrder, names)[0]
-	return addresses[first], first != exchange.self.VM
+	address := addresses[rendezvous.Order(readerOrder, names)[0]]
+	return feed.Role{Ask: address, Serves: address == ""}
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -31,8 +31,15 @@
 
 // Settings tune the feed.
 type Settings struct {
-	// MaxAge is the age from which on what a VM tells is not taken.
-	MaxAge time.Duration `yaml:"max_age" validate:"min=10ms"`
+	// MinMembers is how many live VMs a data centre must have for one of them to
+	// read for the others. With few, reading directly costs no more.
+	MinMembers int `yaml:"min_members" validate:"min=2"`
+	// Margin is kept of the bound on new configurations. What another VM tells
+	// is taken only while it, and the next question, fit into the rest.
+	Margin time.Duration `yaml:"margin" validate:"min=0"`
+	// ReaderWait bounds how long a question waits at the store when others
+	// depend on the answer.
+	ReaderWait time.Duration `yaml:"reader_wait" validate:"min=0,max=30s"`
 	// Avoid is how long a VM is not asked that did not answer.
 	Avoid time.Duration `yaml:"avoid" validate:"min=10ms"`
 	// Wait is how long a question to another VM waits.
@@ -41,14 +48,16 @@
 	Patience time.Duration `yaml:"patience" validate:"min=10ms"`
 }
 
-// DefaultSettings returns settings that keep beliefs younger than the 5 s after
-// which the users' removed keys must not be served.
+// DefaultSettings returns settings for the 3 s within which the users' new
+// configurations must be in force where there are many VMs.
 func DefaultSettings() Settings {
 	return Settings{
-		MaxAge:   2800 * time.Millisecond,
-		Avoid:    3 * time.Second,
-		Wait:     1200 * time.Millisecond,
-		Patience: 400 * time.Millisecond,
+		MinMembers: 6,
+		Margin:     400 * time.Millisecond,
+		ReaderWait: 600 * time.Millisecond,
+		Avoid:      3 * time.Second,
+		Wait:       900 * time.Millisecond,
+		Patience:   300 * time.Millisecond,
 	}
 }
 
@@ -81,19 +90,30 @@
 	return mux
 }
 
-// Reader says who reads the store for this VM.
-type Reader interface {
-	// Reader returns the address of the VM to ask, or false when this VM is to
-	// read the store itself.
-	Reader(avoid func(address string) bool) (string, bool)
+// Role is a VM's part in reading the store.
+type Role struct {
+	// Ask is the address of the VM that reads for this one. It is empty when
+	// this VM reads itself.
+	Ask string
+	// Serves says that others depend on what this VM reads.
+	Serves bool
+}
+
+// Members says which part this VM has.
+type Members interface {
+	// Role returns the part of this VM where at least min VMs are live, those
+	// left out that are avoided.
+	Role(min int, avoid func(address string) bool) Role
 }
 
 // Log is a log that is read through another VM, or directly when there is none
 // or it fails.
 type Log struct {
-	name     string
-	direct   follower.Log
-	reader   Reader
+	name    string
+	direct  follower.Log
+	members Members
+	// bound returns within what time changes must be known.
+	bound    func() time.Duration
 	client   *http.Client
 	settings Settings
 	logger   *slog.Logger
@@ -109,31 +129,43 @@
 var _ follower.Log = (*Log)(nil)
 
 // New returns the log of that name, which is read at direct when no other VM
-// reads it for this one.
+// reads it for this one. Changes must be known within bound.
 func New(
-	name string, direct follower.Log, reader Reader, transport http.RoundTripper, settings Settings,
-	logger *slog.Logger, now func() time.Time,
+	name string, direct follower.Log, members Members, bound func() time.Duration,
+	transport http.RoundTripper, settings Settings, logger *slog.Logger, now func() time.Time,
 ) *Log {
 	return &Log{
-		name: name, direct: direct, reader: reader, client: &http.Client{Transport: transport},
+		name: name, direct: direct, members: members, bound: bound, client: &http.Client{Transport: transport},
 		settings: settings, logger: logger, now: now, avoided: make(map[string]time.Time),
 	}
 }
 
 // Read implements follower.Log.
 func (log *Log) Read(ctx context.Context, offset int64, wait time.Duration) (follower.Page, error) {
-	address, through := log.reader.Reader(log.avoids)
-	log.noteAsked(address)
-	if through {
-		page, err := log.readThrough(ctx, address, offset)
+	role := Role{}
+	if log.maxAge() > log.settings.ReaderWait {
+		role = log.members.Role(log.settings.MinMembers, log.avoids)
+	}
+	log.noteAsked(role.Ask)
+	if role.Ask != "" {
+		page, err := log.readThrough(ctx, role.Ask, offset)
 		if err == nil {
 			return page, nil
 		}
-		log.avoid(address, err)
+		log.avoid(role.Ask, err)
+	}
+	if role.Serves {
+		wait = min(wait, log.settings.ReaderWait)
 	}
 	return log.direct.Read(ctx, offset, wait) //nolint:wrapcheck // the log says what failed
 }
 
+// maxAge is how old another VM's content may be, so that a change that it does
+// not have yet is known within the bound by the next question.
+func (log *Log) maxAge() time.Duration {
+	return log.bound() - log.settings.Margin - log.settings.Wait - log.settings.Patience
+}
+
 // readThrough asks another VM.
 func (log *Log) readThrough(ctx context.Context, address string, offset int64) (follower.Page, error) {
 	bounded, cancel := context.WithTimeout(ctx, log.settings.Wait+log.settings.Patience)
@@ -149,7 +181,7 @@
 	if err != nil {
 		return follower.Page{}, err
 	}
-	if page.Age > log.settings.MaxAge {
+	if page.Age > log.maxAge() {
 		return follower.Page{}, errors.Newf("feed: content is %s old", page.Age)
 	}
 	return page, nil
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,159 @@
+package feed_test
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/feed"
+	"github.com/mastwinch/mastwinch/internal/follower"
+	"github.com/mastwinch/mastwinch/internal/memnet"
+)
+
+const readerAddress = "10.0.0.1:7340"
+
+var errAway = errors.New("store is away")
+
+// store is a log that answers at once, unless it is away, and counts calls.
+type store struct {
+	mu    sync.Mutex
+	away  bool
+	calls int
+	waits []time.Duration
+}
+
+var _ follower.Log = (*store)(nil)
+
+func (store *store) Read(_ context.Context, _ int64, wait time.Duration) (follower.Page, error) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.calls++
+	store.waits = append(store.waits, wait)
+	if store.away {
+		return follower.Page{}, errAway
+	}
+	return follower.Page{Next: 1, Whole: true, Records: []follower.Record{{Key: "direct", Value: []byte("1")}}}, nil
+}
+
+// members gives a fixed part.
+type members struct {
+	role feed.Role
+}
+
+var _ feed.Members = members{}
+
+func (members members) Role(_ int, avoid func(string) bool) feed.Role {
+	if avoid(members.role.Ask) {
+		return feed.Role{}
+	}
+	return members.role
+}
+
+func TestRead(t *testing.T) {
+	tests := map[string]struct {
+		role  feed.Role
+		bound time.Duration
+		// age is how old the reader's content is, below zero for none.
+		age  time.Duration
+		dark bool
+		want string
+		// wantWait is how long a question waits at the store, if it goes there.
+		wantWait time.Duration
+	}{
+		"through another VM": {
+			role: feed.Role{Ask: readerAddress}, bound: 3 * time.Second, want: "through",
+		},
+		"directly when none reads for it": {
+			bound: 3 * time.Second, want: "direct", wantWait: 1500 * time.Millisecond,
+		},
+		"directly, and not for long, when others depend on it": {
+			role: feed.Role{Serves: true}, bound: 3 * time.Second, want: "direct", wantWait: 600 * time.Millisecond,
+		},
+		// A reader that the store turned away kept others at an old configuration.
+		"directly when the other's content is too old for the bound": {
+			role: feed.Role{Ask: readerAddress}, bound: 3 * time.Second, age: 1500 * time.Millisecond,
+			want: "direct", wantWait: 1500 * time.Millisecond,
+		},
+		"directly when the bound leaves no time to ask others": {
+			role: feed.Role{Ask: readerAddress}, bound: 2 * time.Second, want: "direct", wantWait: 1500 * time.Millisecond,
+		},
+		"directly when the other says nothing": {
+			role: feed.Role{Ask: readerAddress}, bound: 3 * time.Second, dark: true,
+			want: "direct", wantWait: 1500 * time.Millisecond,
+		},
+		"directly when the other knows nothing": {
+			role: feed.Role{Ask: readerAddress}, bound: 3 * time.Second, age: -1,
+			want: "direct", wantWait: 1500 * time.Millisecond,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := memnet.New()
+				tail := follower.NewTail(time.Now)
+				if test.age >= 0 {
+					tail.Add(follower.Page{Next: 1, Whole: true, Records: []follower.Record{
+						{Key: "through", Value: []byte("1")},
+					}}, time.Now().Add(-test.age))
+				}
+				listener, err := network.Listen(t.Context(), readerAddress)
+				assert.NilError(t, err)
+				server := &http.Server{Handler: feed.Handler(map[string]*follower.Tail{"log": tail}, slog.New(slog.DiscardHandler))}
+				go func() { _ = server.Serve(listener) }()
+				defer func() { _ = server.Close() }()
+				network.SetDark(readerAddress, test.dark)
+				transport := &http.Transport{
+					DialContext:       func(ctx context.Context, _, address string) (net.Conn, error) { return network.Dial(ctx, address) },
+					DisableKeepAlives: true,
+				}
+				store := &store{}
+				log := feed.New("log", store, members{role: test.role}, func() time.Duration { return test.bound },
+					transport, feed.DefaultSettings(), slog.New(slog.DiscardHandler), time.Now)
+				for range 2 { // the second time a VM that failed is not asked
+					page, err := log.Read(t.Context(), follower.Everything, 1500*time.Millisecond)
+					assert.NilError(t, err)
+					assert.Equal(t, page.Records[0].Key, test.want)
+				}
+				for _, wait := range store.waits {
+					assert.Equal(t, wait, test.wantWait)
+				}
+			})
+		})
+	}
+}
+
+func TestBadQuestions(t *testing.T) {
+	handler := feed.Handler(map[string]*follower.Tail{"log": follower.NewTail(time.Now)}, slog.New(slog.DiscardHandler))
+	for name, target := range map[string]string{
+		"no log":     "/feed?log=none&offset=1&wait_ms=1",
+		"no offset":  "/feed?log=log&offset=x&wait_ms=1",
+		"no wait":    "/feed?log=log&offset=1",
+		"other path": "/other",
+	} {
+		t.Run(name, func(t *testing.T) {
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, target, nil)
+			assert.NilError(t, err)
+			recorder := &recorder{header: make(http.Header)}
+			handler.ServeHTTP(recorder, request)
+			assert.Assert(t, recorder.status >= http.StatusBadRequest)
+		})
+	}
+}
+
+// recorder keeps the status of an answer.
+type recorder struct {
+	header http.Header
+	status int
+}
+
+func (recorder *recorder) Header() http.Header            { return recorder.header }
+func (recorder *recorder) Write(data []byte) (int, error) { return len(data), nil }
+func (recorder *recorder) WriteHeader(status int)         { recorder.status = status }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,7 +136,8 @@
 	gateway.metrics = newMetrics(gateway)
 	gateway.bounds.Store(&site.Bounds)
 	through := func(name string, direct follower.Log) follower.Log {
-		return feed.New(name, direct, exchange, newFeedTransport(network), settings.Feed, logger, now)
+		bound := func() time.Duration { return gateway.bounds.Load().Apply }
+		return feed.New(name, direct, exchange, bound, newFeedTransport(network), settings.Feed, logger, now)
 	}
 	gateway.configuration = follower.New(
 		sources.Configuration.WithLog(through(sources.Configuration.Name, sources.Configuration.Log)),
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -23,6 +23,8 @@
 
 // Bounds are what the operator holds the system to.
 type Bounds struct {
+	// Apply is how long after it was accepted a configuration must be in force.
+	Apply time.Duration
 	// Drain is how long after a server's leaving is known it may get new work.
 	Drain time.Duration
 	// Grace is the time from the request to stop until the process is killed.
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -64,9 +64,11 @@
 	memnet.mu.Lock()
 	found, dark := memnet.listeners[address], memnet.dark[address]
 	memnet.mu.Unlock()
+	bounded, cancel := context.WithTimeout(ctx, network.DefaultSettings().DialTimeout)
+	defer cancel()
 	if dark {
-		<-ctx.Done()
-		return nil, errors.WithStack(ctx.Err())
+		<-bounded.Done()
+		return nil, errors.WithStack(bounded.Err())
 	}
 	if found == nil {
 		return nil, errors.WithStack(ErrRefused)
@@ -77,8 +79,8 @@
 		return near, nil
 	case <-found.closed:
 		return nil, errors.WithStack(ErrRefused)
-	case <-ctx.Done():
-		return nil, errors.WithStack(ctx.Err())
+	case <-bounded.Done():
+		return nil, errors.WithStack(bounded.Err())
 	}
 }
 
