--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -7,6 +7,9 @@
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
 
+// percent scales a pace to whole numbers.
+const percent = 100
+
 func encode(reports []pool.Report) []*wire.Sending {
 	sendings := make([]*wire.Sending, 0, len(reports))
 	for _, report := range reports {
@@ -21,6 +24,7 @@
 			Helps:        report.Helps,
 			AgeMs:        uint32(report.Age.Milliseconds()), //nolint:gosec // minutes at most
 			DueMs:        int32(report.Due.Milliseconds()),  //nolint:gosec // minutes at most
+			PacePercent:  uint32(percent * report.Pace),
 		})
 	}
 	return sendings
@@ -40,6 +44,7 @@
 			Helps:  sending.GetHelps(),
 			Age:    time.Duration(sending.GetAgeMs()) * time.Millisecond,
 			Due:    time.Duration(sending.GetDueMs()) * time.Millisecond,
+			Pace:   float64(sending.GetPacePercent()) / percent,
 		})
 	}
 	return reports
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -32,6 +32,7 @@
 			attempted.use.Read()
 			run.observeFirst(attempted)
 		}
+		attempted.use.Event()
 		if attempted.watchdog != nil {
 			attempted.watchdog.Reset(gap)
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -31,6 +31,15 @@
 	// doubles the time up to EjectTimeMax.
 	EjectTime    time.Duration `yaml:"eject_time" validate:"min=10ms"`
 	EjectTimeMax time.Duration `yaml:"eject_time_max" validate:"min=10ms"`
+	// PassSpare is what a pass takes beside its steps and reading: the context of
+	// what is written.
+	PassSpare time.Duration `yaml:"pass_spare" validate:"min=0"`
+	// PaceGain is the weight of one event in a server's pace, PaceHalf the time
+	// in which a pace that is not seen any more halves, and SlowTimes the
+	// multiple of the usual pace from which on a server is suspect.
+	PaceGain  float64       `yaml:"pace_gain" validate:"min=0,max=1"`
+	PaceHalf  time.Duration `yaml:"pace_half" validate:"min=100ms"`
+	SlowTimes float64       `yaml:"slow_times" validate:"min=1"`
 	// RemoteTime is for how long what another VM told holds without being told
 	// again.
 	RemoteTime time.Duration `yaml:"remote_time" validate:"min=100ms"`
@@ -43,6 +52,10 @@
 		EjectAfter:   2,
 		EjectTime:    time.Second,
 		EjectTimeMax: 8 * time.Second,
+		PassSpare:    30 * time.Millisecond,
+		PaceGain:     0.1,
+		PaceHalf:     4 * time.Second,
+		SlowTimes:    2.2,
 		RemoteTime:   1600 * time.Millisecond,
 	}
 }
@@ -226,12 +239,14 @@
 	now := pool.now()
 	open := make([]placement.Server, 0, len(pool.byService[service.Name]))
 	var lapsed []placement.Server
+	slow := pool.settings.SlowTimes * pool.usualPace(service, now)
 	for _, server := range pool.byService[service.Name] {
 		if server.entry.Leaving || server.closed || pool.gone(server, now) || slices.Contains(tried, server.entry.ID) {
 			continue
 		}
 		pool.forget(server, now)
 		view := server.view(now)
+		view.Suspect = view.Suspect || server.currentPace(now, pool.settings) > slow
 		if service.Engine != nil {
 			view.MemoryFree += service.Engine.MemoryTokens
 		}
@@ -247,6 +262,20 @@
 	return open
 }
 
+// usualPace is the middle one of the paces of a service's servers, at least one.
+func (pool *Pool) usualPace(service *catalog.Service, now time.Time) float64 {
+	servers := pool.byService[service.Name]
+	if len(servers) == 0 {
+		return 1
+	}
+	paces := make([]float64, 0, len(servers))
+	for _, server := range servers {
+		paces = append(paces, server.currentPace(now, pool.settings))
+	}
+	slices.Sort(paces)
+	return max(1, paces[len(paces)/2])
+}
+
 // Changed returns a channel that is closed when a server may have room again.
 func (pool *Pool) Changed() <-chan struct{} {
 	pool.mu.Lock()
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -296,3 +296,52 @@
 	world.Succeeded("s1")
 	assert.Assert(t, !world.server(t, "s1").Suspect)
 }
+
+// TestSlowServerIsSuspect has events that take four times as long at one server.
+func TestSlowServerIsSuspect(t *testing.T) {
+	tests := map[string]struct {
+		// times is how much longer than expected events take at each server.
+		times map[string]float64
+		want  map[string]bool
+	}{
+		"one is slow":          {times: map[string]float64{"s1": 4, "s2": 1, "s3": 1}, want: map[string]bool{"s1": true}},
+		"all are slow":         {times: map[string]float64{"s1": 4, "s2": 4, "s3": 4}, want: map[string]bool{}},
+		"one is a bit slow":    {times: map[string]float64{"s1": 1.5, "s2": 1, "s3": 1}, want: map[string]bool{}},
+		"fast ones are no aim": {times: map[string]float64{"s1": 0.2, "s2": 0.2, "s3": 0.5}, want: map[string]bool{}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			world := newWorld()
+			world.Replace(listedUpTo(3))
+			for id, times := range test.times {
+				use := world.Start(placement.Plan{Server: world.server(t, id)}, placement.Request{Engine: engines().Engine})
+				use.Read()
+				for range 20 {
+					use.Event()
+					world.pass(time.Duration(times * float64(73*time.Millisecond)))
+				}
+				use.Over()
+				world.now = time.Unix(1000, 0).Add(time.Millisecond)
+			}
+			for id := range test.times {
+				assert.Equal(t, world.server(t, id).Suspect, test.want[id], id)
+			}
+			world.pass(20 * time.Second)
+			for id := range test.times {
+				assert.Assert(t, !world.server(t, id).Suspect, "%s is tried again", id)
+			}
+		})
+	}
+}
+
+func TestPaceIsToldToOtherVMs(t *testing.T) {
+	world := newWorld()
+	world.Replace(listedUpTo(3))
+	for range 30 {
+		report := pool.Report{ID: 7, Server: "s1", Phase: pool.PhaseWriting}
+		world.Told("vm-2", []pool.Report{report})
+		report.Phase, report.Pace = pool.PhaseOver, 5
+		world.Told("vm-2", []pool.Report{report})
+	}
+	assert.Assert(t, world.server(t, "s1").Suspect)
+}
--- a/internal/pool/sending.go
+++ b/internal/pool/sending.go
@@ -43,6 +43,9 @@
 	// Due is when a request that waits must have its first event, from now. It
 	// is below zero when that time is over.
 	Due time.Duration
+	// Pace is how long events took beside what was expected, or zero when none
+	// were seen.
+	Pace float64
 }
 
 // sending is a request at a server.
@@ -59,7 +62,14 @@
 // Use is a request of this VM at the servers of one plan.
 type Use struct {
 	pool *Pool
-	ids  []uint64
+	// ids has the sendings, the one at the server that writes first.
+	ids []uint64
+	// pass is how long a pass of the server takes when nothing is read.
+	pass time.Duration
+	// last is when the last event came, and expected how long the next one may
+	// take as it was then.
+	last     time.Time
+	expected time.Duration
 }
 
 // Start notes that a request goes to the servers of a plan.
@@ -68,6 +78,9 @@
 	defer pool.mu.Unlock()
 	now := pool.now()
 	use := &Use{pool: pool}
+	if request.Engine != nil {
+		use.pass = request.Engine.PassTime() + pool.settings.PassSpare
+	}
 	report := Report{Server: plan.Server.ID, Phase: PhaseReading, Work: plan.Part, Memory: request.Memory, Gap: request.Gap, Tight: plan.Tight}
 	if len(plan.Shares) > 0 {
 		report.Memory = plan.Shares[0]
@@ -121,6 +134,29 @@
 	pool.wake()
 }
 
+// Event notes that an event came, and learns from the time since the last one
+// how slow the server is.
+func (use *Use) Event() {
+	pool := use.pool
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	own := pool.own[use.ids[0]]
+	if own == nil || use.pass == 0 {
+		return
+	}
+	now := pool.now()
+	server := pool.servers[own.Server]
+	if server == nil {
+		return
+	}
+	if !use.last.IsZero() {
+		own.Pace = now.Sub(use.last).Seconds() / use.expected.Seconds()
+		server.learnPace(own.Pace, now, pool.settings)
+	}
+	use.last = now
+	use.expected = use.pass + server.reading()
+}
+
 // Over notes that the request is at its servers no more.
 func (use *Use) Over() {
 	use.pool.mu.Lock()
@@ -207,6 +243,10 @@
 		if report.Phase < known.Phase {
 			return false // told earlier, and late
 		}
+		if report.Pace > 0 && report.Pace != known.Pace {
+			known.Pace = report.Pace
+			server.learnPace(report.Pace, now, pool.settings)
+		}
 		advanced := report.Phase > known.Phase
 		if report.Phase == PhaseOver {
 			pool.end(known)
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -20,6 +21,10 @@
 	suspectUntil time.Time
 	// sendings has the requests of all VMs there, in the order of sending.
 	sendings []*sending
+	// pace is how long events took lately beside what was expected, and pacedAt
+	// when one came last.
+	pace    float64
+	pacedAt time.Time
 	// lastRead is when a prompt was last known to be read.
 	lastRead time.Time
 }
@@ -63,6 +68,34 @@
 	view.LooseGap = shorter(view.LooseGap, sending.Gap)
 }
 
+// reading is what the server has to read of prompts without an event yet.
+func (server *server) reading() time.Duration {
+	var total time.Duration
+	for _, sending := range server.sendings {
+		if sending.Phase == PhaseReading {
+			total += sending.Work
+		}
+	}
+	return total
+}
+
+// learnPace takes over how long one event took beside what was expected.
+func (server *server) learnPace(ratio float64, now time.Time, settings Settings) {
+	current := server.currentPace(now, settings)
+	server.pace = current + settings.PaceGain*(ratio-current)
+	server.pacedAt = now
+}
+
+// currentPace is the pace as it counts now. What is not seen any more returns
+// to one, so that a slow server is tried again.
+func (server *server) currentPace(now time.Time, settings Settings) float64 {
+	if server.pacedAt.IsZero() {
+		return 1
+	}
+	halves := now.Sub(server.pacedAt).Seconds() / settings.PaceHalf.Seconds()
+	return 1 + (server.pace-1)*math.Exp2(-halves)
+}
+
 func shorter(a, b time.Duration) time.Duration {
 	if a == 0 || (b != 0 && b < a) {
 		return b
