--- a/internal/placement/lengthaware.go
+++ b/internal/placement/lengthaware.go
@@ -232,7 +232,9 @@
 	}
 	plan, _, ok := lengthaware.bestLong(servers, request)
 	patience := time.Duration(lengthaware.settings.Patience * float64(request.Objective))
-	return plan, ok && (request.Left < -patience || request.Stays < lengthaware.settings.StaySpare)
+	urgent := request.Left < -patience || request.Stays < lengthaware.settings.StaySpare
+	// What its caller will not see is work for nothing, which makes others late.
+	return plan, ok && urgent && plan.Predicted < request.Stays
 }
 
 // good reports whether a plan with that gain is worth taking now. A request that
