--- a/internal/cmd/mastwinchcmd.go
+++ b/internal/cmd/mastwinchcmd.go
@@ -40,6 +40,7 @@
 			newReadyCommand(),
 			newOrganisationCommand(),
 			newSessionCommand(),
+			newExplainCommand(),
 		},
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -312,16 +312,21 @@
 	}
 }
 
+// burstPart is the part of a VM's share of the slack that it may spend at once;
+// the rest comes back evenly over the window. A server that dies cuts many
+// streams at once, so most of it is kept for that.
+const burstPart = 0.7
+
 // retryLimits is this VM's share of the budget over all VMs. The slack is
 // divided by all VMs that were ever known, since one that is not heard may
-// still serve. A budget spends up to twice its burst in a window.
+// still serve.
 func (gateway *Gateway) retryLimits() retrybudget.Limits {
 	bounds := gateway.bounds.Load()
 	share := gateway.settings.Request.RetryPart * bounds.RetrySlack / float64(gateway.exchange.Known())
 	return retrybudget.Limits{
 		Ratio:  gateway.settings.Request.RetryPart * bounds.RetryRatio,
-		Burst:  share / 2,
-		Refill: bounds.RetryWindow,
+		Burst:  burstPart * share,
+		Refill: time.Duration(burstPart / (1 - burstPart) * float64(bounds.RetryWindow)),
 	}
 }
 
