--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"bufio"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -380,3 +382,76 @@
 		world.stopped <- nil
 	})
 }
+
+func TestVMThatStartsAgainServesSoon(t *testing.T) {
+	servers := map[string]backend{"one": answers(http.StatusOK, "run")}
+	inWorld(t, nil, servers, func(world *world) {
+		world.finish()
+		started := time.Now()
+		world.start() // which waits 0.1 s
+		assert.Assert(t, world.ready())
+		assert.Equal(t, world.ask(plain(http.MethodGet, "look")).status, http.StatusOK)
+		assert.Assert(t, time.Since(started) < 200*time.Millisecond)
+	})
+}
+
+func TestIdleConnectionIsClosedAfterTheConfiguredTime(t *testing.T) {
+	servers := map[string]backend{"one": answers(http.StatusOK, "run")}
+	inWorld(t, nil, servers, func(world *world) {
+		world.configure(2, func(configuration map[string]any) {
+			configuration["limits"] = map[string]any{
+				"max_header_bytes": 16_384, "max_body_bytes": 65_536, "idle_timeout_ms": 4000,
+			}
+		})
+		time.Sleep(2 * time.Second)
+		conn, err := world.network.Dial(world.t.Context(), vmAddress)
+		assert.NilError(t, err)
+		reader := bufio.NewReader(conn)
+		ask := func() error {
+			_, err := io.WriteString(conn, "GET /open/x HTTP/1.1\r\nHost: register.example\r\nRequest-Id: a\r\n\r\n")
+			if err != nil {
+				return err
+			}
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				return err
+			}
+			_, err = io.Copy(io.Discard, response.Body)
+			return err
+		}
+		assert.NilError(t, ask())
+		time.Sleep(3 * time.Second)
+		assert.NilError(t, ask(), "kept within the time")
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, ask() != nil, "closed after it")
+	})
+}
+
+// TestRetriesStayWithinTheBudget has a service that always fails, and more
+// requests than the budget allows to repeat.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	servers := map[string]backend{"one": answers(http.StatusInternalServerError, "no"), "two": answers(http.StatusInternalServerError, "no")}
+	inWorld(t, nil, servers, func(world *world) {
+		const requests = 400
+		for range requests {
+			world.ask(plain(http.MethodGet, "look"))
+			time.Sleep(5 * time.Millisecond)
+		}
+		repeats := float64(len(world.requests()) - requests)
+		assert.Assert(t, repeats <= 0.2*requests+100, "%f repeats", repeats)
+		assert.Assert(t, repeats >= 0.1*requests, "%f repeats", repeats)
+	})
+}
+
+func TestReloadTakesBoundsOver(t *testing.T) {
+	servers := map[string]backend{"one": answers(http.StatusOK, "run")}
+	inWorld(t, nil, servers, func(world *world) {
+		world.store.SetFault(metastoreSilent)
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, world.ask(plain(http.MethodGet, "look")).status, http.StatusServiceUnavailable)
+		site := newSite()
+		site.Bounds.Revoke = time.Minute
+		world.served.Reload(site)
+		assert.Equal(t, world.ask(plain(http.MethodGet, "look")).status, http.StatusOK)
+	})
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -37,6 +37,7 @@
 	t       *testing.T
 	network *memnet.Network
 	store   *metastore.Store
+	served  *gateway.Gateway
 	stop    context.CancelFunc
 	stopped chan error
 	stopAt  time.Time
@@ -161,9 +162,9 @@
 	world.store.Put("keyed.op", "config", value)
 }
 
-// start starts the VM and waits until it is ready.
-func (world *world) start() {
-	site := gateway.Site{
+// newSite returns the place of the VM.
+func newSite() gateway.Site {
+	return gateway.Site{
 		VM: "vm-1", DataCentre: "north", Address: vmAddress, ReadyAddress: readyAddress,
 		PeerAddress: "10.0.1.1:82", Store: storeAddress, MemoryBytes: 256 << 20,
 		Bounds: gateway.Bounds{
@@ -172,17 +173,22 @@
 			Stall: 1500 * time.Millisecond, HoldMax: 20 * time.Second,
 		},
 	}
+}
+
+// start starts the VM and waits until it is ready.
+func (world *world) start() {
 	logger := slog.New(slog.DiscardHandler)
 	transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 		return world.network.Dial(ctx, address)
 	}, DisableKeepAlives: true}
 	store := platform.NewStore(storeAddress, transport)
-	served, err := gateway.New(gateway.DefaultSettings(), site, platform.Codec{}, platform.Orders{}, gateway.Sources{
+	served, err := gateway.New(gateway.DefaultSettings(), newSite(), platform.Codec{}, platform.Orders{}, gateway.Sources{
 		Configuration: platform.NewConfigurationSource(store),
 		Servers:       platform.NewServersSource(store),
 		Register:      platform.NewMembers(store),
 	}, world.network, logger)
 	assert.NilError(world.t, err)
+	world.served = served
 	ctx, stop := context.WithCancel(context.Background())
 	world.stop = stop
 	go func() { world.stopped <- served.Run(ctx) }()
