one copy of ejection and of the retry budget; large files split

ejection: the doubling time for which a failing server is kept out of use stood in fleet and in pool. retrybudget: entry had a copy of its own. placement and gateway are split by matter. Behaviour is as before, the tests of fleet, pool and entry pass unchanged.

--- /dev/null
+++ b/internal/ejection/ejection_test.go
@@ -0,0 +1,29 @@
+package ejection_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/ejection"
+)
+
+func TestState(t *testing.T) {
+	limits := ejection.Limits{After: 2, Time: time.Second, TimeMax: 3 * time.Second}
+	start := time.Unix(0, 0)
+	state := ejection.State{}
+	assert.Assert(t, !state.Failed(start, limits))
+	assert.Assert(t, state.Failed(start, limits))
+	assert.Assert(t, state.Ejected(start.Add(999*time.Millisecond)))
+	assert.Assert(t, !state.Ejected(start.Add(time.Second)))
+	state.Try(start.Add(time.Second), limits)
+	assert.Assert(t, state.Ejected(start.Add(1500*time.Millisecond)), "one trial at a time")
+	for range 5 {
+		state.Failed(start, limits)
+	}
+	assert.Assert(t, state.Ejected(start.Add(2999*time.Millisecond)))
+	assert.Assert(t, !state.Ejected(start.Add(3*time.Second)), "no longer than the most")
+	state.Succeeded()
+	assert.Assert(t, !state.Failed(start, limits))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/mastwinch/mastwinch/internal/keeperclient"
 	"github.com/mastwinch/mastwinch/internal/link"
 	"github.com/mastwinch/mastwinch/internal/replica"
+	"github.com/mastwinch/mastwinch/internal/retrybudget"
 	"github.com/mastwinch/mastwinch/internal/routing"
 	"github.com/mastwinch/mastwinch/internal/wait"
 	"github.com/mastwinch/mastwinch/internal/wire"
@@ -64,7 +65,7 @@
 	proposer    Proposer
 	policy      routing.Policy
 	admission   *admission
-	retries     *retryBudget
+	retries     *retrybudget.Budget
 	registry    *registry
 	metrics     *metrics
 	prometheus  *prometheus.Registry
@@ -113,7 +114,7 @@
 		proposer:    proposer,
 		policy:      newPolicy(settings.Routing),
 		admission:   newAdmission(settings.Admission),
-		retries:     newRetryBudget(settings.Retry.Ratio, settings.Retry.Burst),
+		retries:     retrybudget.New(retrybudget.Limits{Ratio: settings.Retry.Ratio, Burst: settings.Retry.Burst}, time.Now),
 		registry:    registry,
 		metrics:     newMetrics(prometheus, registry.len, replica.Next),
 		prometheus:  prometheus,
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -63,7 +63,7 @@
 		deadline: deadline,
 		cancel:   cancel,
 	}
-	entry.retries.earn()
+	entry.retries.Earn()
 	entry.registry.add(started)
 	entry.background.Go(func() {
 		defer cancel(nil)
@@ -247,7 +247,7 @@
 		return run.failed(result.reason, retryAfter), true
 	case run.attempts >= entry.settings.Retry.MaxAttempts:
 		return run.failed(result.reason, retryAfter), true
-	case !entry.retries.spend():
+	case !entry.retries.Spend():
 		return run.failed(request.ReasonRetryBudget, retryAfter), true
 	}
 	return request.Outcome{}, false
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/mastwinch/mastwinch/internal/ejection"
 	"github.com/mastwinch/mastwinch/internal/infra"
 	"github.com/mastwinch/mastwinch/internal/rendezvous"
 	"github.com/mastwinch/mastwinch/internal/routing"
@@ -33,6 +34,11 @@
 	LeavingTime time.Duration `yaml:"leaving_time" validate:"min=1s"`
 }
 
+// ejection returns when and for how long servers are ejected.
+func (settings Settings) ejection() ejection.Limits {
+	return ejection.Limits{After: settings.EjectAfter, Time: settings.EjectTime, TimeMax: settings.EjectTimeMax}
+}
+
 // DefaultSettings returns settings for today's fleets.
 func DefaultSettings() Settings {
 	return Settings{
@@ -164,8 +170,7 @@
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
 	if server := fleet.servers[id]; server != nil {
-		server.failures = 0
-		server.ejectedUntil = time.Time{}
+		server.ejection.Succeeded()
 	}
 }
 
@@ -177,17 +182,7 @@
 	if server == nil {
 		return false
 	}
-	server.failures++
-	over := server.failures - fleet.settings.EjectAfter
-	if over < 0 {
-		return false
-	}
-	duration := fleet.settings.EjectTime
-	for range over {
-		duration = min(2*duration, fleet.settings.EjectTimeMax)
-	}
-	server.ejectedUntil = fleet.now().Add(duration)
-	return true
+	return server.ejection.Failed(fleet.now(), fleet.settings.ejection())
 }
 
 // Leaving notes that the server itself said that it is leaving.
--- a/internal/fleet/sending.go
+++ b/internal/fleet/sending.go
@@ -46,10 +46,7 @@
 		server.own.short += share.short
 		server.own.long += share.long
 		server.sent = append(server.sent, sent{at: now, memory: request.Need() / width})
-		if server.failures >= fleet.settings.EjectAfter && !now.Before(server.ejectedUntil) {
-			// A trial: no other request until it has come out.
-			server.ejectedUntil = now.Add(fleet.settings.EjectTime)
-		}
+		server.ejection.Try(now, fleet.settings.ejection())
 	}
 	counted := sync.OnceFunc(func() { fleet.computed(decision, share) })
 	computed := sync.OnceFunc(func() {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/mastwinch/mastwinch/internal/ejection"
 	"github.com/mastwinch/mastwinch/internal/routing"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
@@ -21,11 +22,9 @@
 	// rate is the prompt tokens computed in a second, as seen from answers.
 	rate float64
 	// sent has what was sent within the report lag, oldest first.
-	sent        []sent
-	outstanding int
-	// failures counts failures since the last good answer.
-	failures     int
-	ejectedUntil time.Time
+	sent         []sent
+	outstanding  int
+	ejection     ejection.State
 	leavingUntil time.Time
 }
 
@@ -66,7 +65,7 @@
 		PrefillRate: server.rate,
 		Outstanding: server.outstanding,
 		Leaving:     listed.GetLeaving() || now.Before(server.leavingUntil),
-		Ejected:     now.Before(server.ejectedUntil),
+		Ejected:     server.ejection.Ejected(now),
 	}
 	if load := server.load; load != nil {
 		view.Free = int(load.GetFreeTokens()) //nolint:gosec // as above
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -210,30 +210,6 @@
 	return errors.Wrap(err, "gateway")
 }
 
-// drain lets what is in progress end, and then stops the process.
-func (gateway *Gateway) drain(servers ...*http.Server) {
-	gateway.stopping.Store(true)
-	asked := gateway.now()
-	gateway.logger.Info("gateway drains", "running", gateway.running.Load())
-	latest := asked.Add(gateway.bounds.Load().Grace - gateway.settings.Drain.Reserve)
-	earliest := asked.Add(gateway.settings.Drain.Notice)
-	wait.For(gateway.life, earliest.Sub(asked))
-	gateway.closing.Store(true)
-	for gateway.running.Load() > 0 && gateway.now().Before(latest) {
-		wait.For(gateway.life, drainTick)
-	}
-	gateway.logger.Info("gateway ends", "running", gateway.running.Load(), "after", gateway.now().Sub(asked))
-	gateway.end(errStopping)
-	bounded, cancel := context.WithTimeout(context.Background(), gateway.settings.Drain.Reserve/2)
-	defer cancel()
-	for _, server := range servers {
-		// What has not ended by now is cut by the end of the process.
-		if err := server.Shutdown(bounded); err != nil {
-			_ = server.Close() // says no more than Shutdown did
-		}
-	}
-}
-
 // keepHouse closes connections that were idle for too long, and brings limits
 // up to date.
 func (gateway *Gateway) keepHouse(ctx context.Context) {
@@ -256,80 +232,6 @@
 	gateway.logger.Info("settings read again", "bounds", bounds, "needs_restart", site != gateway.site)
 }
 
-// keysFresh reports whether the belief is young enough to serve a request with
-// a key.
-func (gateway *Gateway) keysFresh() bool {
-	if !gateway.bounds.Load().RevokeFailClosed {
-		return true
-	}
-	age, known := gateway.configuration.Age()
-	return known && age < gateway.bounds.Load().Revoke-gateway.settings.Request.RevokeMargin
-}
-
-// ready reports whether new connections should come to this VM.
-func (gateway *Gateway) ready() bool {
-	if gateway.stopping.Load() || gateway.belief.current.Load() == nil {
-		return false
-	}
-	if _, known := gateway.directory.Age(); !known {
-		return false
-	}
-	age, known := gateway.configuration.Age()
-	fresh := time.Duration(freshPart * float64(gateway.bounds.Load().Revoke))
-	return known && (!gateway.bounds.Load().RevokeFailClosed || age < fresh)
-}
-
-func (gateway *Gateway) readyHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /ready", func(writer http.ResponseWriter, _ *http.Request) {
-		if !gateway.ready() {
-			writer.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	mux.Handle("GET /metrics", gateway.metrics.handler())
-	return mux
-}
-
-// budget returns the retry budget of a service.
-func (gateway *Gateway) budget(service string) *retrybudget.Budget {
-	gateway.budgetMu.Lock()
-	defer gateway.budgetMu.Unlock()
-	budget := gateway.budgets[service]
-	if budget == nil {
-		budget = retrybudget.New(gateway.retryLimits(), gateway.now)
-		gateway.budgets[service] = budget
-	}
-	return budget
-}
-
-// shareBudgets brings the retry budgets up to date with the number of VMs.
-func (gateway *Gateway) shareBudgets() {
-	gateway.budgetMu.Lock()
-	defer gateway.budgetMu.Unlock()
-	limits := gateway.retryLimits()
-	for _, budget := range gateway.budgets {
-		budget.SetLimits(limits)
-	}
-}
-
-// burstPart is the part of a VM's share of the slack that it may spend at once;
-// the rest comes back evenly over the window. A server that dies cuts many
-// streams at once, so most of it is kept for that.
-const burstPart = 0.7
-
-// retryLimits is this VM's share of the budget over all VMs. The slack is
-// divided by all VMs that were ever known, since one that is not heard may
-// still serve.
-func (gateway *Gateway) retryLimits() retrybudget.Limits {
-	bounds := gateway.bounds.Load()
-	share := gateway.settings.Request.RetryPart * bounds.RetrySlack / float64(gateway.exchange.Known())
-	return retrybudget.Limits{
-		Ratio:  gateway.settings.Request.RetryPart * bounds.RetryRatio,
-		Burst:  burstPart * share,
-		Refill: time.Duration(burstPart / (1 - burstPart) * float64(bounds.RetryWindow)),
-	}
-}
-
 // retryAfter returns when a refused caller may return, spread so that callers
 // do not return together.
 func (gateway *Gateway) retryAfter() time.Duration {
--- /dev/null
+++ b/internal/gateway/ready.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+// keysFresh reports whether the belief is young enough to serve a request with
+// a key.
+func (gateway *Gateway) keysFresh() bool {
+	if !gateway.bounds.Load().RevokeFailClosed {
+		return true
+	}
+	age, known := gateway.configuration.Age()
+	return known && age < gateway.bounds.Load().Revoke-gateway.settings.Request.RevokeMargin
+}
+
+// ready reports whether new connections should come to this VM.
+func (gateway *Gateway) ready() bool {
+	if gateway.stopping.Load() || gateway.belief.current.Load() == nil {
+		return false
+	}
+	if _, known := gateway.directory.Age(); !known {
+		return false
+	}
+	age, known := gateway.configuration.Age()
+	fresh := time.Duration(freshPart * float64(gateway.bounds.Load().Revoke))
+	return known && (!gateway.bounds.Load().RevokeFailClosed || age < fresh)
+}
+
+func (gateway *Gateway) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", func(writer http.ResponseWriter, _ *http.Request) {
+		if !gateway.ready() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", gateway.metrics.handler())
+	return mux
+}
--- a/internal/placement/lengthaware.go
+++ b/internal/placement/lengthaware.go
@@ -22,78 +22,6 @@
 // is known of it is not exact.
 const spareTokens = 4000
 
-// Settings tune LengthAware.
-type Settings struct {
-	// TightGap is the pause up to which a request counts as tight.
-	TightGap time.Duration `yaml:"tight_gap" validate:"min=1ms"`
-	// PackSlots is the part of the slots of a server that tight requests fill.
-	PackSlots float64 `yaml:"pack_slots" validate:"min=0.1,max=1"`
-	// KeepSpare is how many servers beside the filled ones are kept for tight
-	// requests, and LeaveLong how many are never kept.
-	KeepSpare int `yaml:"keep_spare" validate:"min=0"`
-	LeaveLong int `yaml:"leave_long" validate:"min=0"`
-	// NearBacklog is the reading up to which servers count as equally busy.
-	NearBacklog time.Duration `yaml:"near_backlog" validate:"min=1ms"`
-	// PassSpare is what a pass takes beside reading and the steps themselves:
-	// the context of what is written.
-	PassSpare time.Duration `yaml:"pass_spare" validate:"min=0"`
-	// MaxParts is the most servers that read one prompt.
-	MaxParts int `yaml:"max_parts" validate:"min=1,max=17"`
-	// MinPart is the least that a server reads of a prompt read by several.
-	MinPart time.Duration `yaml:"min_part" validate:"min=1ms"`
-	// Room is the most that a server may have to read to get a part of another
-	// long prompt.
-	Room time.Duration `yaml:"room" validate:"min=0"`
-	// LongRoom is the same for a server that reads another long prompt: the
-	// parts of several servers are read before the prompt of one, and late ones
-	// hold up the others.
-	LongRoom time.Duration `yaml:"long_room" validate:"min=0"`
-	// TightPass is the longest pass that keeps tight pauses in time.
-	TightPass time.Duration `yaml:"tight_pass" validate:"min=1ms"`
-	// TightLife is how long a tight request takes, about.
-	TightLife time.Duration `yaml:"tight_life" validate:"min=1ms"`
-	// LatePart is the part of its worth that a late request keeps.
-	LatePart float64 `yaml:"late_part" validate:"min=0,max=1"`
-	// GoodGain is the part of its worth that a plan must bring for a request
-	// that can still be in time.
-	GoodGain float64 `yaml:"good_gain" validate:"min=0,max=1"`
-	// AimPart is the part of the time left within which a first event must be
-	// predicted to count as in time.
-	AimPart float64 `yaml:"aim_part" validate:"min=0.1,max=1"`
-	// RiskPart is the part of its worth that a plan loses when it takes all of
-	// the time that is left.
-	RiskPart float64 `yaml:"risk_part" validate:"min=0,max=1"`
-	// Patience is the multiple of the objective, beyond it, for which a prompt
-	// is held at most.
-	Patience float64 `yaml:"patience" validate:"min=0"`
-	// StaySpare is how long its caller must stay for a prompt to be held.
-	StaySpare time.Duration `yaml:"stay_spare" validate:"min=0"`
-}
-
-// DefaultSettings returns the settings that docs/RESULTS.md found best.
-func DefaultSettings() Settings {
-	return Settings{
-		TightGap:    400 * time.Millisecond,
-		PackSlots:   0.6,
-		KeepSpare:   1,
-		LeaveLong:   1,
-		NearBacklog: 50 * time.Millisecond,
-		PassSpare:   30 * time.Millisecond,
-		MaxParts:    MaxParts,
-		MinPart:     20 * time.Millisecond,
-		Room:        100 * time.Millisecond,
-		LongRoom:    20 * time.Millisecond,
-		TightPass:   240 * time.Millisecond,
-		TightLife:   1800 * time.Millisecond,
-		LatePart:    0.25,
-		GoodGain:    0.5,
-		AimPart:     0.9,
-		RiskPart:    0.1,
-		Patience:    2,
-		StaySpare:   time.Second,
-	}
-}
-
 // LengthAware reads a long prompt in many thin parts, each at another server,
 // so that no pass grows longer than the shortest pause that is in time among
 // those who write there. Tight requests fill servers in one order, the same at
@@ -142,80 +70,6 @@
 	return sound
 }
 
-// placeTight chooses among the servers that are kept for tight requests, the
-// one with the least to do; then, when all pauses would grow too long there,
-// among all.
-func (lengthaware LengthAware) placeTight(servers []Server, request Request) (Plan, bool) {
-	work := request.Engine.ReadTime(request.Tokens)
-	reason := ReasonPacked
-	best, fits, ok := lengthaware.leastBusy(servers[:lengthaware.keep(servers)], request, work)
-	if !fits {
-		reason = ReasonSoonest
-		best, _, ok = lengthaware.leastBusy(servers, request, work)
-	}
-	if !ok {
-		return Plan{}, false
-	}
-	return Plan{
-		Server: best, Part: work, Tight: true, Reason: reason,
-		Predicted: best.Backlog + work + request.Engine.PassTime(),
-	}, true
-}
-
-// leastBusy returns the server whose passes are shortest among those where the
-// request keeps all pauses in time, or else the one with the least to read. It
-// tells whether all pauses stay in time, and whether there is a server at all.
-func (lengthaware LengthAware) leastBusy(
-	servers []Server, request Request, work time.Duration,
-) (best Server, bestFits, found bool) {
-	for i := range servers {
-		server := &servers[i]
-		if !server.writes(request) {
-			continue
-		}
-		fits := lengthaware.pass(server, request, work) < request.Gap && lengthaware.fits(server, request, work)
-		better := !found || (fits && !bestFits) ||
-			(fits == bestFits && lengthaware.lessBusy(server, &best))
-		if better {
-			best, bestFits, found = *server, fits, true
-		}
-	}
-	return best, bestFits, found
-}
-
-// lessBusy compares servers by what they read and, where that is near, by how
-// many requests they have.
-func (lengthaware LengthAware) lessBusy(a, b *Server) bool {
-	near := lengthaware.settings.NearBacklog
-	if a.Backlog/near != b.Backlog/near {
-		return a.Backlog < b.Backlog
-	}
-	return a.Running < b.Running
-}
-
-// keep returns how many of the servers, in their order, are kept for tight
-// requests: as many as those in progress fill to PackSlots, and KeepSpare more.
-func (lengthaware LengthAware) keep(servers []Server) int {
-	tight, slots := 0, 0
-	for i := range servers {
-		tight += servers[i].Tight
-		slots = max(slots, servers[i].Slots)
-	}
-	filled := max(1, int(lengthaware.settings.PackSlots*float64(slots)))
-	count := (tight+filled-1)/filled + lengthaware.settings.KeepSpare
-	return min(count, max(1, len(servers)-lengthaware.settings.LeaveLong), len(servers))
-}
-
-// pass is how long the next pass of a server takes with more to read.
-func (lengthaware LengthAware) pass(server *Server, request Request, part time.Duration) time.Duration {
-	return request.Engine.PassTime() + lengthaware.settings.PassSpare + server.Backlog + part
-}
-
-// fits reports whether a part keeps all pauses at a server in time.
-func (lengthaware LengthAware) fits(server *Server, request Request, part time.Duration) bool {
-	return server.MinGap == 0 || lengthaware.pass(server, request, part) < server.MinGap
-}
-
 // placeLong reads a prompt in parts at those servers where that does most good:
 // what the request is worth in time, less what the pauses of others lose. An
 // engine shares its time among all that it reads, so what is sent early makes
@@ -294,36 +148,6 @@
 	return worth * (1 - lengthaware.settings.RiskPart*risk)
 }
 
-// harmed is a server with what others there lose by a part of a prompt.
-type harmed struct {
-	*Server
-
-	harm float64
-}
-
-// harms returns the servers with what others lose by a part, least first.
-func (lengthaware LengthAware) harms(servers []Server, request Request, part time.Duration) []harmed {
-	lost := 1 - lengthaware.settings.LatePart
-	list := make([]harmed, 0, len(servers))
-	for i := range servers {
-		server := &servers[i]
-		pass := lengthaware.pass(server, request, part)
-		// Tight requests that come while the part is read wait for it.
-		harm := lost * server.TightWeight * part.Seconds() / lengthaware.settings.TightLife.Seconds()
-		if pass > lengthaware.settings.TightPass {
-			harm += lost * server.TightWeight
-		}
-		if server.LooseGap > 0 && pass > server.LooseGap {
-			harm += lost * server.LooseWeight
-		}
-		list = append(list, harmed{Server: server, harm: harm})
-	}
-	slices.SortStableFunc(list, func(a, b harmed) int {
-		return cmp.Or(cmp.Compare(a.harm, b.harm), cmp.Compare(a.Backlog, b.Backlog))
-	})
-	return list
-}
-
 // choose takes the servers with the least harm, and tells the harm. The one with
 // most memory, among those with the fewest tight requests, gets the request.
 func choose(harms []harmed, request Request, part time.Duration, parts int) (Plan, float64, bool) {
@@ -361,27 +185,3 @@
 	plan.Helpers = chosen[1:]
 	return plan, harm, true
 }
-
-// writes reports whether a server may write the answer with memory of its own.
-func (server *Server) writes(request Request) bool {
-	return server.MemoryFree >= request.Memory && server.Running < server.Slots
-}
-
-// share sets memory aside at as few servers as it takes. The first one needs
-// memory for the answer too.
-func share(ordered []Server, request Request) ([]int, bool) {
-	shares := make([]int, len(ordered))
-	left := request.Tokens
-	for i := range ordered {
-		usable := ordered[i].MemoryFree - spareTokens
-		if i == 0 {
-			usable -= request.Memory - request.Tokens
-		}
-		if i == 0 && (usable <= 0 || ordered[i].Running >= ordered[i].Slots) {
-			return nil, false
-		}
-		shares[i] = max(0, min(usable, left))
-		left -= shares[i]
-	}
-	return shares, left == 0
-}
--- /dev/null
+++ b/internal/placement/settings.go
@@ -0,0 +1,75 @@
+package placement
+
+import "time"
+
+// Settings tune LengthAware.
+type Settings struct {
+	// TightGap is the pause up to which a request counts as tight.
+	TightGap time.Duration `yaml:"tight_gap" validate:"min=1ms"`
+	// PackSlots is the part of the slots of a server that tight requests fill.
+	PackSlots float64 `yaml:"pack_slots" validate:"min=0.1,max=1"`
+	// KeepSpare is how many servers beside the filled ones are kept for tight
+	// requests, and LeaveLong how many are never kept.
+	KeepSpare int `yaml:"keep_spare" validate:"min=0"`
+	LeaveLong int `yaml:"leave_long" validate:"min=0"`
+	// NearBacklog is the reading up to which servers count as equally busy.
+	NearBacklog time.Duration `yaml:"near_backlog" validate:"min=1ms"`
+	// PassSpare is what a pass takes beside reading and the steps themselves:
+	// the context of what is written.
+	PassSpare time.Duration `yaml:"pass_spare" validate:"min=0"`
+	// MaxParts is the most servers that read one prompt.
+	MaxParts int `yaml:"max_parts" validate:"min=1,max=17"`
+	// MinPart is the least that a server reads of a prompt read by several.
+	MinPart time.Duration `yaml:"min_part" validate:"min=1ms"`
+	// Room is the most that a server may have to read to get a part of another
+	// long prompt.
+	Room time.Duration `yaml:"room" validate:"min=0"`
+	// LongRoom is the same for a server that reads another long prompt: the
+	// parts of several servers are read before the prompt of one, and late ones
+	// hold up the others.
+	LongRoom time.Duration `yaml:"long_room" validate:"min=0"`
+	// TightPass is the longest pass that keeps tight pauses in time.
+	TightPass time.Duration `yaml:"tight_pass" validate:"min=1ms"`
+	// TightLife is how long a tight request takes, about.
+	TightLife time.Duration `yaml:"tight_life" validate:"min=1ms"`
+	// LatePart is the part of its worth that a late request keeps.
+	LatePart float64 `yaml:"late_part" validate:"min=0,max=1"`
+	// GoodGain is the part of its worth that a plan must bring for a request
+	// that can still be in time.
+	GoodGain float64 `yaml:"good_gain" validate:"min=0,max=1"`
+	// AimPart is the part of the time left within which a first event must be
+	// predicted to count as in time.
+	AimPart float64 `yaml:"aim_part" validate:"min=0.1,max=1"`
+	// RiskPart is the part of its worth that a plan loses when it takes all of
+	// the time that is left.
+	RiskPart float64 `yaml:"risk_part" validate:"min=0,max=1"`
+	// Patience is the multiple of the objective, beyond it, for which a prompt
+	// is held at most.
+	Patience float64 `yaml:"patience" validate:"min=0"`
+	// StaySpare is how long its caller must stay for a prompt to be held.
+	StaySpare time.Duration `yaml:"stay_spare" validate:"min=0"`
+}
+
+// DefaultSettings returns the settings that docs/RESULTS.md found best.
+func DefaultSettings() Settings {
+	return Settings{
+		TightGap:    400 * time.Millisecond,
+		PackSlots:   0.6,
+		KeepSpare:   1,
+		LeaveLong:   1,
+		NearBacklog: 50 * time.Millisecond,
+		PassSpare:   30 * time.Millisecond,
+		MaxParts:    MaxParts,
+		MinPart:     20 * time.Millisecond,
+		Room:        100 * time.Millisecond,
+		LongRoom:    20 * time.Millisecond,
+		TightPass:   240 * time.Millisecond,
+		TightLife:   1800 * time.Millisecond,
+		LatePart:    0.25,
+		GoodGain:    0.5,
+		AimPart:     0.9,
+		RiskPart:    0.1,
+		Patience:    2,
+		StaySpare:   time.Second,
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -12,6 +12,7 @@
 
 	"github.com/mastwinch/mastwinch/internal/catalog"
 	"github.com/mastwinch/mastwinch/internal/directory"
+	"github.com/mastwinch/mastwinch/internal/ejection"
 	"github.com/mastwinch/mastwinch/internal/follower"
 	"github.com/mastwinch/mastwinch/internal/placement"
 	"github.com/mastwinch/mastwinch/internal/rendezvous"
@@ -45,6 +46,11 @@
 	RemoteTime time.Duration `yaml:"remote_time" validate:"min=100ms"`
 }
 
+// ejection returns when and for how long a server that fails is suspect.
+func (settings Settings) ejection() ejection.Limits {
+	return ejection.Limits{After: settings.EjectAfter, Time: settings.EjectTime, TimeMax: settings.EjectTimeMax}
+}
+
 // DefaultSettings returns the settings for data centres of one city.
 func DefaultSettings() Settings {
 	return Settings{
@@ -293,8 +299,7 @@
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	if server := pool.servers[id]; server != nil {
-		server.failures = 0
-		server.suspectUntil = time.Time{}
+		server.ejection.Succeeded()
 	}
 }
 
@@ -306,17 +311,7 @@
 	if server == nil {
 		return false
 	}
-	server.failures++
-	over := server.failures - pool.settings.EjectAfter
-	if over < 0 {
-		return false
-	}
-	duration := pool.settings.EjectTime
-	for range over {
-		duration = min(2*duration, pool.settings.EjectTimeMax)
-	}
-	server.suspectUntil = pool.now().Add(duration)
-	return true
+	return server.ejection.Failed(pool.now(), pool.settings.ejection())
 }
 
 // Closed notes that a server said itself that it takes nothing more.
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mastwinch/mastwinch/internal/directory"
+	"github.com/mastwinch/mastwinch/internal/ejection"
 	"github.com/mastwinch/mastwinch/internal/placement"
 )
 
@@ -16,9 +17,8 @@
 	// missingSince is when it was found not to be listed, or zero.
 	missingSince time.Time
 	// closed says that the address belongs to another server by now.
-	closed       bool
-	failures     int
-	suspectUntil time.Time
+	closed   bool
+	ejection ejection.State
 	// sendings has the requests of all VMs there, in the order of sending.
 	sendings []*sending
 	// pace is how long events took lately beside what was expected, and pacedAt
@@ -37,7 +37,7 @@
 		Address:    server.entry.Address,
 		DataCentre: server.entry.DataCentre,
 		Slots:      server.entry.Slots,
-		Suspect:    now.Before(server.suspectUntil),
+		Suspect:    server.ejection.Ejected(now),
 	}
 	free := server.lastRead
 	for _, sending := range server.sendings {
