placement: a short prompt waits rather than go where a long one is read

Change: where pauses grow too long a short prompt is only sent if its first event is predicted within 0.5 s, or its objective; else it waits.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -81,6 +81,17 @@
 			request:  short(),
 			wantNone: true,
 		},
+		// Once grown, short prompts beyond the slots of the kept servers were sent
+		// to engines that read for seconds, where their callers gave them up.
+		"a short prompt waits rather than go to a server that reads for seconds": {
+			servers: newServers(4, func(i int, server *placement.Server) {
+				server.Running = 16
+				if i == 3 {
+					server.Running, server.Backlog, server.ReadsLong = 1, 2*time.Second, true
+				}
+			}), request: short(),
+			wantNone: true,
+		},
 		"a long prompt keeps off the servers kept for short ones": {
 			servers: newServers(18, nil), request: long(133_000),
 			check: func(t *testing.T, plan placement.Plan) { assert.Assert(t, plan.Server.ID != "s00") },
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -32,6 +32,9 @@
 	TightPass time.Duration `yaml:"tight_pass" validate:"min=1ms"`
 	// TightLife is how long a tight request takes, about.
 	TightLife time.Duration `yaml:"tight_life" validate:"min=1ms"`
+	// TightHold is how late the first event of a tight request may be predicted
+	// for it to be sent where pauses grow too long.
+	TightHold time.Duration `yaml:"tight_hold" validate:"min=0"`
 	// LatePart is the part of its worth that a late request keeps.
 	LatePart float64 `yaml:"late_part" validate:"min=0,max=1"`
 	// GoodGain is the part of its worth that a plan must bring for a request
@@ -65,6 +68,7 @@
 		LongRoom:    20 * time.Millisecond,
 		TightPass:   240 * time.Millisecond,
 		TightLife:   1800 * time.Millisecond,
+		TightHold:   500 * time.Millisecond,
 		LatePart:    0.25,
 		GoodGain:    0.5,
 		AimPart:     0.9,
--- a/internal/placement/tight.go
+++ b/internal/placement/tight.go
@@ -4,7 +4,7 @@
 
 // placeTight chooses among the servers that are kept for tight requests, the
 // one with the least to do; then, when all pauses would grow too long there,
-// among all.
+// among all. It is held while only servers that read for long have a slot.
 func (lengthaware LengthAware) placeTight(servers []Server, request Request) (Plan, bool) {
 	work := request.Engine.ReadTime(request.Tokens)
 	reason := ReasonPacked
@@ -13,13 +13,13 @@
 		reason = ReasonSoonest
 		best, _, ok = lengthaware.leastBusy(servers, request, work)
 	}
-	if !ok {
-		return Plan{}, false
-	}
-	return Plan{
+	plan := Plan{
 		Server: best, Part: work, Tight: true, Reason: reason,
 		Predicted: best.Backlog + work + request.Engine.PassTime(),
-	}, true
+	}
+	// A slot elsewhere is free sooner than a server that reads for long.
+	held := !fits && plan.Predicted > max(request.Left, lengthaware.settings.TightHold)
+	return plan, ok && !held
 }
 
 // leastBusy returns the server whose passes are shortest among those where the
