--- a/internal/events/events_test.go
+++ b/internal/events/events_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"flag"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -15,6 +17,14 @@
 	"github.com/mastwinch/mastwinch/internal/events"
 )
 
+// TestMain makes the random checks the same in every run, unless the command
+// line gives another seed.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1") // rapid has declared it
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
 func TestNext(t *testing.T) {
 	long := "id: 1\ndata: " + strings.Repeat("x", 4082) + "\n\n" // its line fills a read buffer
 	tests := map[string]struct {
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -1,6 +1,8 @@
 package retrybudget_test
 
 import (
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -10,6 +12,14 @@
 	"github.com/mastwinch/mastwinch/internal/retrybudget"
 )
 
+// TestMain makes the random checks the same in every run, unless the command
+// line gives another seed.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1") // rapid has declared it
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
 func TestSpend(t *testing.T) {
 	now := time.Unix(0, 0)
 	budget := retrybudget.New(retrybudget.Limits{Ratio: 0.5, Burst: 2, Refill: 10 * time.Second}, func() time.Time { return now })
