gateway: what nothing uses goes; memory is held no longer than the platform allows

Found on reading: fields that were decoded and never used (the hint of an answer's length, drain_ms and stall_ms, a clock of the belief), and hold_max_ms, which was decoded and not heeded: reservations are capped by it now, with a test.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -24,8 +24,6 @@
 	Tokens int
 	// MaxTokens is the most tokens of an answer.
 	MaxTokens int
-	// Hint is the caller's estimate of the tokens of the answer, or zero.
-	Hint int
 }
 
 // Dispatch is what a server is told beside the caller's request.
--- a/internal/gateway/belief.go
+++ b/internal/gateway/belief.go
@@ -3,7 +3,6 @@
 import (
 	"log/slog"
 	"sync/atomic"
-	"time"
 
 	"github.com/mastwinch/mastwinch/internal/catalog"
 	"github.com/mastwinch/mastwinch/internal/follower"
@@ -14,7 +13,6 @@
 type belief struct {
 	current atomic.Pointer[catalog.Catalog]
 	logger  *slog.Logger
-	now     func() time.Time
 }
 
 var _ follower.Listener[*catalog.Catalog] = (*belief)(nil)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,7 +122,7 @@
 		network:  network,
 		logger:   logger,
 		now:      now,
-		belief:   &belief{logger: logger, now: now},
+		belief:   &belief{logger: logger},
 		exchange: exchange,
 		pool:     pool.New(settings.Pool, site.VM, exchange, logger, now),
 		policy:   newPolicy(settings),
@@ -132,7 +132,7 @@
 		end:      end,
 		budgets:  make(map[string]*retrybudget.Budget),
 	}
-	gateway.reservations = reservation.New(life, settings.Reservation, orders, gateway.upstream, logger, now)
+	gateway.reservations = reservation.New(life, settings.Reservation.WithHoldAtMost(site.Bounds.HoldMax), orders, gateway.upstream, logger, now)
 	gateway.metrics = newMetrics(gateway)
 	gateway.bounds.Store(&site.Bounds)
 	through := func(name string, direct follower.Log) follower.Log {
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -25,8 +25,6 @@
 type Bounds struct {
 	// Apply is how long after it was accepted a configuration must be in force.
 	Apply time.Duration
-	// Drain is how long after a server's leaving is known it may get new work.
-	Drain time.Duration
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
 	// Revoke is how long after its removal a key may still be served.
@@ -38,8 +36,6 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
-	// Stall is how long an engine waits for another one that is away.
-	Stall time.Duration
 	// HoldMax is the longest time for which memory may be set aside at once.
 	HoldMax time.Duration
 }
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -168,9 +168,9 @@
 		VM: "vm-1", DataCentre: "north", Address: vmAddress, ReadyAddress: readyAddress,
 		PeerAddress: "10.0.1.1:82", Store: storeAddress, MemoryBytes: 256 << 20,
 		Bounds: gateway.Bounds{
-			Drain: 2 * time.Second, Grace: 8 * time.Second, Revoke: 5 * time.Second, RevokeFailClosed: true,
+			Grace: 8 * time.Second, Revoke: 5 * time.Second, RevokeFailClosed: true,
 			RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
-			Stall: 1500 * time.Millisecond, HoldMax: 20 * time.Second,
+			HoldMax: 20 * time.Second,
 		},
 	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -59,7 +59,7 @@
 	Left      time.Duration
 	// Stays is how long the caller still waits for a first event.
 	Stays time.Duration
-	// Seed orders what is equal, so that VMs do not all choose alike.
+	// Seed is what a policy that chooses at random goes by.
 	Seed uint64
 }
 
--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -48,6 +48,17 @@
 	}
 }
 
+// WithHoldAtMost returns the settings with memory set aside for no longer than
+// that, unless it is zero. It is renewed as much sooner.
+func (settings Settings) WithHoldAtMost(most time.Duration) Settings {
+	if most <= 0 || settings.Hold <= most {
+		return settings
+	}
+	settings.Renew = time.Duration(float64(settings.Renew) * float64(most) / float64(settings.Hold))
+	settings.Hold = most
+	return settings
+}
+
 // Reply is what an engine says to an order.
 type Reply string
 
--- a/internal/reservation/reservation_test.go
+++ b/internal/reservation/reservation_test.go
@@ -206,3 +206,14 @@
 		time.Sleep(2 * time.Minute)
 	})
 }
+
+func TestWithHoldAtMost(t *testing.T) {
+	settings := reservation.Settings{Hold: 3 * time.Second, Renew: time.Second}
+	for most, want := range map[time.Duration]reservation.Settings{
+		0:                {Hold: 3 * time.Second, Renew: time.Second},
+		20 * time.Second: {Hold: 3 * time.Second, Renew: time.Second},
+		time.Second:      {Hold: time.Second, Renew: time.Second / 3},
+	} {
+		assert.DeepEqual(t, settings.WithHoldAtMost(most), want)
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -10,9 +10,9 @@
 	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -206,11 +206,9 @@
 	buffer.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	_ = request.Header.Write(buffer) // a buffer takes all
 	if len(request.Body) > 0 || (request.Method != http.MethodGet && request.Method != http.MethodHead) {
-		buffer.WriteString("Content-Length: " + itoa(len(request.Body)) + "\r\n")
+		buffer.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
 	buffer.WriteString("\r\n")
 	buffer.Write(request.Body)
 	return buffer.Bytes()
 }
-
-var _ io.Reader = (*Response)(nil)
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -120,7 +119,3 @@
 		return false
 	}
 }
-
-func itoa(value int) string {
-	return strconv.Itoa(value)
-}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -8,6 +8,8 @@
 	"github.com/cockroachdb/errors"
 )
 
+var _ io.Reader = (*Response)(nil)
+
 // Response is the answer of a server. It is used by one goroutine.
 type Response struct {
 	Status int
