reading again: one rule for tight pauses, one transport, no plan that is not used

Found on reading the whole change: what counts as a tight pause stood in run and in the policy; two functions made the same HTTP transport, and each feed had one of its own; two functions made the same JSON logger; for a held prompt the policy reckoned a plan over all servers before it looked whether one was wanted; a reason and an exported method that nothing used; two doc comments that did not say what a field means for a request that waits.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -94,13 +95,18 @@
 	}
 }
 
+// newJSONLogger returns a logger that writes lines of JSON from that level on.
+// An empty level is info.
+func newJSONLogger(target io.Writer, name string) *slog.Logger {
+	level := slog.LevelInfo
+	_ = level.UnmarshalText([]byte(name)) // checked on load; empty keeps info
+	return slog.New(slog.NewJSONHandler(target, &slog.HandlerOptions{Level: level}))
+}
+
 // newLogger returns a logger that writes lines of JSON to stderr. The logging
 // settings may have a level.
 func newLogger(program, vm string, logging map[string]string) *slog.Logger {
-	level := slog.LevelInfo
-	_ = level.UnmarshalText([]byte(logging["level"])) // checked on load; empty keeps info
-	handler := slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})
-	logger := slog.New(handler).With("program", program)
+	logger := newJSONLogger(os.Stderr, logging["level"]).With("program", program)
 	if vm != "" {
 		logger = logger.With("vm", vm)
 	}
--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -28,8 +26,6 @@
 	memoryPart = 0.7
 	// siteLook is the time between looks whether the settings file has changed.
 	siteLook = 2 * time.Second
-	// storeIdle is how long a connection to the store is kept.
-	storeIdle = 10 * time.Second
 )
 
 // NewGatewayCommand returns the command line of mw-gateway.
@@ -73,9 +69,9 @@
 	}
 	lines := logging.New(os.Stdout, tuning.Logging.Queue)
 	defer lines.Close()
-	logger := newGatewayLogger(lines, tuning.Logging.Level, site.VM)
+	logger := newJSONLogger(lines, tuning.Logging.Level).With("vm", site.VM)
 	system := network.New(tuning.Network)
-	store := platform.NewStore(site.Store, newStoreTransport(system))
+	store := platform.NewStore(site.Store, network.NewTransport(system))
 	served, err := gateway.New(tuning, site, platform.Codec{}, platform.Orders{}, gateway.Sources{
 		Configuration: platform.NewConfigurationSource(store),
 		Servers:       platform.NewServersSource(store),
@@ -127,20 +123,3 @@
 	}
 	return info.ModTime()
 }
-
-func newGatewayLogger(lines *logging.Writer, name, vm string) *slog.Logger {
-	level := slog.LevelInfo
-	_ = level.UnmarshalText([]byte(name)) // checked on load
-	handler := slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: level})
-	return slog.New(handler).With("vm", vm)
-}
-
-// newStoreTransport returns a transport for the store's client.
-func newStoreTransport(network network.Network) *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return network.Dial(ctx, address)
-		},
-		IdleConnTimeout: storeIdle,
-	}
-}
--- a/internal/exchange/role.go
+++ b/internal/exchange/role.go
@@ -10,7 +10,7 @@
 // readerOrder names the order of VMs that read the store for others.
 const readerOrder = "reader"
 
-// Role implements feed.Members: in each data centre with at least min live VMs
+// Role implements feed.Members: in each data centre with at least so many live VMs
 // the one with the greatest capacity reads the store, among equal ones the first
 // by rendezvous. A VM that does not know the others yet reads it itself.
 func (exchange *Exchange) Role(least int, avoid func(address string) bool) feed.Role {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -101,9 +101,9 @@
 
 // Members says which part this VM has.
 type Members interface {
-	// Role returns the part of this VM where at least min VMs are live, those
-	// left out that are avoided.
-	Role(min int, avoid func(address string) bool) Role
+	// Role returns the part of this VM. With fewer than least live VMs in the data
+	// centre each reads itself; one that is avoided is not asked.
+	Role(least int, avoid func(address string) bool) Role
 }
 
 // Log is a log that is read through another VM, or directly when there is none
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,7 +7,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -42,8 +41,6 @@
 	// maxHeaderBytes is the most that is ever read of a head; the users'
 	// configurations say 16 KiB.
 	maxHeaderBytes = 64 << 10
-	// feedIdle is how long a connection to another VM is kept.
-	feedIdle = 10 * time.Second
 	// freshPart is the part of the bound on revoked keys up to which a VM with
 	// that old a belief calls itself ready.
 	freshPart = 0.6
@@ -103,10 +100,10 @@
 // New returns a gateway. It takes datagrams from now on.
 func New(
 	settings Settings, site Site, codec Codec, orders reservation.Codec, sources Sources,
-	network network.Network, logger *slog.Logger,
+	system network.Network, logger *slog.Logger,
 ) (*Gateway, error) {
 	now := time.Now
-	packets, err := network.ListenPacket(context.Background(), site.PeerAddress)
+	packets, err := system.ListenPacket(context.Background(), site.PeerAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway")
 	}
@@ -119,14 +116,14 @@
 		settings: settings,
 		site:     site,
 		codec:    codec,
-		network:  network,
+		network:  system,
 		logger:   logger,
 		now:      now,
 		belief:   &belief{logger: logger},
 		exchange: exchange,
 		pool:     pool.New(settings.Pool, site.VM, exchange, logger, now),
 		policy:   newPolicy(settings),
-		upstream: upstream.New(settings.Upstream, network, now),
+		upstream: upstream.New(settings.Upstream, system, now),
 		idle:     newIdleConnections(now),
 		life:     life,
 		end:      end,
@@ -135,9 +132,10 @@
 	gateway.reservations = reservation.New(life, settings.Reservation.WithHoldAtMost(site.Bounds.HoldMax), orders, gateway.upstream, logger, now)
 	gateway.metrics = newMetrics(gateway)
 	gateway.bounds.Store(&site.Bounds)
+	transport := network.NewTransport(system)
+	bound := func() time.Duration { return gateway.bounds.Load().Apply }
 	through := func(name string, direct follower.Log) follower.Log {
-		bound := func() time.Duration { return gateway.bounds.Load().Apply }
-		return feed.New(name, direct, exchange, bound, newFeedTransport(network), settings.Feed, logger, now)
+		return feed.New(name, direct, exchange, bound, transport, settings.Feed, logger, now)
 	}
 	gateway.configuration = follower.New(
 		sources.Configuration.WithLog(through(sources.Configuration.Name, sources.Configuration.Log)),
@@ -152,16 +150,6 @@
 	return gateway, nil
 }
 
-// newFeedTransport returns a transport for calls to other VMs.
-func newFeedTransport(network network.Network) *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return network.Dial(ctx, address)
-		},
-		IdleConnTimeout: feedIdle,
-	}
-}
-
 // Run serves until ctx is done, and then until what is in progress has ended
 // or the grace is nearly over.
 func (gateway *Gateway) Run(ctx context.Context) error {
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -25,7 +25,6 @@
 	ReasonKeyUnknown      Reason = "key_unknown"
 	ReasonNoMemory        Reason = "no_memory"
 	ReasonNoServer        Reason = "no_server"
-	ReasonTooLong         Reason = "prompt_too_long"
 	ReasonTime            Reason = "time_over"
 	ReasonServerFailed    Reason = "server_failed"
 	ReasonRefused         Reason = "servers_refused"
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -168,7 +168,7 @@
 // takesTurns reports whether the request waits in turn with those of other VMs.
 func (run *run) takesTurns() bool {
 	return run.head.Prompt != nil && run.service.Engine != nil &&
-		run.route.Gap > run.gateway.settings.Placement.TightGap
+		run.route.Gap > 0 && !run.gateway.settings.Placement.Tight(run.route.Gap)
 }
 
 func (run *run) logPlan(plan placement.Plan, servers int, waited time.Duration) {
--- a/internal/placement/lengthaware.go
+++ b/internal/placement/lengthaware.go
@@ -38,18 +38,13 @@
 	return LengthAware{settings: settings}
 }
 
-// Tight reports whether a request with that pause counts as tight.
-func (lengthaware LengthAware) Tight(gap time.Duration) bool {
-	return gap > 0 && gap <= lengthaware.settings.TightGap
-}
-
 // Place implements Policy.
 func (lengthaware LengthAware) Place(servers []Server, request Request) (Plan, bool) {
 	if request.Engine == nil {
 		return LeastInHand{}.Place(servers, request)
 	}
 	sound := withoutSuspects(servers)
-	if lengthaware.Tight(request.Gap) {
+	if lengthaware.settings.Tight(request.Gap) {
 		return lengthaware.placeTight(sound, request)
 	}
 	return lengthaware.placeLong(sound, request)
@@ -84,11 +79,13 @@
 			return plan, true
 		}
 	}
-	plan, _, ok := lengthaware.bestLong(servers, request)
 	patience := time.Duration(lengthaware.settings.Patience * float64(request.Objective))
-	urgent := request.Left < -patience || request.Stays < lengthaware.settings.StaySpare
+	if request.Left >= -patience && request.Stays >= lengthaware.settings.StaySpare {
+		return Plan{}, false
+	}
+	plan, _, ok := lengthaware.bestLong(servers, request)
 	// What its caller will not see is work for nothing, which makes others late.
-	return plan, ok && urgent && plan.Predicted < request.Stays
+	return plan, ok && plan.Predicted < request.Stays
 }
 
 // good reports whether a plan with that gain is worth taking now. A request that
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -53,6 +53,11 @@
 	StaySpare time.Duration `yaml:"stay_spare" validate:"min=0"`
 }
 
+// Tight reports whether a request with that pause counts as tight.
+func (settings Settings) Tight(gap time.Duration) bool {
+	return gap > 0 && gap <= settings.TightGap
+}
+
 // DefaultSettings returns the settings that docs/RESULTS.md found best.
 func DefaultSettings() Settings {
 	return Settings{
--- a/internal/pool/sending.go
+++ b/internal/pool/sending.go
@@ -36,7 +36,8 @@
 	Gap time.Duration
 	// Tight says that the request counts as one with tight pauses.
 	Tight bool
-	// Helps says that the server only reads a part of the prompt.
+	// Helps says that the server only reads a part of the prompt. Of a request
+	// that waits it says that it fits nowhere now, so that others may go first.
 	Helps bool
 	// Age is how long ago the request was sent.
 	Age time.Duration
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -36,8 +36,8 @@
 	return errors.WithStack(response.connection.conn.SetReadDeadline(deadline))
 }
 
-// Framed reports whether the answer states where it ends.
-func (response *Response) Framed() bool {
+// framed reports whether the answer states where it ends.
+func (response *Response) framed() bool {
 	return response.answer.ContentLength >= 0 || len(response.answer.TransferEncoding) > 0
 }
 
@@ -46,7 +46,7 @@
 func (response *Response) Close(idle time.Duration) {
 	connection := response.connection
 	watched := connection.stop()
-	clean := response.ended && response.Framed() && !response.answer.Close && !connection.odd &&
+	clean := response.ended && response.framed() && !response.answer.Close && !connection.odd &&
 		connection.wroteAll() && connection.reader.Buffered() == 0
 	if !clean || !watched {
 		connection.close()
