placement: a late long prompt never goes where others lose more

A prompt of 258 k tokens that had waited past its patience was read in four parts of 1.5 s beside 14 short streams each: once patience was over, what others lose was not looked at any more. Change: such a prompt still takes any server, but only where it brings more than others lose; else it waits on.

--- a/internal/placement/lengthaware.go
+++ b/internal/placement/lengthaware.go
@@ -83,9 +83,10 @@
 	if request.Left >= -patience && request.Stays >= lengthaware.settings.StaySpare {
 		return Plan{}, false
 	}
-	plan, _, ok := lengthaware.bestLong(servers, request)
-	// What its caller will not see is work for nothing, which makes others late.
-	return plan, ok && plan.Predicted < request.Stays
+	// Waited for long enough it takes any server, but never where others lose more.
+	// What its caller will not see brings nothing.
+	plan, gain, ok := lengthaware.bestLong(servers, request)
+	return plan, ok && gain > 0
 }
 
 // good reports whether a plan with that gain is worth taking now. A request that
