placement: with memory set aside, at most 16 servers read a prompt

When memory is set aside the server that gets the request is named too, and 17 servers read the prompt: the engine answered 400, not run, twice, and the caller got 503. Each such prompt is one of the longest, worth up to four times its kind. Ruled out: the ticket and its time (the reservation was answered 200), the deadline.

--- a/internal/placement/lengthaware.go
+++ b/internal/placement/lengthaware.go
@@ -18,6 +18,10 @@
 // request, and 16 helpers.
 const MaxParts = 17
 
+// maxShares is the most servers that may read one prompt whose memory is set
+// aside: the one that gets the request is named beside its helpers then.
+const maxShares = 16
+
 // spareTokens is kept free at a server whose memory is set aside, since what
 // is known of it is not exact.
 const spareTokens = 4000
@@ -173,7 +177,7 @@
 	} else {
 		slices.SortStableFunc(chosen, func(a, b Server) int { return cmp.Compare(b.MemoryFree, a.MemoryFree) })
 		shares, ok := share(chosen, request)
-		if !ok {
+		if !ok || parts > maxShares {
 			return Plan{}, 0, false
 		}
 		plan.Shares = shares
