pool: a server that owes first events counts as held up

Cause: what a server still has to read was reckoned from what was sent to it, and went to zero when that should have been read. Change: first events that are overdue by more than 200 ms and 0.3 of their reading count as work in hand, as long as they are overdue.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -41,6 +41,11 @@
 	PaceGain  float64       `yaml:"pace_gain" validate:"min=0,max=1"`
 	PaceHalf  time.Duration `yaml:"pace_half" validate:"min=100ms"`
 	SlowTimes float64       `yaml:"slow_times" validate:"min=1"`
+	// OverdueAfter is how long after a prompt should have been read, and
+	// OverduePart the part of its reading beyond that, its server counts as held
+	// up.
+	OverdueAfter time.Duration `yaml:"overdue_after" validate:"min=10ms"`
+	OverduePart  float64       `yaml:"overdue_part" validate:"min=0"`
 	// RemoteTime is for how long what another VM told holds without being told
 	// again.
 	RemoteTime time.Duration `yaml:"remote_time" validate:"min=100ms"`
@@ -51,6 +56,12 @@
 	return ejection.Limits{After: settings.EjectAfter, Time: settings.EjectTime, TimeMax: settings.EjectTimeMax}
 }
 
+// overdueAfter is how long after a prompt of that reading should have been read
+// its server counts as held up.
+func (settings Settings) overdueAfter(work time.Duration) time.Duration {
+	return settings.OverdueAfter + time.Duration(settings.OverduePart*float64(work))
+}
+
 // DefaultSettings returns the settings for data centres of one city.
 func DefaultSettings() Settings {
 	return Settings{
@@ -62,6 +73,8 @@
 		PaceGain:     0.1,
 		PaceHalf:     4 * time.Second,
 		SlowTimes:    2.2,
+		OverdueAfter: 200 * time.Millisecond,
+		OverduePart:  0.3,
 		RemoteTime:   1600 * time.Millisecond,
 	}
 }
@@ -251,7 +264,7 @@
 			continue
 		}
 		pool.forget(server, now)
-		view := server.view(now)
+		view := server.view(now, pool.settings)
 		view.Suspect = view.Suspect || server.currentPace(now, pool.settings) > slow
 		if service.Engine != nil {
 			view.MemoryFree += service.Engine.MemoryTokens
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -281,6 +281,35 @@
 	}
 }
 
+// TestServerThatOwesFirstEventsIsHeldUp has a server whose memory is held by
+// what is not known here, so that it reads nothing: by what was sent it looked
+// idle, and VMs sent it all they had.
+func TestServerThatOwesFirstEventsIsHeldUp(t *testing.T) {
+	tests := map[string]struct {
+		after time.Duration
+		read  bool
+		want  time.Duration
+	}{
+		"while it reads":            {after: 10 * time.Millisecond, want: 20 * time.Millisecond},
+		"a pass later":              {after: 130 * time.Millisecond, want: 0},
+		"long after":                {after: 1039 * time.Millisecond, want: 800 * time.Millisecond},
+		"once the first event came": {after: 1039 * time.Millisecond, read: true, want: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			world := newWorld()
+			world.Replace(listedUpTo(1))
+			plan := placement.Plan{Server: world.server(t, "s1"), Part: 30 * time.Millisecond, Tight: true}
+			use := world.Start(plan, placement.Request{Gap: 250 * time.Millisecond})
+			world.pass(test.after)
+			if test.read {
+				use.Read()
+			}
+			assert.Equal(t, world.server(t, "s1").Backlog, test.want)
+		})
+	}
+}
+
 func TestFailuresMakeAServerSuspectForATime(t *testing.T) {
 	world := newWorld()
 	world.Replace(listedUpTo(1))
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -31,7 +31,7 @@
 
 // view returns what a policy sees, MemoryFree being less than zero by what is
 // taken.
-func (server *server) view(now time.Time) placement.Server {
+func (server *server) view(now time.Time, settings Settings) placement.Server {
 	view := placement.Server{
 		ID:         server.entry.ID,
 		Address:    server.entry.Address,
@@ -40,6 +40,7 @@
 		Suspect:    server.ejection.Ejected(now),
 	}
 	free := server.lastRead
+	overdue := time.Duration(0)
 	for _, sending := range server.sendings {
 		if !sending.Helps {
 			view.Running++
@@ -50,9 +51,12 @@
 		if sending.Phase == PhaseReading {
 			view.ReadsLong = view.ReadsLong || !sending.Tight
 			free = later(free, sending.sentAt).Add(sending.Work)
+			overdue = max(overdue, now.Sub(free)-settings.overdueAfter(sending.Work))
 		}
 	}
-	view.Backlog = max(0, free.Sub(now))
+	// A server that owes first events for longer than usual is held up by what is
+	// not known here, and looks idle only by what is.
+	view.Backlog = max(0, free.Sub(now)) + overdue
 	return view
 }
 
