gateway: of two VMs that took the same servers at once, one takes them back

Ruled out: the order of looks (4 ms for each rank are not kept when VMs learn of the change at different times), lost datagrams. Change: servers are taken first, told to the others, and kept only if after request.settle no VM of an earlier name took one of them without knowing.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -28,10 +28,9 @@
 	body   []byte
 }
 
-// attempt sends the request to the servers of a plan.
-func (run *run) attempt(ctx context.Context, plan placement.Plan) result {
+// attempt sends the request to the servers of a plan, which use has taken.
+func (run *run) attempt(ctx context.Context, plan placement.Plan, use *pool.Use) result {
 	gateway := run.gateway
-	use := gateway.pool.Start(plan, run.placementRequest())
 	defer use.Over()
 	held, err := run.reserve(ctx, plan)
 	if err != nil {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -90,15 +90,16 @@
 	budget := run.gateway.budget(run.service.Name)
 	budget.Earn()
 	for {
-		plan, ok := run.place(ctx)
+		plan, use, ok := run.place(ctx)
 		if !ok {
 			return run.interrupted(ctx)
 		}
 		if run.sends > 0 && !budget.Spend() {
+			use.Over()
 			return run.fail(ReasonRefused)
 		}
 		run.looks++
-		result := run.attempt(ctx, plan)
+		result := run.attempt(ctx, plan, use)
 		if result.kind == resultNoMemory {
 			run.gateway.logger.Info("memory not set aside", "request_id", run.head.ID, "look", run.looks, "error", result.err)
 			wait.For(ctx, run.gateway.settings.Request.Look)
@@ -111,8 +112,9 @@
 	}
 }
 
-// place waits for servers with room. It reports false when ctx ended first.
-func (run *run) place(ctx context.Context) (placement.Plan, bool) {
+// place waits for servers with room, and takes them. It reports false when ctx
+// ended first.
+func (run *run) place(ctx context.Context) (placement.Plan, *pool.Use, bool) {
 	gateway := run.gateway
 	asked := gateway.now()
 	var turn *pool.Turn
@@ -130,8 +132,12 @@
 			}
 			plan, ok := gateway.policy.Place(servers, run.placementRequest())
 			if ok {
-				run.logPlan(plan, len(servers), gateway.now().Sub(asked))
-				return plan, true
+				use := gateway.pool.Start(plan, run.placementRequest())
+				if turn == nil || run.keeps(ctx, use) {
+					run.logPlan(plan, len(servers), gateway.now().Sub(asked))
+					return plan, use, true
+				}
+				continue
 			}
 			if turn != nil {
 				turn.Block()
@@ -146,11 +152,24 @@
 			look.Stop()
 			gateway.logger.Info("not placed", "request_id", run.head.ID, "tried", run.tried,
 				"waited", gateway.now().Sub(asked))
-			return placement.Plan{}, false
+			return placement.Plan{}, nil, false
 		}
 	}
 }
 
+// keeps reports whether the servers that were taken are this request's. Two VMs
+// may take the same ones at the same moment; once each knows of the other, one
+// of them takes them back.
+func (run *run) keeps(ctx context.Context, use *pool.Use) bool {
+	wait.For(ctx, run.gateway.settings.Request.Settle)
+	if !use.Contested() {
+		return true
+	}
+	use.Over()
+	run.gateway.logger.Info("servers taken back", "request_id", run.head.ID)
+	return false
+}
+
 // comesNext reports whether the request may look for servers. Behind requests
 // that found none it waits a moment, since they look first.
 func (run *run) comesNext(ctx context.Context, turn *pool.Turn) bool {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -310,6 +310,50 @@
 	}
 }
 
+// TestContested has two VMs that take servers for long prompts at the same
+// moment, each without knowing of the other.
+func TestContested(t *testing.T) {
+	other := pool.Report{ID: 7, Server: "s2", Phase: pool.PhaseReading, Work: time.Second}
+	tests := map[string]struct {
+		vm     string
+		change func(report *pool.Report)
+		// before says that the other VM's was known before.
+		before bool
+		want   bool
+	}{
+		"the other goes first":     {vm: "vm-0", want: true},
+		"this one goes first":      {vm: "vm-2"},
+		"it was known before":      {vm: "vm-0", before: true},
+		"another server":           {vm: "vm-0", change: func(report *pool.Report) { report.Server = "s3" }},
+		"a short prompt":           {vm: "vm-0", change: func(report *pool.Report) { report.Tight = true }},
+		"a prompt that was read":   {vm: "vm-0", change: func(report *pool.Report) { report.Phase = pool.PhaseWriting }},
+		"a helper of another plan": {vm: "vm-0", change: func(report *pool.Report) { report.Helps = true }, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			world := newWorld()
+			world.Replace(listedUpTo(3))
+			report := other
+			if test.change != nil {
+				test.change(&report)
+			}
+			if test.before {
+				world.Told(test.vm, []pool.Report{report})
+				world.pass(time.Millisecond)
+			}
+			plan := placement.Plan{
+				Server: world.server(t, "s1"), Helpers: []placement.Server{world.server(t, "s2")}, Part: time.Second,
+			}
+			use := world.Start(plan, placement.Request{Gap: time.Second})
+			world.pass(time.Millisecond)
+			if !test.before {
+				world.Told(test.vm, []pool.Report{report})
+			}
+			assert.Equal(t, use.Contested(), test.want)
+		})
+	}
+}
+
 func TestFailuresMakeAServerSuspectForATime(t *testing.T) {
 	world := newWorld()
 	world.Replace(listedUpTo(1))
--- a/internal/pool/sending.go
+++ b/internal/pool/sending.go
@@ -56,6 +56,8 @@
 	// vm is the VM that sent it.
 	vm     string
 	sentAt time.Time
+	// learntAt is when this VM first knew of it.
+	learntAt time.Time
 	// toldAt is when the VM last told of it.
 	toldAt time.Time
 }
@@ -100,7 +102,7 @@
 func (pool *Pool) start(report Report, now time.Time) uint64 {
 	pool.nextID++
 	report.ID = pool.nextID
-	started := &sending{Report: report, vm: pool.vm, sentAt: now, toldAt: now}
+	started := &sending{Report: report, vm: pool.vm, sentAt: now, learntAt: now, toldAt: now}
 	pool.own[report.ID] = started
 	if server := pool.servers[report.Server]; server != nil {
 		server.add(started)
@@ -109,6 +111,28 @@
 	return report.ID
 }
 
+// Contested reports whether another VM took one of the servers for a long prompt
+// at the same moment, without knowing of this one, and goes first.
+func (use *Use) Contested() bool {
+	pool := use.pool
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	for _, id := range use.ids {
+		own := pool.own[id]
+		server := pool.servers[own.Server]
+		if server == nil {
+			continue
+		}
+		for _, other := range server.sendings {
+			if other.vm != pool.vm && other.Phase == PhaseReading && !other.Tight &&
+				!other.learntAt.Before(own.sentAt) && other.vm < own.vm {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Read notes that the prompt is read: helpers are free, the server writes.
 func (use *Use) Read() {
 	use.pool.mu.Lock()
@@ -261,7 +285,9 @@
 		return advanced
 	}
 	if report.Phase != PhaseOver {
-		server.add(&sending{Report: report, vm: vm, sentAt: now.Add(-report.Age), toldAt: now})
+		server.add(&sending{
+			Report: report, vm: vm, sentAt: now.Add(-report.Age), learntAt: now, toldAt: now,
+		})
 	}
 	return false
 }
