pool: who does not take its turn is passed over

Change: a request that is the first for 60 ms and neither goes nor says that it fits nowhere does not hold up others any more.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -46,6 +46,9 @@
 	// up.
 	OverdueAfter time.Duration `yaml:"overdue_after" validate:"min=10ms"`
 	OverduePart  float64       `yaml:"overdue_part" validate:"min=0"`
+	// TurnTime is how long a request of another VM may take to look when its turn
+	// came, before others go.
+	TurnTime time.Duration `yaml:"turn_time" validate:"min=10ms"`
 	// RemoteTime is for how long what another VM told holds without being told
 	// again.
 	RemoteTime time.Duration `yaml:"remote_time" validate:"min=100ms"`
@@ -75,6 +78,7 @@
 		SlowTimes:    2.2,
 		OverdueAfter: 200 * time.Millisecond,
 		OverduePart:  0.3,
+		TurnTime:     60 * time.Millisecond,
 		RemoteTime:   1600 * time.Millisecond,
 	}
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -354,6 +354,75 @@
 	}
 }
 
+// TestRank has a request of this VM behind one of another VM.
+func TestRank(t *testing.T) {
+	ahead := pool.Report{ID: 7, Server: "engines", Phase: pool.PhaseWaiting, Due: time.Second}
+	tests := map[string]struct {
+		told     func(world *world)
+		wantRank int
+		wantNext bool
+	}{
+		"nobody is ahead": {told: func(*world) {}, wantNext: true},
+		"one that may fit goes first": {
+			told: func(world *world) { world.Told("vm-2", []pool.Report{ahead}) }, wantRank: 1,
+		},
+		"one that fits nowhere lets others go": {
+			told: func(world *world) {
+				blocked := ahead
+				blocked.Helps = true
+				world.Told("vm-2", []pool.Report{blocked})
+			}, wantRank: 1, wantNext: true,
+		},
+		"one for another service": {
+			told: func(world *world) {
+				other := ahead
+				other.Server = "others"
+				world.Told("vm-2", []pool.Report{other})
+			}, wantNext: true,
+		},
+		"a late one does not go first": {
+			told: func(world *world) {
+				late := ahead
+				late.Due = -time.Second
+				world.Told("vm-2", []pool.Report{late})
+			}, wantNext: true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			world := newWorld()
+			turn := world.Wait("engines", world.now.Add(2*time.Second))
+			test.told(world)
+			rank, next := turn.Rank()
+			assert.Equal(t, rank, test.wantRank)
+			assert.Equal(t, next, test.wantNext)
+		})
+	}
+}
+
+// TestVMThatDoesNotTakeItsTurnIsPassedOver has VMs that were cut off while their
+// requests were the first: all others waited until they were forgotten.
+func TestVMThatDoesNotTakeItsTurnIsPassedOver(t *testing.T) {
+	world := newWorld()
+	turn := world.Wait("engines", world.now.Add(2*time.Second))
+	for id, vm := range []string{"vm-2", "vm-3"} {
+		due := time.Duration(id+1) * 100 * time.Millisecond
+		world.Told(vm, []pool.Report{{ID: 7, Server: "engines", Phase: pool.PhaseWaiting, Due: due}})
+	}
+	next := func() bool {
+		_, next := turn.Rank()
+		return next
+	}
+	assert.Assert(t, !next())
+	world.pass(50 * time.Millisecond)
+	assert.Assert(t, !next(), "the first may take a moment")
+	world.pass(20 * time.Millisecond)
+	assert.Assert(t, !next(), "the second has its turn only now")
+	assert.Assert(t, !next())
+	world.pass(70 * time.Millisecond)
+	assert.Assert(t, next())
+}
+
 func TestFailuresMakeAServerSuspectForATime(t *testing.T) {
 	world := newWorld()
 	world.Replace(listedUpTo(1))
--- a/internal/pool/waiting.go
+++ b/internal/pool/waiting.go
@@ -15,6 +15,10 @@
 	// room, so that others may go first.
 	blocked bool
 	toldAt  time.Time
+	// firstSince is since when it is the first here that may fit, or zero, and
+	// passed says that it was so for too long.
+	firstSince time.Time
+	passed     bool
 }
 
 // Turn is the place of a request of this VM among those that wait for the same
@@ -52,25 +56,58 @@
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	now := pool.now()
-	oldest := now.Add(-pool.settings.RemoteTime)
+	for {
+		rank, first := pool.ahead(turn.waiting, now)
+		if first == nil {
+			return rank, true
+		}
+		if !pool.passOver(first, now) {
+			return rank, false
+		}
+	}
+}
+
+// ahead returns how many requests go before one, and the first of them that may
+// fit, or nil.
+func (pool *Pool) ahead(waiter *waiting, now time.Time) (int, *waiting) {
 	rank := 0
+	var first *waiting
 	for _, other := range pool.queue {
-		if other == turn.waiting || other.service != turn.waiting.service || !other.before(turn.waiting, now) {
-			continue
-		}
-		if other.vm != pool.vm && other.toldAt.Before(oldest) {
+		if !pool.goesBefore(other, waiter, now) {
 			continue
 		}
-		if !other.blocked {
-			return 0, false
-		}
 		rank++
+		if !other.blocked && !other.passed && (first == nil || other.before(first, now)) {
+			first = other
+		}
+	}
+	return rank, first
+}
+
+// goesBefore reports whether a request waits for the same service as waiter and
+// goes before it.
+func (pool *Pool) goesBefore(other, waiter *waiting, now time.Time) bool {
+	silent := other.vm != pool.vm && now.Sub(other.toldAt) > pool.settings.RemoteTime
+	return other != waiter && other.service == waiter.service && !silent && other.before(waiter, now)
+}
+
+// passOver reports whether the first request was the first for long, and neither
+// went nor found that it does not fit: its VM is slow, cut off or gone.
+func (pool *Pool) passOver(first *waiting, now time.Time) bool {
+	if first.vm == pool.vm {
+		return false
+	}
+	if first.firstSince.IsZero() {
+		first.firstSince = now
 	}
-	return rank, true
+	first.passed = now.Sub(first.firstSince) > pool.settings.TurnTime
+	return first.passed
 }
 
 // before orders requests: those that can still be in time first, then by when
-// their first event is due.
+// their first event is due. What another VM told looks later here by the time of
+// a datagram, so of two that are due together each takes itself for the first,
+// and none waits for the other.
 func (waiting *waiting) before(other *waiting, now time.Time) bool {
 	late, otherLate := waiting.due.Before(now), other.due.Before(now)
 	if late != otherLate {
