gateway: settling takes longer with more VMs

A VM of 0.19 cores sends each report to 75 others one after the other, and takes theirs, so that what one took was not known everywhere after 4 ms. Ruled out: lost datagrams (the first one's later reports came). Change: 0.1 ms is added for each VM.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -121,7 +121,7 @@
 	if run.takesTurns() {
 		turn = gateway.pool.Wait(run.service.Name, run.arrived.Add(run.route.Objective))
 		defer turn.End()
-		wait.For(ctx, gateway.settings.Request.Settle)
+		wait.For(ctx, gateway.settle())
 	}
 	for {
 		changed := gateway.pool.Changed()
@@ -157,11 +157,17 @@
 	}
 }
 
+// settle returns how long what one VM tells takes until all others know of it.
+func (gateway *Gateway) settle() time.Duration {
+	members, _ := gateway.exchange.Members()
+	return gateway.settings.Request.SettleTime(members)
+}
+
 // keeps reports whether the servers that were taken are this request's. Two VMs
 // may take the same ones at the same moment; once each knows of the other, one
 // of them takes them back.
 func (run *run) keeps(ctx context.Context, use *pool.Use) bool {
-	wait.For(ctx, run.gateway.settings.Request.Settle)
+	wait.For(ctx, run.gateway.settle())
 	if !use.Contested() {
 		return true
 	}
@@ -178,8 +184,7 @@
 	}
 	rank, next := turn.Rank()
 	if next && rank > 0 {
-		settings := run.gateway.settings.Request
-		wait.For(ctx, min(time.Duration(rank)*settings.Settle, settings.Look))
+		wait.For(ctx, min(time.Duration(rank)*run.gateway.settle(), run.gateway.settings.Request.Look))
 	}
 	return next
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -49,6 +49,9 @@
 	// Settle is how long a request that takes turns waits until other VMs know
 	// of it: one datagram between data centres, and what gathers it.
 	Settle time.Duration `yaml:"settle" validate:"min=0,max=1s"`
+	// SettleVM is added for each other VM: a small one sends, and takes, that many
+	// datagrams one after the other.
+	SettleVM time.Duration `yaml:"settle_vm" validate:"min=0,max=100ms"`
 	// Silence is how long beyond the prediction a first event may take before
 	// another server is tried, and SilencePart the part of the prediction that
 	// is added.
@@ -71,6 +74,11 @@
 	RetryPart float64 `yaml:"retry_part" validate:"min=0,max=1"`
 }
 
+// SettleTime returns how long what one VM tells takes until all others know of it.
+func (settings RequestSettings) SettleTime(members int) time.Duration {
+	return settings.Settle + time.Duration(members)*settings.SettleVM
+}
+
 // DrainSettings tune a planned stop.
 type DrainSettings struct {
 	// Notice is how long after the request to stop the balancer may still send
@@ -111,6 +119,7 @@
 			Margin:         20 * time.Millisecond,
 			Look:           20 * time.Millisecond,
 			Settle:         4 * time.Millisecond,
+			SettleVM:       100 * time.Microsecond,
 			Silence:        900 * time.Millisecond,
 			SilencePart:    2,
 			GapMin:         1600 * time.Millisecond,
