placement: a short prompt takes any of the servers that are nearly alike

Ruled out: too few servers kept for them (running 4 to 5 of 12 there), long prompts beside them (backlog 0 at most placements). Change: of the servers in the same step of reading, with at most three requests more than the least busy, the request's seed takes one.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -194,6 +194,34 @@
 	}
 }
 
+// TestShortPromptsOfSeveralVMsSpread has VMs that choose at the same moment: with 76
+// of them all took the same server, whose pauses grew too long.
+func TestShortPromptsOfSeveralVMsSpread(t *testing.T) {
+	servers := newServers(18, func(i int, server *placement.Server) {
+		server.Running, server.Tight = 6, 6
+		switch {
+		case i == 3:
+			server.Running, server.Tight = 12, 12
+		case i == 4:
+			server.Backlog = 90 * time.Millisecond
+		}
+	})
+	counts := make(map[string]int)
+	for seed := range uint64(600) {
+		request := short()
+		request.Seed = seed
+		plan, ok := placement.New(placement.DefaultSettings()).Place(servers, request)
+		assert.Assert(t, ok)
+		counts[plan.Server.ID]++
+	}
+	assert.Assert(t, len(counts) >= 6, "%v", counts)
+	for id, count := range counts {
+		assert.Assert(t, count <= 120, "%s got %d", id, count)
+	}
+	assert.Equal(t, counts["s03"], 0, "it has many more requests")
+	assert.Equal(t, counts["s04"], 0, "it reads")
+}
+
 func boolToInt(value bool) int {
 	if value {
 		return 1
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -14,6 +14,9 @@
 	LeaveLong int `yaml:"leave_long" validate:"min=0"`
 	// NearBacklog is the reading up to which servers count as equally busy.
 	NearBacklog time.Duration `yaml:"near_backlog" validate:"min=1ms"`
+	// NearRunning is how many requests more a server may have to count as equally
+	// busy.
+	NearRunning int `yaml:"near_running" validate:"min=0"`
 	// PassSpare is what a pass takes beside reading and the steps themselves:
 	// the context of what is written.
 	PassSpare time.Duration `yaml:"pass_spare" validate:"min=0"`
@@ -66,6 +69,7 @@
 		KeepSpare:   1,
 		LeaveLong:   1,
 		NearBacklog: 50 * time.Millisecond,
+		NearRunning: 3,
 		PassSpare:   30 * time.Millisecond,
 		MaxParts:    MaxParts,
 		MinPart:     20 * time.Millisecond,
--- a/internal/placement/tight.go
+++ b/internal/placement/tight.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // placeTight chooses among the servers that are kept for tight requests, the
 // one with the least to do; then, when all pauses would grow too long there,
@@ -22,35 +26,48 @@
 	return plan, ok && !held
 }
 
-// leastBusy returns the server whose passes are shortest among those where the
-// request keeps all pauses in time, or else the one with the least to read. It
-// tells whether all pauses stay in time, and whether there is a server at all.
+// leastBusy returns one of the servers whose passes are shortest among those where
+// the request keeps all pauses in time, or else one with the least to read. It
+// tells whether all pauses stay in time, and whether there is a server at all. Of
+// servers that are nearly alike any is taken, since other VMs choose at the same
+// moment.
 func (lengthaware LengthAware) leastBusy(
 	servers []Server, request Request, work time.Duration,
 ) (best Server, bestFits, found bool) {
+	able := make([]*Server, 0, len(servers))
 	for i := range servers {
 		server := &servers[i]
 		if !server.writes(request) {
 			continue
 		}
 		fits := lengthaware.pass(server, request, work) < request.Gap && lengthaware.fits(server, request, work)
-		better := !found || (fits && !bestFits) ||
-			(fits == bestFits && lengthaware.lessBusy(server, &best))
-		if better {
-			best, bestFits, found = *server, fits, true
+		if fits && !bestFits {
+			bestFits = true
+			able = able[:0]
 		}
+		if fits == bestFits {
+			able = append(able, server)
+		}
+	}
+	if len(able) == 0 {
+		return Server{}, false, false
 	}
-	return best, bestFits, found
+	least := slices.MinFunc(able, lengthaware.compareBusy)
+	able = slices.DeleteFunc(able, func(server *Server) bool { return !lengthaware.alike(server, least) })
+	return *able[request.Seed%uint64(len(able))], bestFits, true
+}
+
+// alike reports whether a server is as good for a tight request as the least busy.
+func (lengthaware LengthAware) alike(server, least *Server) bool {
+	near := lengthaware.settings.NearBacklog
+	return server.Backlog/near == least.Backlog/near && server.Running <= least.Running+lengthaware.settings.NearRunning
 }
 
-// lessBusy compares servers by what they read and, where that is near, by how
+// compareBusy compares servers by what they read and, where that is near, by how
 // many requests they have.
-func (lengthaware LengthAware) lessBusy(a, b *Server) bool {
+func (lengthaware LengthAware) compareBusy(a, b *Server) int {
 	near := lengthaware.settings.NearBacklog
-	if a.Backlog/near != b.Backlog/near {
-		return a.Backlog < b.Backlog
-	}
-	return a.Running < b.Running
+	return cmp.Or(cmp.Compare(a.Backlog/near, b.Backlog/near), cmp.Compare(a.Running, b.Running))
 }
 
 // keep returns how many of the servers, in their order, are kept for tight
