placement: of servers alike, those with a kept connection first

Ruled out: connections that are not kept (kept ones are used again where the server allows it). Change: among the servers that are nearly alike for a short prompt, those to which this VM keeps a connection.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastwinch/mastwinch/internal/call"
+	"github.com/mastwinch/mastwinch/internal/catalog"
 	"github.com/mastwinch/mastwinch/internal/placement"
 	"github.com/mastwinch/mastwinch/internal/pool"
 	"github.com/mastwinch/mastwinch/internal/reservation"
@@ -126,7 +127,7 @@
 	for {
 		changed := gateway.pool.Changed()
 		if run.comesNext(ctx, turn) {
-			servers := gateway.pool.Open(run.service, run.tried)
+			servers := gateway.open(run.service, run.tried)
 			if len(servers) == 0 {
 				run.tried = nil // all failed once: any may do better now
 			}
@@ -157,6 +158,16 @@
 	}
 }
 
+// open returns the servers that may get a request, with what this VM itself has
+// there.
+func (gateway *Gateway) open(service *catalog.Service, tried []string) []placement.Server {
+	servers := gateway.pool.Open(service, tried)
+	for i := range servers {
+		servers[i].Connected = gateway.upstream.Kept(servers[i].Address)
+	}
+	return servers
+}
+
 // settle returns how long what one VM tells takes until all others know of it.
 func (gateway *Gateway) settle() time.Duration {
 	members, _ := gateway.exchange.Members()
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -39,6 +39,9 @@
 	MemoryFree int
 	// Suspect says that recent answers were failures.
 	Suspect bool
+	// Connected says that this VM keeps a connection to it, so that none has to be
+	// opened.
+	Connected bool
 }
 
 // Request is what a decision needs to know of a request.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -246,6 +246,25 @@
 	assert.Equal(t, counts["s04"], 0, "it reads")
 }
 
+// TestShortPromptPrefersKeptConnections has servers that are alike, to two of
+// which connections are kept.
+func TestShortPromptPrefersKeptConnections(t *testing.T) {
+	servers := newServers(18, func(i int, server *placement.Server) {
+		server.Running, server.Tight = 2, 2
+		server.Connected = i == 1 || i == 2
+		if i == 2 {
+			server.Running, server.Tight = 9, 9
+		}
+	})
+	for seed := range uint64(20) {
+		request := short()
+		request.Seed = seed
+		plan, ok := placement.New(placement.DefaultSettings()).Place(servers, request)
+		assert.Assert(t, ok)
+		assert.Equal(t, plan.Server.ID, "s01", "one that is much busier is not taken for its connection")
+	}
+}
+
 func boolToInt(value bool) int {
 	if value {
 		return 1
--- a/internal/placement/tight.go
+++ b/internal/placement/tight.go
@@ -54,7 +54,27 @@
 	}
 	least := slices.MinFunc(able, lengthaware.compareBusy)
 	able = slices.DeleteFunc(able, func(server *Server) bool { return !lengthaware.alike(server, least) })
-	return *able[request.Seed%uint64(len(able))], bestFits, true
+	return *anyOf(preferConnected(able), request.Seed), bestFits, true
+}
+
+// preferConnected returns the servers to which connections are kept, or all when
+// there are none.
+func preferConnected(servers []*Server) []*Server {
+	var connected []*Server
+	for _, server := range servers {
+		if server.Connected {
+			connected = append(connected, server)
+		}
+	}
+	if len(connected) == 0 {
+		return servers
+	}
+	return connected
+}
+
+// anyOf returns one of the servers by a seed.
+func anyOf(servers []*Server, seed uint64) *Server {
+	return servers[seed%uint64(len(servers))]
 }
 
 // alike reports whether a server is as good for a tight request as the least busy.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -151,6 +151,13 @@
 	}, nil
 }
 
+// Kept reports whether a connection to a server is kept.
+func (client *Client) Kept(address string) bool {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	return len(client.idle[address]) > 0
+}
+
 func (client *Client) pop(address string) *connection {
 	client.mu.Lock()
 	defer client.mu.Unlock()
