gateway: a long prompt that fits nowhere is refused before half of its caller's patience

Change: one that no server has seen is given up at 0.45 of its caller's patience, with 503 and a time to return.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -332,6 +332,26 @@
 	})
 }
 
+// TestPromptThatFitsNowhereIsRefusedInTime has a prompt beyond the memory of all
+// engines: it was held until its caller left, who could have come back meanwhile.
+func TestPromptThatFitsNowhereIsRefusedInTime(t *testing.T) {
+	inWorld(t, map[string]backend{"a": streams(3, 0), "b": streams(3, 0)}, nil, func(world *world) {
+		world.configure(2, func(configuration map[string]any) {
+			configuration["routes"] = []any{map[string]any{
+				"name": "audit", "host": "register.example", "path_prefix": "/audit/", "route_kind": "stream",
+				"timeout_ms": 15_000, "target_latency_ms": 2500, "gap_aim_ms": 1000, "service": "engines", "max_attempts": 2,
+			}}
+		})
+		time.Sleep(2 * time.Second)
+		got := world.ask(stream("audit").with("Token-Counts", "900000,500").with("Deadline-Ms", "15000"))
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Assert(t, got.header.Get("Retry-After") != "")
+		// Its caller stays four times the objective.
+		assert.Assert(t, got.took > 4*time.Second && got.took < 5*time.Second, "%s", got.took)
+		assert.Equal(t, len(world.requests()), 0)
+	})
+}
+
 func TestLeavingServerGetsNothingNew(t *testing.T) {
 	servers := map[string]backend{"one": answers(http.StatusOK, "one"), "two": answers(http.StatusOK, "two")}
 	inWorld(t, nil, servers, func(world *world) {
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -28,6 +28,7 @@
 	ReasonTime            Reason = "time_over"
 	ReasonServerFailed    Reason = "server_failed"
 	ReasonRefused         Reason = "servers_refused"
+	ReasonBusy            Reason = "servers_busy"
 	ReasonStopping        Reason = "stopping"
 	ReasonCallerGone      Reason = "caller_gone"
 )
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -92,6 +92,9 @@
 	budget.Earn()
 	for {
 		plan, use, ok := run.place(ctx)
+		if !ok && ctx.Err() == nil {
+			return run.fail(ReasonBusy)
+		}
 		if !ok {
 			return run.interrupted(ctx)
 		}
@@ -114,7 +117,7 @@
 }
 
 // place waits for servers with room, and takes them. It reports false when ctx
-// ended first.
+// ended first, or when a request that takes turns was held for long enough.
 func (run *run) place(ctx context.Context) (placement.Plan, *pool.Use, bool) {
 	gateway := run.gateway
 	asked := gateway.now()
@@ -140,6 +143,10 @@
 				}
 				continue
 			}
+			if turn != nil && run.heldEnough() {
+				run.logNotPlaced(asked)
+				return placement.Plan{}, nil, false
+			}
 			if turn != nil {
 				turn.Block()
 			}
@@ -151,13 +158,25 @@
 		case <-look.C:
 		case <-ctx.Done():
 			look.Stop()
-			gateway.logger.Info("not placed", "request_id", run.head.ID, "tried", run.tried,
-				"waited", gateway.now().Sub(asked))
+			run.logNotPlaced(asked)
 			return placement.Plan{}, nil, false
 		}
 	}
 }
 
+// heldEnough reports whether a request that no server has seen is given up: its
+// caller has time left then to come back, and its place in the queue is free.
+func (run *run) heldEnough() bool {
+	held := run.gateway.now().Sub(run.arrived)
+	whole := held + run.stays()
+	return run.sends == 0 && held > time.Duration(run.gateway.settings.Request.HoldPart*float64(whole))
+}
+
+func (run *run) logNotPlaced(asked time.Time) {
+	run.gateway.logger.Info("not placed", "request_id", run.head.ID, "tried", run.tried,
+		"waited", run.gateway.now().Sub(asked))
+}
+
 // open returns the servers that may get a request, with what this VM itself has
 // there.
 func (gateway *Gateway) open(service *catalog.Service, tried []string) []placement.Server {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -52,6 +52,9 @@
 	// SettleVM is added for each other VM: a small one sends, and takes, that many
 	// datagrams one after the other.
 	SettleVM time.Duration `yaml:"settle_vm" validate:"min=0,max=100ms"`
+	// HoldPart is the part of its caller's patience for which a request that takes
+	// turns is held. From half on the users count it as held to the end.
+	HoldPart float64 `yaml:"hold_part" validate:"min=0.1,max=1"`
 	// Silence is how long beyond the prediction a first event may take before
 	// another server is tried, and SilencePart the part of the prediction that
 	// is added.
@@ -120,6 +123,7 @@
 			Look:           20 * time.Millisecond,
 			Settle:         4 * time.Millisecond,
 			SettleVM:       100 * time.Microsecond,
+			HoldPart:       0.45,
 			Silence:        900 * time.Millisecond,
 			SilencePart:    2,
 			GapMin:         1600 * time.Millisecond,
