soak: real gateways as processes, faults from outside, promises checked

mw-soak starts gateways against the stand-ins of store, engines and plain services, over loopback proxies, and plays a plan of 27 kinds of faults and planned work that the seed determines: signals, connections reset, delayed, silent and cut one way, a store that is busy, silent, resets or loses answers, servers that fail, lie, die, leave and are replaced at their addresses, configurations and keys that change. On the way four of the checks and the stand-in were wrong (streams cut when their time was over and while an engine read for long, calm taken too early, requests sent while a process was away, one address used twice); each has a case in TestCheck or is gone. TestCheck breaks each promise on purpose.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-programs := mw-gateway mw-entry mw-keeper mw-standin mw-load mastwinch
+programs := mw-gateway mw-soak mw-entry mw-keeper mw-standin mw-load mastwinch
 tools := $(CURDIR)/.tools
 linter := $(tools)/golangci-lint
 
--- a/internal/exchange/relay_test.go
+++ b/internal/exchange/relay_test.go
@@ -100,6 +100,7 @@
 		for number := 2; number <= 6; number++ {
 			assert.Assert(t, len(vms.sinks[number].toldBy("vm-0")) > 0, "vm-%d", number)
 		}
+		assert.Equal(t, len(vms.sinks[0].toldBy("vm-2")), 0, "it has nothing under way")
 		assert.DeepEqual(t, vms.members()[2:], []int{6, 6, 6, 6, 6})
 	})
 }
--- /dev/null
+++ b/internal/gateway/place.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/mastwinch/mastwinch/internal/catalog"
+	"github.com/mastwinch/mastwinch/internal/placement"
+	"github.com/mastwinch/mastwinch/internal/pool"
+	"github.com/mastwinch/mastwinch/internal/wait"
+)
+
+// place waits for servers with room, and takes them. It reports false when ctx
+// ended first, or when a request that takes turns was held for long enough.
+func (run *run) place(ctx context.Context) (placement.Plan, *pool.Use, bool) {
+	gateway := run.gateway
+	asked := gateway.now()
+	var turn *pool.Turn
+	if run.takesTurns() {
+		turn = gateway.pool.Wait(run.service.Name, run.arrived.Add(run.route.Objective))
+		defer turn.End()
+		wait.For(ctx, gateway.settle())
+	}
+	for {
+		changed := gateway.pool.Changed()
+		if run.comesNext(ctx, turn) {
+			plan, use, ok := run.look(ctx, turn)
+			if ok {
+				run.logPlan(plan, gateway.now().Sub(asked))
+				return plan, use, true
+			}
+		}
+		heldEnough := turn != nil && run.heldEnough()
+		if heldEnough || !run.waitForRoom(ctx, changed) {
+			gateway.logger.Info("not placed", "request_id", run.head.ID, "tried", run.tried,
+				"waited", gateway.now().Sub(asked), "held_enough", heldEnough)
+			return placement.Plan{}, nil, false
+		}
+	}
+}
+
+// look asks the policy once, and takes the servers that it names.
+func (run *run) look(ctx context.Context, turn *pool.Turn) (placement.Plan, *pool.Use, bool) {
+	gateway := run.gateway
+	servers := gateway.open(run.service, run.tried)
+	if len(servers) == 0 {
+		run.tried = nil // all failed once: any may do better now
+	}
+	request := run.placementRequest()
+	plan, ok := gateway.policy.Place(servers, request)
+	if !ok && turn != nil {
+		turn.Block()
+	}
+	if !ok {
+		return placement.Plan{}, nil, false
+	}
+	use := gateway.pool.Start(plan, request)
+	if turn != nil && !run.keeps(ctx, use) {
+		return placement.Plan{}, nil, false
+	}
+	return plan, use, true
+}
+
+// waitForRoom waits until a server may have room, or for a moment. It reports false
+// when ctx ended.
+func (run *run) waitForRoom(ctx context.Context, changed <-chan struct{}) bool {
+	look := time.NewTimer(run.gateway.settings.Request.Look)
+	defer look.Stop()
+	select {
+	case <-changed:
+	case <-look.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+// comesNext reports whether the request may look for servers. Behind requests
+// that found none it waits a moment, since they look first.
+func (run *run) comesNext(ctx context.Context, turn *pool.Turn) bool {
+	if turn == nil {
+		return true
+	}
+	rank, next := turn.Rank()
+	if next && rank > 0 {
+		wait.For(ctx, min(time.Duration(rank)*run.gateway.settle(), run.gateway.settings.Request.Look))
+	}
+	return next
+}
+
+// keeps reports whether the servers that were taken are this request's. Two VMs
+// may take the same ones at the same moment; once each knows of the other, one
+// of them takes them back.
+func (run *run) keeps(ctx context.Context, use *pool.Use) bool {
+	wait.For(ctx, run.gateway.settle())
+	if !use.Contested() {
+		return true
+	}
+	use.Over()
+	run.gateway.logger.Info("servers taken back", "request_id", run.head.ID)
+	return false
+}
+
+// settle returns how long what one VM tells takes until all others know of it.
+func (gateway *Gateway) settle() time.Duration {
+	members, _ := gateway.exchange.Members()
+	return gateway.settings.Request.SettleTime(members)
+}
+
+// heldEnough reports whether a request that no server has seen is given up: its
+// caller has time left then to come back, and its place in the queue is free.
+func (run *run) heldEnough() bool {
+	held := run.gateway.now().Sub(run.arrived)
+	whole := held + run.stays()
+	return run.sends == 0 && held > time.Duration(run.gateway.settings.Request.HoldPart*float64(whole))
+}
+
+// open returns the servers that may get a request, with what this VM itself has
+// there.
+func (gateway *Gateway) open(service *catalog.Service, tried []string) []placement.Server {
+	servers := gateway.pool.Open(service, tried)
+	for i := range servers {
+		servers[i].Connected = gateway.upstream.Kept(servers[i].Address)
+	}
+	return servers
+}
+
+// takesTurns reports whether the request waits in turn with those of other VMs.
+func (run *run) takesTurns() bool {
+	return run.head.Prompt != nil && run.service.Engine != nil &&
+		run.route.Gap > 0 && !run.gateway.settings.Placement.Tight(run.route.Gap)
+}
+
+func (run *run) logPlan(plan placement.Plan, waited time.Duration) {
+	helpers := make([]string, 0, len(plan.Helpers))
+	for _, helper := range plan.Helpers {
+		helpers = append(helpers, helper.ID)
+	}
+	run.gateway.logger.Info("placed", "request_id", run.head.ID, "send", run.sends, "route", run.route.Name,
+		"tokens", run.tokens(), "server", plan.Server.ID, "helpers", helpers, "reason", plan.Reason,
+		"predicted", plan.Predicted, "part", plan.Part, "backlog", plan.Server.Backlog,
+		"running", plan.Server.Running, "tight", plan.Server.Tight, "memory_free", plan.Server.MemoryFree,
+		"waited", waited)
+}
+
+// placementRequest describes the request to the policy.
+func (run *run) placementRequest() placement.Request {
+	request := placement.Request{
+		DataCentre: run.gateway.site.DataCentre,
+		Gap:        run.route.Gap,
+		Objective:  run.route.Objective,
+		Left:       run.arrived.Add(run.route.Objective).Sub(run.gateway.now()),
+		Stays:      run.stays(),
+		Seed:       run.seed + uint64(run.sends), //nolint:gosec // a small count
+	}
+	if run.head.Prompt != nil {
+		request.Engine = run.service.Engine
+		request.Tokens = run.head.Prompt.Tokens
+		request.Memory = run.head.Prompt.Tokens + run.head.Prompt.MaxTokens
+	}
+	return request
+}
+
+func (run *run) tokens() int {
+	if run.head.Prompt == nil {
+		return 0
+	}
+	return run.head.Prompt.Tokens
+}
+
+// Silence after which callers leave a stream, as the users state it: the
+// longest of three.
+const (
+	staysMin            = 2 * time.Second
+	staysObjectiveTimes = 4
+	staysGapTimes       = 8
+)
+
+// stays is how long the caller still waits for the first event.
+func (run *run) stays() time.Duration {
+	silence := max(staysMin, staysObjectiveTimes*run.route.Objective, staysGapTimes*run.route.Gap)
+	until := run.arrived.Add(silence)
+	if run.deadline.Before(until) {
+		until = run.deadline
+	}
+	return until.Sub(run.gateway.now())
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -223,10 +223,10 @@
 func TestShortPromptsOfSeveralVMsSpread(t *testing.T) {
 	servers := newServers(18, func(i int, server *placement.Server) {
 		server.Running, server.Tight = 6, 6
-		switch {
-		case i == 3:
+		switch i {
+		case 3:
 			server.Running, server.Tight = 12, 12
-		case i == 4:
+		case 4:
 			server.Backlog = 90 * time.Millisecond
 		}
 	})
--- /dev/null
+++ b/internal/soak/check_test.go
@@ -0,0 +1,169 @@
+package soak
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/standin/metastore"
+	"github.com/mastwinch/mastwinch/internal/standin/platformserver"
+)
+
+// start is when the made-up runs begin.
+func start() time.Time {
+	return time.Unix(1000, 0)
+}
+
+func at(duration time.Duration) time.Time {
+	return start().Add(duration)
+}
+
+// served returns an outcome that breaks nothing, and its run.
+func served(id, route string) (Outcome, platformserver.Run) {
+	outcome := Outcome{
+		ID: id, Route: route, VM: "vm-0", Key: permanentKey, Sent: at(time.Second), Ended: at(2 * time.Second),
+		Status: http.StatusOK, Seal: "i-1", Whole: true, Body: "body", Want: "body",
+	}
+	run := platformserver.Run{
+		ID: id, Instance: "i-1", Organisation: organisation, Target: target(outcome), At: at(1100 * time.Millisecond),
+	}
+	return outcome, run
+}
+
+// TestCheck breaks each promise on purpose.
+func TestCheck(t *testing.T) {
+	type made struct {
+		outcome  *Outcome
+		evidence *evidence
+	}
+	tests := map[string]struct {
+		route  string
+		change func(made made)
+		want   []Promise
+	}{
+		"nothing is broken": {route: routeStream, change: func(made) {}},
+		"run twice": {route: routeUnsafe, change: func(made made) {
+			made.evidence.runs["r"] = append(made.evidence.runs["r"], made.evidence.runs["r"][0])
+		}, want: []Promise{PromiseOnce}},
+		"run twice where it may": {route: routeSafe, change: func(made made) {
+			made.evidence.runs["r"] = append(made.evidence.runs["r"], made.evidence.runs["r"][0])
+		}},
+		"refused, and run": {route: routeUnsafe, change: func(made made) {
+			made.outcome.Status = http.StatusServiceUnavailable
+		}, want: []Promise{PromiseNotRun}},
+		"an event is missing": {route: routeStream, change: func(made made) {
+			made.outcome.Body = "bod"
+		}, want: []Promise{PromiseWhole}},
+		"another's bytes": {route: routeStream, change: func(made made) {
+			made.outcome.Body, made.outcome.Whole = "other", false
+		}, want: []Promise{PromiseWhole}},
+		"no mark": {route: routeStream, change: func(made made) {
+			made.outcome.Seal = ""
+		}, want: []Promise{PromiseWhole}},
+		"cut short and seen to be": {route: routeStream, change: func(made made) {
+			made.outcome.Body, made.outcome.Whole = "bo", false
+		}},
+		"a key is handed on": {route: routeStream, change: func(made made) {
+			made.evidence.runs["r"][0].KeySeen = true
+		}, want: []Promise{PromiseUnaltered}},
+		"another organisation": {route: routeStream, change: func(made made) {
+			made.evidence.runs["r"][0].Organisation = "other"
+		}, want: []Promise{PromiseUnaltered}},
+		"another path": {route: routeStream, change: func(made made) {
+			made.evidence.runs["r"][0].Target = "/chat/x/y"
+		}, want: []Promise{PromiseUnaltered}},
+		"nobody sent it": {route: routeStream, change: func(made made) {
+			made.evidence.runs["x"] = made.evidence.runs["r"]
+		}, want: []Promise{PromiseUnaltered}},
+		"a key that was taken away": {route: routeStream, change: func(made made) {
+			made.outcome.Key = "key-1"
+			made.evidence.operator.keys[1].revoked = at(-5 * time.Second)
+		}, want: []Promise{PromiseRevoked}},
+		"a key that was taken away just now": {route: routeStream, change: func(made made) {
+			made.outcome.Key = "key-1"
+			made.evidence.operator.keys[1].revoked = at(-3 * time.Second)
+		}},
+		"too late": {route: routeStream, change: func(made made) {
+			made.outcome.Ended = at(9 * time.Second)
+		}, want: []Promise{PromiseTime}},
+		"too late while its VM stood still": {route: routeStream, change: func(made made) {
+			made.outcome.Ended = at(9 * time.Second)
+			made.evidence.log.add(span{from: at(3 * time.Second), to: at(5 * time.Second), kind: KindVMPause, vm: "vm-0"})
+		}},
+		"too late while another VM stood still": {route: routeStream, change: func(made made) {
+			made.outcome.Ended = at(9 * time.Second)
+			made.evidence.log.add(span{from: at(3 * time.Second), to: at(5 * time.Second), kind: KindVMPause, vm: "vm-1"})
+		}, want: []Promise{PromiseTime}},
+		"a proper request is denied": {route: routeSafe, change: func(made made) {
+			made.outcome.Status = http.StatusUnauthorized
+		}, want: []Promise{PromiseDenied}},
+		"cut in a planned stop": {route: routeStream, change: func(made made) {
+			made.outcome.Err, made.outcome.Whole = "reset", false
+			made.evidence.log.add(span{from: at(0), to: at(9 * time.Second), kind: KindVMStop, vm: "vm-0"})
+		}, want: []Promise{PromiseLost}},
+		"sent while its process was away": {route: routeStream, change: func(made made) {
+			made.outcome.Err, made.outcome.Status, made.outcome.Whole, made.outcome.Body = "reset", 0, false, ""
+			made.evidence.runs = nil
+		}},
+		"cut without an answer": {route: routeStream, change: func(made made) {
+			made.outcome.Err, made.outcome.Status, made.outcome.Whole, made.outcome.Body = "reset", 0, false, ""
+		}, want: []Promise{PromiseLost}},
+		"cut when its time was over": {route: routeStream, change: func(made made) {
+			made.outcome.Err, made.outcome.Whole, made.outcome.Ended = "reset", false, at(7*time.Second)
+		}},
+		"cut by a kill": {route: routeStream, change: func(made made) {
+			made.outcome.Err, made.outcome.Whole = "reset", false
+			made.evidence.log.add(span{from: at(0), to: at(9 * time.Second), kind: KindVMKill, vm: "vm-0"})
+		}},
+		"a server that left": {route: routeStream, change: func(made made) {
+			made.evidence.operator.left["i-1"] = at(-4 * time.Second)
+		}, want: []Promise{PromiseLeaving}},
+		"a server that left while the store was away": {route: routeStream, change: func(made made) {
+			made.evidence.operator.left["i-1"] = at(-4 * time.Second)
+			made.evidence.log.add(span{from: at(-5 * time.Second), to: at(-4 * time.Second), kind: KindStoreBusy})
+		}},
+		"back to an older configuration": {route: "v7", change: func(made made) {
+			later := *made.outcome
+			later.ID, later.Sent, later.Ended, later.Status = "later", at(3*time.Second), at(4*time.Second), http.StatusNotFound
+			made.evidence.outcomes = append(made.evidence.outcomes, later)
+		}, want: []Promise{PromiseForward}},
+		"not served again": {route: routeStream, change: func(made made) {
+			made.evidence.calm = at(0)
+			for range fewest {
+				failed := *made.outcome
+				failed.ID, failed.Status, failed.Whole, failed.Body = "later", http.StatusBadGateway, true, ""
+				made.evidence.outcomes = append(made.evidence.outcomes, failed)
+			}
+		}, want: []Promise{PromiseRecovered}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			outcome, run := served("r", test.route)
+			evidence := &evidence{
+				outcomes: []Outcome{outcome}, runs: map[string][]platformserver.Run{"r": {run}}, log: &faultLog{},
+				operator: newOperator(metastore.New()), calm: at(time.Hour),
+				life: func(string, time.Time) int { return 1 },
+				down: func(string, time.Time, time.Time) bool { return name == "sent while its process was away" },
+			}
+			test.change(made{outcome: &evidence.outcomes[0], evidence: evidence})
+			var broken []Promise
+			for _, violation := range evidence.check() {
+				broken = append(broken, violation.Promise)
+			}
+			assert.DeepEqual(t, broken, test.want)
+		})
+	}
+}
+
+func TestPlanIsTheSameForASeed(t *testing.T) {
+	length := DefaultSettings().Length
+	first, again, other := NewPlan(7, length), NewPlan(7, length), NewPlan(8, length)
+	assert.DeepEqual(t, first, again)
+	assert.Assert(t, len(first) > 0)
+	assert.Assert(t, first[0] != other[0])
+	for _, event := range first {
+		assert.Assert(t, event.At >= quietStart && event.At < length-quietEnd, "%s", event)
+	}
+}
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,183 @@
+package soak
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/mastwinch/mastwinch/internal/standin/metastore"
+	"github.com/mastwinch/mastwinch/internal/standin/platformserver"
+	"github.com/mastwinch/mastwinch/internal/wait"
+)
+
+// span is when a fault was at work, and where.
+type span struct {
+	from, to time.Time
+	kind     Kind
+	// vm is the name of the VM that it struck, or empty.
+	vm string
+}
+
+// faultLog has which faults were at work when.
+type faultLog struct {
+	mu    sync.Mutex
+	spans []span
+}
+
+func (log *faultLog) add(added span) {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	log.spans = append(log.spans, added)
+}
+
+// between returns the faults at work at any time in a span.
+func (log *faultLog) between(from, to time.Time) []span {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	var found []span
+	for _, span := range log.spans {
+		if span.from.Before(to) && span.to.After(from) {
+			found = append(found, span)
+		}
+	}
+	return found
+}
+
+// Times of faults.
+const (
+	// restartTime is how long after its end a VM is not held to bounds.
+	restartTime = time.Second
+	// entryTime is how long the entry of a dead server stays listed.
+	entryTime = 1500 * time.Millisecond
+	// serveOn is how long a leaving server serves beyond the bound.
+	serveOn = 1500 * time.Millisecond
+)
+
+// inject plays a plan until all faults are over.
+func (world *world) inject(ctx context.Context, plan []Event) {
+	start := time.Now()
+	var playing sync.WaitGroup
+	for _, event := range plan {
+		if !wait.For(ctx, time.Until(start.Add(event.At))) {
+			break
+		}
+		playing.Go(func() { world.play(ctx, event) })
+	}
+	playing.Wait()
+}
+
+// play plays one fault.
+func (world *world) play(ctx context.Context, event Event) {
+	from := time.Now()
+	vm := world.vms[event.Target%len(world.vms)]
+	backend := world.backends[event.Target%len(world.backends)]
+	struck := ""
+	after := time.Duration(0)
+	switch event.Kind {
+	case KindVMKill:
+		struck, after = vm.name, restartTime
+		vm.process.signal(syscall.SIGKILL)
+	case KindAllKill:
+		after = restartTime
+		for _, vm := range world.vms {
+			vm.process.signal(syscall.SIGKILL)
+		}
+	case KindVMPause:
+		struck = vm.name
+		vm.process.signal(syscall.SIGSTOP)
+		wait.For(ctx, event.For)
+		vm.process.signal(syscall.SIGCONT)
+	case KindVMStop:
+		struck, after = vm.name, boundGrace
+		vm.process.signal(syscall.SIGTERM)
+	case KindVMReload:
+		struck = vm.name
+		// The file is only as new as its slack, which no check reads.
+		if err := world.writeSite(vm, world.ip(1, event.Target%len(world.vms)), event.Target%50); err == nil {
+			vm.process.signal(syscall.SIGHUP)
+		}
+	case KindFrontReset, KindFrontDelay, KindStoreCut:
+		struck = vm.name
+		world.playVMProxy(ctx, event, vm)
+	case KindStoreBusy, KindStoreSilent, KindStoreReset, KindStoreLost, KindStoreTrim:
+		world.playStore(ctx, event)
+	case KindConfigure:
+		world.operator.addRoute()
+	case KindRevoke:
+		world.operator.revoke()
+	case KindServerKill, KindServerLeave:
+		world.replace(ctx, event, backend)
+	default:
+		world.playBackend(ctx, event, backend)
+	}
+	world.log.add(span{from: from, to: time.Now().Add(after), kind: event.Kind, vm: struck})
+}
+
+func (world *world) playVMProxy(ctx context.Context, event Event, vm *vm) {
+	proxy, mode := vm.front, modeReset
+	switch event.Kind {
+	case KindFrontDelay:
+		mode = modeDelay
+	case KindStoreCut:
+		proxy, mode = vm.store, modeSilent
+	}
+	proxy.set(mode)
+	wait.For(ctx, event.For)
+	proxy.set(modePass)
+}
+
+func (world *world) playStore(ctx context.Context, event Event) {
+	if event.Kind == KindStoreTrim {
+		world.store.Trim("keyed.op")
+		world.store.Trim("keyed.servers")
+		return
+	}
+	world.store.SetFault(map[Kind]metastore.Fault{
+		KindStoreBusy: metastore.FaultBusy, KindStoreSilent: metastore.FaultSilent,
+		KindStoreReset: metastore.FaultReset, KindStoreLost: metastore.FaultLost,
+	}[event.Kind])
+	wait.For(ctx, event.For)
+	world.store.SetFault(metastore.FaultNone)
+}
+
+// replace ends a server, at once or as planned, and puts a new one at its address.
+func (world *world) replace(ctx context.Context, event Event, backend *backend) {
+	if !backend.replacing.TryLock() {
+		return // it is being replaced already
+	}
+	defer backend.replacing.Unlock()
+	identity := backend.identity()
+	if event.Kind == KindServerLeave {
+		world.operator.list(identity, true)
+		wait.For(ctx, boundDrain+serveOn)
+	}
+	backend.stop()
+	wait.For(ctx, entryTime)
+	world.operator.drop(identity)
+	// Until the run ends the address is reused, as a server's may be.
+	if err := world.startBackend(ctx, backend); err != nil {
+		world.record.Violate(err.Error())
+	}
+}
+
+// faultPart is the part of its requests that a faulty server spoils.
+const faultPart = 0.3
+
+// playBackend makes a server, or the way to it, misbehave.
+func (world *world) playBackend(ctx context.Context, event Event, backend *backend) {
+	modes := map[Kind]mode{KindLinkReset: modeReset, KindLinkSilent: modeSilent, KindLinkOneWay: modeOneWay}
+	if mode, ok := modes[event.Kind]; ok {
+		backend.link.set(mode)
+		wait.For(ctx, event.For)
+		backend.link.set(modePass)
+		return
+	}
+	backend.setFaults(map[Kind]platformserver.Faults{
+		KindServerErrors: {Errors: faultPart}, KindServerRefuse: {Refused: faultPart}, KindServerLost: {Lost: faultPart},
+		KindServerCut: {Cut: faultPart}, KindServerExtra: {Extra: faultPart}, KindServerHang: {Hang: true},
+		KindServerSlow: {Slow: 4},
+	}[event.Kind])
+	wait.For(ctx, event.For)
+	backend.setFaults(platformserver.Faults{})
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,110 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is what a fault does.
+type Kind string
+
+// Kinds of faults and of planned work.
+const (
+	KindVMKill       Kind = "vm_kill"       // SIGKILL, and a new start
+	KindVMPause      Kind = "vm_pause"      // SIGSTOP, and SIGCONT
+	KindVMStop       Kind = "vm_stop"       // SIGTERM, and a new start
+	KindVMReload     Kind = "vm_reload"     // a changed settings file and SIGHUP
+	KindAllKill      Kind = "all_kill"      // SIGKILL to all VMs at once
+	KindFrontReset   Kind = "front_reset"   // callers' connections to a VM are reset
+	KindFrontDelay   Kind = "front_delay"   // and delayed
+	KindStoreCut     Kind = "store_cut"     // a VM hears nothing from the store
+	KindStoreBusy    Kind = "store_busy"    // the store answers 503
+	KindStoreSilent  Kind = "store_silent"  // or nothing
+	KindStoreReset   Kind = "store_reset"   // or resets
+	KindStoreLost    Kind = "store_lost"    // or does what it is asked, and resets
+	KindStoreTrim    Kind = "store_trim"    // it forgets its history
+	KindLinkReset    Kind = "link_reset"    // connections to a server are reset
+	KindLinkSilent   Kind = "link_silent"   // and say nothing either way
+	KindLinkOneWay   Kind = "link_one_way"  // and lose the answers
+	KindServerErrors Kind = "server_errors" // answers 500
+	KindServerRefuse Kind = "server_refuse" // refuses
+	KindServerLost   Kind = "server_lost"   // runs requests and loses the answers
+	KindServerCut    Kind = "server_cut"    // breaks answers off
+	KindServerExtra  Kind = "server_extra"  // sends a second answer
+	KindServerHang   Kind = "server_hang"   // says nothing
+	KindServerSlow   Kind = "server_slow"   // takes four times as long
+	KindServerKill   Kind = "server_kill"   // dies; a new one comes at its address
+	KindServerLeave  Kind = "server_leave"  // says that it leaves, and does; a new one comes
+	KindConfigure    Kind = "configure"     // a new version of the configuration
+	KindRevoke       Kind = "revoke"        // a key is taken away
+)
+
+// Kinds returns all kinds in order.
+func Kinds() []Kind {
+	return []Kind{
+		KindVMKill, KindVMPause, KindVMStop, KindVMReload, KindAllKill, KindFrontReset, KindFrontDelay,
+		KindStoreCut, KindStoreBusy, KindStoreSilent, KindStoreReset, KindStoreLost, KindStoreTrim,
+		KindLinkReset, KindLinkSilent, KindLinkOneWay,
+		KindServerErrors, KindServerRefuse, KindServerLost, KindServerCut, KindServerExtra, KindServerHang,
+		KindServerSlow, KindServerKill, KindServerLeave, KindConfigure, KindRevoke,
+	}
+}
+
+// planned reports whether a kind is planned work, which may cost no request.
+func (kind Kind) planned() bool {
+	return slices.Contains([]Kind{KindVMStop, KindVMReload, KindServerLeave, KindConfigure, KindRevoke}, kind)
+}
+
+// Event is one fault of a plan.
+type Event struct {
+	// At is when it begins, from the start of the load, and For how long it lasts.
+	At   time.Duration
+	For  time.Duration
+	Kind Kind
+	// Target picks the VM or server, modulo how many there are.
+	Target int
+}
+
+// String implements fmt.Stringer.
+func (event Event) String() string {
+	return fmt.Sprintf("%s at %s for %s on %d", event.Kind, event.At, event.For, event.Target)
+}
+
+// Times of a plan.
+const (
+	// quietStart is the time without faults at the start: that after which a VM is
+	// held to its bounds.
+	quietStart = 1500 * time.Millisecond
+	// quietEnd is the time at the end in which no fault begins: the longest one, the
+	// time for which a server that failed is left out, and two calm seconds.
+	quietEnd = 9 * time.Second
+	// longestFault bounds how long a fault lasts.
+	longestFault = 3 * time.Second
+	// eventsPerSecond is how many faults begin in a second, about.
+	eventsPerSecond = 1.3
+)
+
+// NewPlan returns the faults of a run of that length. The same seed gives the same
+// plan.
+func NewPlan(seed uint64, length time.Duration) []Event {
+	random := rand.New(rand.NewPCG(seed, 0)) //nolint:gosec // no secret
+	space := length - quietStart - quietEnd
+	if space <= 0 {
+		return nil
+	}
+	kinds := Kinds()
+	events := make([]Event, 0, 1+int(space.Seconds()*eventsPerSecond))
+	for range cap(events) {
+		at := quietStart + time.Duration(random.Int64N(int64(space)))
+		events = append(events, Event{
+			At:     at.Round(time.Millisecond),
+			For:    (200*time.Millisecond + time.Duration(random.Int64N(int64(longestFault)))).Round(time.Millisecond),
+			Kind:   kinds[random.IntN(len(kinds))],
+			Target: random.IntN(1 << 16),
+		})
+	}
+	slices.SortStableFunc(events, func(a, b Event) int { return int(a.At - b.At) })
+	return events
+}
--- a/internal/standin/platformserver/engine_test.go
+++ b/internal/standin/platformserver/engine_test.go
@@ -50,8 +50,8 @@
 type asked struct {
 	*httptest.ResponseRecorder
 
-	began, first time.Duration
-	done         chan struct{}
+	first time.Duration
+	done  chan struct{}
 }
 
 // firstWrite notes when the first event comes.
@@ -69,8 +69,8 @@
 	return writer.ResponseRecorder.Write(data) //nolint:wrapcheck // passes it on
 }
 
-// ask sends a request for so many tokens to an engine.
-func (world *world) ask(number, prompt, out int, header map[string]string) *asked {
+// ask sends a request for so many tokens to the first engine.
+func (world *world) ask(prompt, out int, header map[string]string) *asked {
 	request := httptest.NewRequest(http.MethodPost, "/chat/x", strings.NewReader("prompt"))
 	request.Header.Set("Request-Id", "r-1")
 	request.Header.Set("Token-Counts", fmt.Sprintf("%d,%d", prompt, out))
@@ -83,7 +83,7 @@
 	go func() {
 		defer close(asked.done)
 		defer func() { _ = recover() }() // a cut answer
-		world.engines[number].ServeHTTP(writer, request)
+		world.engines[0].ServeHTTP(writer, request)
 	}()
 	return asked
 }
@@ -107,7 +107,7 @@
 				for helper := range test.helpers {
 					names = append(names, address(helper+1))
 				}
-				asked := world.ask(0, test.prompt, 86, map[string]string{"Helper-Nodes": strings.Join(names, ",")})
+				asked := world.ask(test.prompt, 86, map[string]string{"Helper-Nodes": strings.Join(names, ",")})
 				<-asked.done
 				assert.Equal(t, asked.Body.String(), platformserver.Event("r-1", 1)+platformserver.Event("r-1", 2))
 				assert.Assert(t, asked.first >= test.min && asked.first <= test.max, "%s", asked.first)
@@ -146,7 +146,7 @@
 		t.Run(name, func(t *testing.T) {
 			inWorld(t, 2, func(t *testing.T, world *world) {
 				world.engines[0].SetFaults(test.faults)
-				asked := world.ask(0, test.prompt, 43, test.header)
+				asked := world.ask(test.prompt, 43, test.header)
 				<-asked.done
 				assert.Equal(t, asked.Code, test.wantStatus)
 				assert.Equal(t, asked.Header().Get("Not-Executed") != "", test.wantNotRun)
@@ -159,9 +159,9 @@
 // TestMemory has two prompts that do not fit one engine together.
 func TestMemory(t *testing.T) {
 	inWorld(t, 1, func(t *testing.T, world *world) {
-		first := world.ask(0, 133_000, 430, nil)
+		first := world.ask(133_000, 430, nil)
 		time.Sleep(10 * time.Millisecond)
-		second := world.ask(0, 133_000, 43, nil)
+		second := world.ask(133_000, 43, nil)
 		<-first.done
 		<-second.done
 		assert.Assert(t, second.first > first.first+500*time.Millisecond, "%s after %s", second.first, first.first)
@@ -183,7 +183,7 @@
 		"a prompt beyond one memory": {run: func(t *testing.T, world *world) {
 			assert.Equal(t, world.order(0, `{"op":"reserve","id":"t","tokens":200000,"hold_ms":60000}`), http.StatusOK)
 			assert.Equal(t, world.order(1, `{"op":"reserve","id":"t","tokens":100000,"hold_ms":60000}`), http.StatusOK)
-			asked := world.ask(0, 300_000, 43, map[string]string{"Helper-Nodes": address(0) + "/t," + address(1) + "/t"})
+			asked := world.ask(300_000, 43, map[string]string{"Helper-Nodes": address(0) + "/t," + address(1) + "/t"})
 			<-asked.done
 			assert.Equal(t, asked.Code, http.StatusOK)
 			count, _ := world.engines[0].Tickets()
@@ -212,7 +212,7 @@
 		"two requests with one ticket": {run: func(t *testing.T, world *world) {
 			assert.Equal(t, world.order(1, `{"op":"reserve","id":"t","tokens":200000,"hold_ms":60000}`), http.StatusOK)
 			header := map[string]string{"Helper-Nodes": address(1) + "/t"}
-			first, second := world.ask(0, 50_000, 430, header), world.ask(0, 50_000, 43, header)
+			first, second := world.ask(50_000, 430, header), world.ask(50_000, 43, header)
 			<-first.done
 			<-second.done
 			assert.Equal(t, len(world.record.Violations()), 1)
--- a/internal/standin/platformserver/plain.go
+++ b/internal/standin/platformserver/plain.go
@@ -63,12 +63,12 @@
 		return
 	case drawn.cut:
 		writer.Header().Set("Content-Length", strconv.Itoa(len(answer)))
-		_, _ = io.WriteString(writer, answer[:len(answer)/2]) // a caller that is gone needs no answer
+		_, _ = io.WriteString(writer, answer[:len(answer)/2]) //nolint:gosec // plain text; a caller that is gone needs no answer
 		_ = http.NewResponseController(writer).Flush()        // as above
 		panic(http.ErrAbortHandler)
 	}
 	writer.Header().Set("Content-Length", strconv.Itoa(len(answer)))
-	_, _ = io.WriteString(writer, answer) // as above
+	_, _ = io.WriteString(writer, answer) //nolint:gosec // as above
 	if drawn.extra {
 		surplus(writer)
 	}
