soak: quiet runs, and keys taken away while the store is long away

Change: half of the faults of the store last 6.5 s with a key taken away in them, and every third run has few faults, among them a server that leaves.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -164,6 +164,6 @@
 	assert.Assert(t, len(first) > 0)
 	assert.Assert(t, first[0] != other[0])
 	for _, event := range first {
-		assert.Assert(t, event.At >= quietStart && event.At < length-quietEnd, "%s", event)
+		assert.Assert(t, event.At >= quietStart && event.At < length-quietEnd+followAfter, "%s", event)
 	}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -91,8 +91,15 @@
 	longestFault      = 3 * time.Second
 	longestStoreFault = 6500 * time.Millisecond
 	shortestFault     = 200 * time.Millisecond
-	// eventsPerSecond is how many faults begin in a second, about.
-	eventsPerSecond = 1.3
+	// oftenPerSecond is how many faults begin in a second, about, and
+	// seldomPerSecond in every third run, in which a server leaves: bounds that count
+	// only where all else is well are checked there.
+	oftenPerSecond  = 1.3
+	seldomPerSecond = 0.35
+	// followPart is the part of the faults of the store that last as long as they may
+	// and during which a key is taken away: who cannot know must not serve it.
+	followPart  = 0.5
+	followAfter = 300 * time.Millisecond
 )
 
 // NewPlan returns the faults of a run of that length. The same seed gives the same
@@ -103,21 +110,33 @@
 	if space <= 0 {
 		return nil
 	}
-	kinds := Kinds()
-	events := make([]Event, 0, 1+int(space.Seconds()*eventsPerSecond))
-	for range cap(events) {
-		at := quietStart + time.Duration(random.Int64N(int64(space)))
-		kind := kinds[random.IntN(len(kinds))]
-		longest := longestFault
-		if kind.ofStore() {
-			longest = longestStoreFault
-		}
-		events = append(events, Event{
-			At:     at.Round(time.Millisecond),
+	draw := func(kind Kind, longest time.Duration) Event {
+		return Event{
+			At:     (quietStart + time.Duration(random.Int64N(int64(space)))).Round(time.Millisecond),
 			For:    (shortestFault + time.Duration(random.Int64N(int64(longest-shortestFault)))).Round(time.Millisecond),
 			Kind:   kind,
 			Target: random.IntN(1 << 16),
-		})
+		}
+	}
+	perSecond := oftenPerSecond
+	var events []Event
+	if seed%3 == 0 {
+		perSecond = seldomPerSecond
+		events = append(events, draw(KindServerLeave, longestFault))
+	}
+	kinds := Kinds()
+	for range 1 + int(space.Seconds()*perSecond) {
+		kind := kinds[random.IntN(len(kinds))]
+		if !kind.ofStore() {
+			events = append(events, draw(kind, longestFault))
+			continue
+		}
+		event := draw(kind, longestStoreFault)
+		if random.Float64() < followPart {
+			event.For = longestStoreFault
+			events = append(events, Event{At: event.At + followAfter, Kind: KindRevoke})
+		}
+		events = append(events, event)
 	}
 	slices.SortStableFunc(events, func(a, b Event) int { return int(a.At - b.At) })
 	return events
