soak: in every third run VMs and the store are well

Change: every third run draws only faults of servers and of the ways to them, and always a server that leaves.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -185,7 +185,7 @@
 // disturbed reports whether a VM or the store was struck in a span.
 func (evidence *evidence) disturbed(from, to time.Time) bool {
 	return slices.ContainsFunc(evidence.log.between(from, to), func(span span) bool {
-		return span.vm != "" || span.kind.ofStore() || span.kind == KindAllKill
+		return span.kind.disturbs()
 	})
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -63,6 +63,15 @@
 	return strings.HasPrefix(string(kind), "store_")
 }
 
+// disturbs reports whether a kind strikes a VM or the store, so that bounds of time
+// do not count.
+func (kind Kind) disturbs() bool {
+	if kind.ofStore() || kind == KindAllKill {
+		return true
+	}
+	return strings.HasPrefix(string(kind), "vm_") || strings.HasPrefix(string(kind), "front_")
+}
+
 // Event is one fault of a plan.
 type Event struct {
 	// At is when it begins, from the start of the load, and For how long it lasts.
@@ -92,8 +101,8 @@
 	longestStoreFault = 6500 * time.Millisecond
 	shortestFault     = 200 * time.Millisecond
 	// oftenPerSecond is how many faults begin in a second, about, and
-	// seldomPerSecond in every third run, in which a server leaves: bounds that count
-	// only where all else is well are checked there.
+	// seldomPerSecond in every third run, in which a server leaves, and VMs and the
+	// store are well: bounds that count only then are checked there.
 	oftenPerSecond  = 1.3
 	seldomPerSecond = 0.35
 	// followPart is the part of the faults of the store that last as long as they may
@@ -119,12 +128,13 @@
 		}
 	}
 	perSecond := oftenPerSecond
+	kinds := Kinds()
 	var events []Event
 	if seed%3 == 0 {
 		perSecond = seldomPerSecond
+		kinds = slices.DeleteFunc(kinds, Kind.disturbs)
 		events = append(events, draw(KindServerLeave, longestFault))
 	}
-	kinds := Kinds()
 	for range 1 + int(space.Seconds()*perSecond) {
 		kind := kinds[random.IntN(len(kinds))]
 		if !kind.ofStore() {
