--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -41,19 +41,19 @@
 	Register time.Duration `yaml:"register" validate:"min=10ms"`
 	// RelayFrom is how many live VMs another data centre must have for one of
 	// them to pass on there what it is told, so that what goes between data
-	// centres does not grow with the VMs.
+	// centres does not grow with the VMs. With the two or three of a data centre
+	// today a relay would save nothing and could lose something.
 	RelayFrom int `yaml:"relay_from" validate:"min=2"`
 }
 
 // DefaultSettings returns settings for today's six to eight VMs.
 func DefaultSettings() Settings {
 	return Settings{
-		Gather:   time.Millisecond,
-		Repeat:   500 * time.Millisecond,
-		Silence:  1600 * time.Millisecond,
-		Hello:    2 * time.Second,
-		Register: 500 * time.Millisecond,
-
+		Gather:    time.Millisecond,
+		Repeat:    500 * time.Millisecond,
+		Silence:   1600 * time.Millisecond,
+		Hello:     2 * time.Second,
+		Register:  500 * time.Millisecond,
 		RelayFrom: 5,
 	}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -91,7 +91,7 @@
 	for {
 		plan, use, ok := run.place(ctx)
 		if !ok && ctx.Err() == nil {
-			return run.fail(ReasonBusy)
+			return run.fail(ReasonBusy) // held for long enough
 		}
 		if !ok {
 			return run.interrupted(ctx)
