feed: a question to another VM and one to the store have a bound each

Cause: a question to the VM that reads for a data centre may take 1.2 s, but its follower gave all of it 0.7 s. Ruled out: the store's rate of calls (no 429 in the log), the register. Change: the bound is around the questions to the store, for each page of an answer; after a failed question to another VM the store is asked at once, without a wait, and its page is as young as that question.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -147,17 +147,22 @@
 		role = log.members.Role(log.settings.MinMembers, log.avoids)
 	}
 	log.noteAsked(role.Ask)
+	asked := log.now()
 	if role.Ask != "" {
 		page, err := log.readThrough(ctx, role.Ask, offset)
 		if err == nil {
 			return page, nil
 		}
 		log.avoid(role.Ask, err)
+		wait = 0 // much time is over since the last proof
 	}
 	if role.Serves {
 		wait = min(wait, log.settings.ReaderWait)
 	}
-	return log.direct.Read(ctx, offset, wait) //nolint:wrapcheck // the log says what failed
+	late := log.now().Sub(asked)
+	page, err := log.direct.Read(ctx, offset, wait)
+	page.Age -= late // the store was asked that much later
+	return page, err //nolint:wrapcheck // the log says what failed
 }
 
 // maxAge is how old another VM's content may be, so that a change that it does
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -67,6 +67,9 @@
 		want string
 		// wantWait is how long a question waits at the store, if it goes there.
 		wantWait time.Duration
+		// wantAtOnce says that the first one does not wait there, since another VM
+		// was asked before.
+		wantAtOnce bool
 	}{
 		"through another VM": {
 			role: feed.Role{Ask: readerAddress}, bound: 3 * time.Second, want: "through",
@@ -80,18 +83,18 @@
 		// A reader that the store turned away kept others at an old configuration.
 		"directly when the other's content is too old for the bound": {
 			role: feed.Role{Ask: readerAddress}, bound: 3 * time.Second, age: 1500 * time.Millisecond,
-			want: "direct", wantWait: 1500 * time.Millisecond,
+			want: "direct", wantWait: 1500 * time.Millisecond, wantAtOnce: true,
 		},
 		"directly when the bound leaves no time to ask others": {
 			role: feed.Role{Ask: readerAddress}, bound: 2 * time.Second, want: "direct", wantWait: 1500 * time.Millisecond,
 		},
 		"directly when the other says nothing": {
 			role: feed.Role{Ask: readerAddress}, bound: 3 * time.Second, dark: true,
-			want: "direct", wantWait: 1500 * time.Millisecond,
+			want: "direct", wantWait: 1500 * time.Millisecond, wantAtOnce: true,
 		},
 		"directly when the other knows nothing": {
 			role: feed.Role{Ask: readerAddress}, bound: 3 * time.Second, age: -1,
-			want: "direct", wantWait: 1500 * time.Millisecond,
+			want: "direct", wantWait: 1500 * time.Millisecond, wantAtOnce: true,
 		},
 	}
 	for name, test := range tests {
@@ -118,18 +121,36 @@
 				log := feed.New("log", store, members{role: test.role}, func() time.Duration { return test.bound },
 					transport, feed.DefaultSettings(), slog.New(slog.DiscardHandler), time.Now)
 				for range 2 { // the second time a VM that failed is not asked
+					asked := time.Now()
 					page, err := log.Read(t.Context(), follower.Everything, 1500*time.Millisecond)
 					assert.NilError(t, err)
 					assert.Equal(t, page.Records[0].Key, test.want)
+					checkAge(t, page, test.want, time.Since(asked))
 				}
-				for _, wait := range store.waits {
-					assert.Equal(t, wait, test.wantWait)
+				for nth, wait := range store.waits {
+					assert.Equal(t, wait, wantWait(nth, test.wantAtOnce, test.wantWait))
 				}
 			})
 		})
 	}
 }
 
+// checkAge checks that a page of the store is as young as the question to the store.
+func checkAge(t *testing.T, page follower.Page, from string, since time.Duration) {
+	t.Helper()
+	if from == "direct" {
+		assert.Equal(t, page.Age, -since)
+	}
+}
+
+// wantWait is how long the nth question waits at the store.
+func wantWait(nth int, atOnce bool, wait time.Duration) time.Duration {
+	if nth == 0 && atOnce {
+		return 0
+	}
+	return wait
+}
+
 func TestBadQuestions(t *testing.T) {
 	handler := feed.Handler(map[string]*follower.Tail{"log": follower.NewTail(time.Now)}, slog.New(slog.DiscardHandler))
 	for name, target := range map[string]string{
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -56,7 +56,7 @@
 	Wait time.Duration `yaml:"wait" validate:"min=0,max=30s"`
 	// Pause is the least time from one question to the next.
 	Pause time.Duration `yaml:"pause" validate:"min=0,max=30s"`
-	// Patience is how long an answer may take beyond Wait.
+	// Patience is how long an answer, or a part of one, may take beyond Wait.
 	Patience time.Duration `yaml:"patience" validate:"min=10ms,max=30s"`
 	// RetryMin and RetryMax bound the pause after a failure, which doubles.
 	RetryMin time.Duration `yaml:"retry_min" validate:"min=1ms"`
@@ -146,9 +146,7 @@
 // ask asks for everything or for changes, for which it waits that long.
 func (follower *Follower[T]) ask(ctx context.Context, offset int64, waiting time.Duration) (int64, error) {
 	asked := follower.now()
-	bounded, cancel := context.WithTimeout(ctx, waiting+follower.settings.Patience)
-	defer cancel()
-	page, err := follower.source.Log.Read(bounded, offset, waiting)
+	page, err := follower.source.Log.Read(ctx, offset, waiting)
 	if err != nil {
 		return offset, err //nolint:wrapcheck // the log says what failed
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,14 +134,18 @@
 	gateway.bounds.Store(&site.Bounds)
 	transport := network.NewTransport(system)
 	bound := func() time.Duration { return gateway.bounds.Load().Apply }
-	through := func(name string, direct follower.Log) follower.Log {
+	// A question to the store has a bound of its own, and one to another VM too.
+	through := func(name string, direct follower.Log, patience time.Duration) follower.Log {
+		direct = follower.NewBounded(direct, patience)
 		return feed.New(name, direct, exchange, bound, transport, settings.Feed, logger, now)
 	}
 	gateway.configuration = follower.New(
-		sources.Configuration.WithLog(through(sources.Configuration.Name, sources.Configuration.Log)),
+		sources.Configuration.WithLog(
+			through(sources.Configuration.Name, sources.Configuration.Log, settings.Configuration.Patience)),
 		gateway.belief, settings.Configuration, logger, now)
 	gateway.directory = follower.New(
-		sources.Servers.WithLog(through(sources.Servers.Name, sources.Servers.Log)),
+		sources.Servers.WithLog(
+			through(sources.Servers.Name, sources.Servers.Log, settings.Directory.Patience)),
 		gateway.pool, settings.Directory, logger, now)
 	gateway.tails = map[string]*follower.Tail{
 		sources.Configuration.Name: gateway.configuration.Tail(),
