--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -72,7 +72,7 @@
 	Misdirected bool
 	// Whole says that the answer carries the server's mark of origin.
 	Whole bool
-	// AtServer names the server at fault, or is empty.
+	// AtServer is the address of the server at fault, or empty.
 	AtServer string
 	// Idle is how long the server keeps the connection, or zero.
 	Idle time.Duration
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -75,7 +75,7 @@
 	kind   resultKind
 	status int
 	err    error
-	// atFault is the server that failed, if it is not the one asked.
+	// atFault is the address of the server that failed, if it is not the one asked.
 	atFault string
 	// closed says that the server takes nothing more.
 	closed bool
@@ -185,10 +185,7 @@
 
 // noteFailure tells the pool of a failed attempt, and logs it.
 func (run *run) noteFailure(plan placement.Plan, result result) {
-	atFault := plan.Server.ID
-	if result.atFault != "" {
-		atFault = result.atFault
-	}
+	atFault := plan.Named(result.atFault)
 	run.tried = append(run.tried, atFault)
 	suspect := false
 	switch {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -95,6 +95,17 @@
 	Reason Reason
 }
 
+// Named returns the ID of the helper that a server named by its address, or else
+// that of the server itself.
+func (plan Plan) Named(address string) string {
+	for _, helper := range plan.Helpers {
+		if helper.Address == address {
+			return helper.ID
+		}
+	}
+	return plan.Server.ID
+}
+
 // Reason names the rule that decided.
 type Reason string
 
--- a/internal/standin/platformserver/stream.go
+++ b/internal/standin/platformserver/stream.go
@@ -129,7 +129,7 @@
 	if helper.ticket != "" {
 		held, ok := found.use(helper.ticket, generation, generation.prompt-generation.reserved)
 		if !ok {
-			return found.identity.Instance
+			return helper.address
 		}
 		generation.reserved += held
 		generation.spread = true
@@ -139,7 +139,7 @@
 	}
 	part, ok := found.help(engine, tokens, pairs)
 	if !ok {
-		return found.identity.Instance
+		return helper.address
 	}
 	generation.others = append(generation.others, part)
 	generation.helpers = append(generation.helpers, found)
