soak, stand-ins, tests: what nothing uses goes, and twins become one

Cause: a server's Leave was never called (servers leave by their entries), a caller kept its number and a count, someKey returned a time that nobody read, a backend chose between engine and plain service in three places, and two tests started a VM of the exchange with the same six lines. Ruled out: the gateway, which is not touched. Behaviour and checks are as they were.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"slices"
 	"sync"
 	"testing"
@@ -108,7 +109,13 @@
 	t.Helper()
 	conn, err := vms.network.ListenPacket(t.Context(), address(number))
 	assert.NilError(t, err)
-	self := exchange.Member{VM: fmt.Sprintf("vm-%d", number), Address: address(number)}
+	vms.join(t, number, "", conn)
+}
+
+// join lets a VM of a data centre take part over conn.
+func (vms *vms) join(t *testing.T, number int, dataCentre string, conn net.PacketConn) {
+	t.Helper()
+	self := exchange.Member{VM: fmt.Sprintf("vm-%d", number), Address: address(number), DataCentre: dataCentre}
 	part := exchange.New(exchange.DefaultSettings(), self, conn, vms.register, slog.New(slog.DiscardHandler), time.Now)
 	sink := &sink{told: make(map[string][]pool.Report)}
 	ctx, stop := context.WithCancel(t.Context())
--- a/internal/exchange/relay_test.go
+++ b/internal/exchange/relay_test.go
@@ -1,9 +1,7 @@
 package exchange_test
 
 import (
-	"context"
 	"fmt"
-	"log/slog"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -13,7 +11,6 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
-	"github.com/mastwinch/mastwinch/internal/exchange"
 	"github.com/mastwinch/mastwinch/internal/pool"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
@@ -40,12 +37,7 @@
 	inner, err := vms.network.ListenPacket(t.Context(), address(number))
 	assert.NilError(t, err)
 	conn := &countingConn{PacketConn: inner, vm: fmt.Sprintf("vm-%d", number)}
-	self := exchange.Member{VM: conn.vm, Address: address(number), DataCentre: dataCentre}
-	part := exchange.New(exchange.DefaultSettings(), self, conn, vms.register, slog.New(slog.DiscardHandler), time.Now)
-	sink := &sink{told: make(map[string][]pool.Report)}
-	ctx, stop := context.WithCancel(t.Context())
-	go func() { _ = part.Run(ctx, sink) }()
-	vms.parts, vms.sinks, vms.stop = append(vms.parts, part), append(vms.sinks, sink), append(vms.stop, stop)
+	vms.join(t, number, dataCentre, conn)
 	return conn
 }
 
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -60,16 +60,14 @@
 // caller sends requests one after the other, over connections that it keeps.
 type caller struct {
 	world  *world
-	number int
 	random *rand.Rand
 	client *http.Client
-	sent   int
 }
 
 func newCaller(world *world, number int) *caller {
 	seed := world.settings.Seed*1000 + uint64(number) //nolint:gosec // a small count
 	return &caller{
-		world: world, number: number, random: rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // no secret
+		world: world, random: rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // no secret
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 			// Connections are kept until the VM closes them.
@@ -102,9 +100,8 @@
 // draw draws the next request.
 func (caller *caller) draw() request {
 	vm := caller.world.vms[caller.random.IntN(len(caller.world.vms))]
-	caller.sent++
 	id := fmt.Sprintf("%016x", caller.random.Uint64())
-	key, _ := caller.world.operator.someKey(caller.random.IntN(1 << 16))
+	key := caller.world.operator.someKey(caller.random.IntN(1 << 16))
 	drawn := request{
 		outcome: Outcome{ID: id, VM: vm.name, Key: key}, method: http.MethodPost, address: vm.front.address(),
 		header: map[string]string{
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -139,13 +139,11 @@
 	})
 }
 
-// someKey returns one of the keys by a number, revoked ones among them, with when
-// it was taken away, or zero.
-func (operator *operator) someKey(number int) (string, time.Time) {
+// someKey returns one of the keys by a number, revoked ones among them.
+func (operator *operator) someKey(number int) string {
 	operator.mu.Lock()
 	defer operator.mu.Unlock()
-	found := operator.keys[number%len(operator.keys)]
-	return found.value, found.revoked
+	return operator.keys[number%len(operator.keys)].value
 }
 
 // revokedAt returns when a key was taken away, or zero.
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -73,12 +73,25 @@
 
 	mu sync.Mutex
 	// life counts the servers that were at the address.
-	life   int
+	life    int
+	standIn standIn
+	// engine is the stand-in of an engine, and nil for a plain service.
 	engine *platformserver.Engine
-	plain  *platformserver.Plain
 	server *http.Server
 }
 
+// standIn is a server of either kind.
+type standIn interface {
+	http.Handler
+	Identity() platformserver.Identity
+	SetFaults(faults platformserver.Faults)
+}
+
+var (
+	_ standIn = (*platformserver.Engine)(nil)
+	_ standIn = (*platformserver.Plain)(nil)
+)
+
 // world is everything of one run.
 type world struct {
 	settings Settings
@@ -173,19 +186,17 @@
 		Instance: fmt.Sprintf("i-%s-%d", backend.address, backend.life), Service: backend.service, Address: backend.address,
 	}
 	seed := world.settings.Seed + uint64(backend.life) //nolint:gosec // a small count
-	var handler http.Handler
 	if backend.service == serviceEngines {
 		backend.engine = platformserver.NewEngine(ctx, identity, platformserver.UsersModel(), world.fleet, world.record, seed)
-		handler = backend.engine
+		backend.standIn = backend.engine
 	} else {
-		backend.plain = platformserver.NewPlain(identity, plainSlots, plainWork, world.record, seed)
-		handler = backend.plain
+		backend.standIn = platformserver.NewPlain(identity, plainSlots, plainWork, world.record, seed)
 	}
 	listener, err := net.Listen("tcp4", backend.own) //nolint:noctx // closed by stop
 	if err != nil {
 		return errors.Wrap(err, "server")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: backend.standIn, ReadHeaderTimeout: time.Minute}
 	backend.server = server
 	go func() { _ = server.Serve(listener) }() // ends when it is closed
 	world.operator.list(identity, false)
@@ -206,20 +217,13 @@
 func (backend *backend) identity() platformserver.Identity {
 	backend.mu.Lock()
 	defer backend.mu.Unlock()
-	if backend.engine != nil {
-		return backend.engine.Identity()
-	}
-	return backend.plain.Identity()
+	return backend.standIn.Identity()
 }
 
 func (backend *backend) setFaults(faults platformserver.Faults) {
 	backend.mu.Lock()
 	defer backend.mu.Unlock()
-	if backend.engine != nil {
-		backend.engine.SetFaults(faults)
-		return
-	}
-	backend.plain.SetFaults(faults)
+	backend.standIn.SetFaults(faults)
 }
 
 // addVM writes the settings of a VM and starts it.
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -61,10 +61,9 @@
 	identity Identity
 	record   *Record
 
-	mu      sync.Mutex
-	faults  Faults
-	random  *rand.Rand
-	leaving bool
+	mu     sync.Mutex
+	faults Faults
+	random *rand.Rand
 }
 
 func newFront(identity Identity, record *Record, seed uint64) *front {
@@ -78,13 +77,6 @@
 	front.faults = faults
 }
 
-// Leave makes the server take nothing new.
-func (front *front) Leave() {
-	front.mu.Lock()
-	defer front.mu.Unlock()
-	front.leaving = true
-}
-
 // Identity returns which server this is.
 func (front *front) Identity() Identity {
 	return front.identity
