losses: the causes of what is not served in time, from the logs of all VMs

Cause: a log told what became of a request only in pieces, so where worth is lost could not be added up. The last line of each request now says its kind, objective, waits, prediction, first event, longest pause and plans taken back; mastwinch losses adds them up by kind and second, and plots them. Ruled out: metrics alone, which cannot say beside what a prompt was read.

--- a/internal/cmd/mastwinchcmd.go
+++ b/internal/cmd/mastwinchcmd.go
@@ -41,6 +41,7 @@
 			newOrganisationCommand(),
 			newSessionCommand(),
 			newExplainCommand(),
+			newLossesCommand(),
 		},
 	}
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -26,12 +26,15 @@
 		if run.comesNext(ctx, turn) {
 			plan, use, ok := run.look(ctx, turn)
 			if ok {
-				run.logPlan(plan, gateway.now().Sub(asked))
+				now := gateway.now()
+				run.account.place(now.Sub(asked), now.Sub(run.arrived), plan.Predicted)
+				run.logPlan(plan, now.Sub(asked))
 				return plan, use, true
 			}
 		}
 		heldEnough := turn != nil && run.heldEnough()
 		if heldEnough || !run.waitForRoom(ctx, changed) {
+			run.account.waited += gateway.now().Sub(asked)
 			gateway.logger.Info("not placed", "request_id", run.head.ID, "tried", run.tried,
 				"waited", gateway.now().Sub(asked), "held_enough", heldEnough)
 			return placement.Plan{}, nil, false
@@ -96,6 +99,7 @@
 		return true
 	}
 	use.Over()
+	run.account.takenBack++
 	run.gateway.logger.Info("servers taken back", "request_id", run.head.ID)
 	return false
 }
@@ -160,11 +164,12 @@
 	return request
 }
 
-func (run *run) tokens() int {
-	if run.head.Prompt == nil {
+// tokens is the length of the prompt, or zero without one.
+func (admitted *admitted) tokens() int {
+	if admitted.head.Prompt == nil {
 		return 0
 	}
-	return run.head.Prompt.Tokens
+	return admitted.head.Prompt.Tokens
 }
 
 // Silence after which callers leave a stream, as the users state it: the
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -92,7 +92,9 @@
 	if event.ID != "" {
 		run.lastEvent = event.ID
 	}
-	run.gateway.metrics.eventDelay.Observe(run.gateway.now().Sub(started).Seconds())
+	now := run.gateway.now()
+	run.account.pass(run.arrived, now)
+	run.gateway.metrics.eventDelay.Observe(now.Sub(started).Seconds())
 	return nil
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -35,6 +35,7 @@
 	begun bool
 	// lastEvent is the last event that the caller has, or empty.
 	lastEvent string
+	account   account
 	seed      uint64
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -24,13 +24,13 @@
 	admitted, refused, detail := gateway.admit(incoming, arrived)
 	if refused.status != 0 {
 		gateway.writeOutcome(writer, admitted.head.ID, refused, detail)
-		gateway.ended(admitted, refused, arrived)
+		gateway.ended(admitted, refused, &run{})
 		return
 	}
 	body, refused := gateway.readBody(writer, incoming, admitted)
 	if refused.status != 0 {
 		gateway.writeOutcome(writer, admitted.head.ID, refused, "")
-		gateway.ended(admitted, refused, arrived)
+		gateway.ended(admitted, refused, &run{})
 		return
 	}
 	defer gateway.bodyBytes.Add(-int64(len(body)))
@@ -41,7 +41,7 @@
 	if !outcome.answered && outcome.reason != ReasonCallerGone {
 		gateway.writeOutcome(writer, admitted.head.ID, outcome, "")
 	}
-	gateway.ended(admitted, outcome, arrived)
+	gateway.ended(admitted, outcome, run)
 	if outcome.broken {
 		panic(http.ErrAbortHandler) // net/http's way of cutting an answer that must not look whole
 	}
@@ -195,20 +195,24 @@
 	return body, outcome{}
 }
 
-// ended logs and counts the end of a request.
-func (gateway *Gateway) ended(admitted *admitted, outcome outcome, arrived time.Time) {
-	took := gateway.now().Sub(arrived)
-	route, kind, version := "", "", int64(0)
+// ended logs and counts the end of a request. The run is empty for one that was
+// refused before it began.
+func (gateway *Gateway) ended(admitted *admitted, outcome outcome, run *run) {
+	took := gateway.now().Sub(admitted.arrived)
+	route, version := &catalog.Route{}, int64(0)
 	if admitted.route != nil {
-		route, kind = admitted.route.Name, string(admitted.route.Kind)
+		route = admitted.route
 	}
 	if admitted.catalog != nil {
 		version = admitted.catalog.Version()
 	}
 	age, _ := gateway.configuration.Age()
-	gateway.metrics.ended(route, kind, outcome, took)
-	gateway.logger.Info("ended", "request_id", admitted.head.ID, "route", route,
+	gateway.metrics.ended(route.Name, string(route.Kind), outcome, took)
+	gateway.logger.Info("ended", "request_id", admitted.head.ID, "route", route.Name, "kind", route.Kind,
 		"status", outcome.status, "reason", outcome.reason, "may_have_run", outcome.mayHaveRun,
 		"server", outcome.server, "broken", outcome.broken, "took", took,
+		"tokens", admitted.tokens(), "objective", route.Objective, "gap", route.Gap, "sends", run.sends,
+		"waited", run.account.waited, "placed", run.account.placed, "predicted", run.account.predicted,
+		"first", run.account.first, "pause", run.account.pause, "taken_back", run.account.takenBack,
 		"version", version, "version_age", age)
 }
--- /dev/null
+++ b/internal/losses/losses_test.go
@@ -0,0 +1,101 @@
+package losses_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/logread"
+	"github.com/mastwinch/mastwinch/internal/losses"
+)
+
+// stream is the last line of a stream with an objective of 300 ms and pauses of
+// 250 ms, with other fields put in.
+func stream(fields string) string {
+	return `{"time":"2026-01-01T10:00:05Z","msg":"ended","vm":"a","request_id":"r1","kind":"stream","status":200,` +
+		`"objective":300000000,"gap":250000000,"took":1000000000,"sends":1,` + fields + `}`
+}
+
+func plain(fields string) string {
+	return `{"time":"2026-01-01T10:00:05Z","msg":"ended","vm":"a","request_id":"r1","kind":"once",` +
+		`"objective":150000000,` + fields + `}`
+}
+
+func TestCauses(t *testing.T) {
+	for name, test := range map[string]struct {
+		line  string
+		cause losses.Cause
+	}{
+		"in time":               {stream(`"first":200000000,"predicted":100000000,"pause":100000000`), losses.CauseNone},
+		"a pause too long":      {stream(`"first":200000000,"predicted":100000000,"pause":260000000`), losses.CausePause},
+		"read longer":           {stream(`"first":400000000,"predicted":290000000`), losses.CauseRead},
+		"too few servers":       {stream(`"first":500000000,"predicted":480000000,"waited":10000000`), losses.CauseNarrow},
+		"waited":                {stream(`"first":500000000,"predicted":480000000,"waited":300000000`), losses.CauseWaited},
+		"contested":             {stream(`"first":500000000,"predicted":480000000,"waited":300000000,"taken_back":1`), losses.CauseContested},
+		"sent again":            {stream(`"first":500000000,"predicted":480000000,"sends":2`), losses.CauseAgain},
+		"cut in the answer":     {stream(`"broken":true,"reason":"server_failed"`), losses.CauseServer},
+		"caller left":           {stream(`"broken":true,"reason":"caller_gone"`), losses.CauseLeft},
+		"held":                  {stream(`"status":503,"reason":"servers_busy"`), losses.CauseHeld},
+		"no budget":             {stream(`"status":503,"reason":"servers_refused"`), losses.CauseBudget},
+		"no configuration":      {stream(`"status":503,"reason":"no_configuration"`), losses.CauseUnknown},
+		"stopping":              {stream(`"status":503,"reason":"stopping"`), losses.CauseStopping},
+		"time over":             {stream(`"status":504,"reason":"time_over"`), losses.CauseTime},
+		"wrong key":             {stream(`"status":401,"reason":"key_unknown"`), losses.CauseRejected},
+		"plain in time":         {plain(`"status":200,"took":150000000,"sends":1`), losses.CauseNone},
+		"plain, slow":           {plain(`"status":200,"took":150000001,"sends":1`), losses.CauseSlow},
+		"plain, sent again":     {plain(`"status":200,"took":150000001,"sends":2`), losses.CauseAgain},
+		"no last line: killed":  {`{"time":"2026-01-01T10:00:05Z","msg":"placed","vm":"a","request_id":"r1","server":"s"}`, losses.CauseKilled},
+		"a time that is broken": {strings.Replace(stream(`"first":200000000`), "2026-01-01T10:00:05Z", "soon", 1), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			lines, err := logread.Read(strings.NewReader(test.line))
+			assert.NilError(t, err)
+			report, err := losses.New(lines)
+			if test.cause == "" {
+				assert.ErrorContains(t, err, "no line tells of a request")
+				return
+			}
+			assert.NilError(t, err)
+			text := &strings.Builder{}
+			assert.NilError(t, report.Write(text))
+			for _, cause := range losses.Causes() {
+				if want := cause == test.cause; strings.Contains(text.String(), string(cause)) != want {
+					t.Errorf("%q in the report: %v, want %v\n%s", cause, !want, want, text)
+				}
+			}
+		})
+	}
+}
+
+// Two prompts at one server, read at the same time, and one that was read after.
+func TestBeside(t *testing.T) {
+	text := &strings.Builder{}
+	for i, request := range []struct{ placed, first float64 }{{0, 1}, {0.5, 2}, {2.5, 3}} {
+		fmt.Fprintf(text, `{"time":"2026-01-01T10:00:%09.6fZ","msg":"placed","request_id":"r%d","server":"s%d","helpers":["s"]}`+"\n", request.placed, i, i)
+		fmt.Fprintf(text, `{"time":"2026-01-01T10:00:%09.6fZ","msg":"first event","request_id":"r%d"}`+"\n", request.first, i)
+	}
+	lines, err := logread.Read(strings.NewReader(text.String()))
+	assert.NilError(t, err)
+	report, err := losses.New(lines)
+	assert.NilError(t, err)
+	table := &strings.Builder{}
+	assert.NilError(t, report.Write(table))
+	assert.Assert(t, strings.Contains(table.String(), "0.7"), "two of three had one beside them\n%s", table)
+}
+
+func TestPlot(t *testing.T) {
+	lines, err := logread.Read(strings.NewReader(stream(`"status":503,"reason":"servers_busy"`)))
+	assert.NilError(t, err)
+	report, err := losses.New(lines)
+	assert.NilError(t, err)
+	file := filepath.Join(t.TempDir(), "losses.svg")
+	assert.NilError(t, report.Plot(file))
+	picture, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(picture), "refused: no place"))
+	assert.ErrorContains(t, report.Plot(filepath.Join(t.TempDir(), "losses.none")), "plot")
+}
