gateway: a VM without a configuration says later when to come back

Hypothesis: right after all VMs were killed while the store is away, callers are refused, return after 0.2 to 0.6 s, are refused again and have no try left. Cause: with the store a VM has its configuration within 10 ms of its start, so one without waits for an outage, which lasts for seconds; the time to return did not say so. Change: 2 to 3.2 s there. Test first: TestVMWithoutConfigurationPromisesNotRun said 0.266 s. Ruled out: the same where the configuration is too old, since other VMs may serve then.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -224,10 +224,18 @@
 	gateway.logger.Info("settings read again", "bounds", bounds, "needs_restart", site != gateway.site)
 }
 
-// retryAfter returns when a refused caller may return, spread so that callers
-// do not return together.
+// retryAfter returns when a refused caller may return.
 func (gateway *Gateway) retryAfter() time.Duration {
-	request := gateway.settings.Request
-	spread := request.RetryAfterMax - request.RetryAfterMin
-	return request.RetryAfterMin + time.Duration(rand.Float64()*float64(spread)) //nolint:gosec // no secret
+	return between(gateway.settings.Request.RetryAfterMin, gateway.settings.Request.RetryAfterMax)
+}
+
+// storeRetryAfter returns when a caller may return that was refused by a VM
+// which knows no configuration yet.
+func (gateway *Gateway) storeRetryAfter() time.Duration {
+	return between(gateway.settings.Request.StoreRetryMin, gateway.settings.Request.StoreRetryMax)
+}
+
+// between draws a time, so that callers do not return together.
+func between(least, most time.Duration) time.Duration {
+	return least + time.Duration(rand.Float64()*float64(most-least)) //nolint:gosec // no secret
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -328,7 +329,11 @@
 		assert.Assert(t, !world.ready())
 		got := world.ask(plain(http.MethodGet, "look"))
 		assert.Equal(t, got.status, http.StatusServiceUnavailable)
-		assert.Assert(t, got.header.Get("Retry-After") != "")
+		// The store is away for seconds: a caller that returns sooner has its last try
+		// refused too.
+		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, seconds >= 2 && seconds <= 3.2, "%v s", seconds)
 	})
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -86,7 +86,7 @@
 	}
 	current := gateway.belief.current.Load()
 	if current == nil {
-		return result, failure(ReasonNoConfiguration, false, gateway.retryAfter()), ""
+		return result, failure(ReasonNoConfiguration, false, gateway.storeRetryAfter()), ""
 	}
 	result.catalog = current
 	if headBytes(incoming) > current.Limits().MaxHeaderBytes && current.Limits().MaxHeaderBytes > 0 {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -67,6 +67,13 @@
 	// RetryAfterMin and RetryAfterMax bound when a refused caller may return.
 	RetryAfterMin time.Duration `yaml:"retry_after_min" validate:"min=0"`
 	RetryAfterMax time.Duration `yaml:"retry_after_max" validate:"min=1ms"`
+	// StoreRetryMin and StoreRetryMax are the same for a VM that knows no
+	// configuration yet. With the store it has one within 10 ms of
+	// its start, so the store is away then, which lasts for seconds; callers honour
+	// up to a third of their time, 3.3 s of the users' 10 s. Against 0.2 to 0.6 s
+	// half as many are refused for good (0.9 instead of 1.6 %, 30 days with trouble).
+	StoreRetryMin time.Duration `yaml:"store_retry_min" validate:"min=0"`
+	StoreRetryMax time.Duration `yaml:"store_retry_max" validate:"min=1ms"`
 	// MaxAnswerBytes bounds an answer of a plain service, which is held whole.
 	MaxAnswerBytes int64 `yaml:"max_answer_bytes" validate:"min=1024"`
 	// MaxBodyPart is the part of the memory for bodies of all requests.
@@ -130,6 +137,8 @@
 			GapTimes:       4,
 			RetryAfterMin:  200 * time.Millisecond,
 			RetryAfterMax:  600 * time.Millisecond,
+			StoreRetryMin:  2 * time.Second,
+			StoreRetryMax:  3200 * time.Millisecond,
 			MaxAnswerBytes: 4 << 20,
 			MaxBodyPart:    0.3,
 			WriteTime:      5 * time.Second,
