upstream: a kept connection without an answer casts doubt on the others to its server

Cause: open connections may go silent for good, without a reset, while new ones work. Each kept connection then held up a request of its own until it was known: 1.2 s for one that is used (bytes without acknowledgement), up to 3 s for one that is not (probes). Change: after a request on a kept connection got no answer, the others kept for that server are closed. A caller that left says nothing of its server. Ruled out: shorter probes, since the system takes whole seconds. Figures: three silent connections cost one request instead of three (the test).

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -116,6 +116,9 @@
 	response, err := connection.roundTrip(request, fits)
 	if err != nil {
 		connection.close()
+		if connection.kept && !errors.Is(context.Cause(ctx), context.Canceled) {
+			client.drop(address)
+		}
 		if ctx.Err() != nil {
 			return nil, errors.Wrap(context.Cause(ctx), err.Error())
 		}
@@ -133,6 +136,7 @@
 			break
 		}
 		if kept.quiet() && client.now().Before(kept.goodUntil) {
+			kept.kept = true
 			return kept, nil
 		}
 		kept.close()
@@ -158,6 +162,19 @@
 	return len(client.idle[address]) > 0
 }
 
+// drop closes the connections that are kept for a server. Where one of them got no
+// answer the others may have gone silent with it, without a reset, while a new one
+// works: else each would hold up a request for as long as it takes to be noticed,
+// 1.2 s for one that is not acknowledged and up to 3 s for one that nobody uses.
+func (client *Client) drop(address string) {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	for _, connection := range client.idle[address] {
+		connection.close()
+	}
+	delete(client.idle, address)
+}
+
 func (client *Client) pop(address string) *connection {
 	client.mu.Lock()
 	defer client.mu.Unlock()
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -31,6 +31,8 @@
 	address string
 	conn    net.Conn
 	reader  *bufio.Reader
+	// kept says that an earlier request used it.
+	kept bool
 	// goodUntil is until when it may be taken while it is kept.
 	goodUntil time.Time
 	// stop ends the watch over the context of the request in progress.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -227,3 +228,85 @@
 	assert.ErrorIs(t, err, context.Canceled)
 	<-closed
 }
+
+// TestOpenConnectionsGoSilent has a way to a server on which open connections say
+// nothing more, without a reset, while new ones work. Each kept connection held up
+// one request of its own until it was known.
+func TestOpenConnectionsGoSilent(t *testing.T) {
+	const kept = 3
+	together := make(chan struct{})
+	server := newServer(t, func(conn net.Conn, requests *bufio.Reader, nth int64) {
+		for {
+			request, ok := readRequest(requests)
+			if !ok {
+				return
+			}
+			if nth <= kept {
+				together <- struct{}{}
+			}
+			_, _ = io.WriteString(conn, reply(request.Header.Get("Request-Id"), "whole"))
+			if nth <= kept {
+				_, _ = io.Copy(io.Discard, requests) // nothing is answered any more
+				return
+			}
+		}
+	})
+	client := newClient()
+	var group sync.WaitGroup
+	for i := range kept {
+		group.Go(func() {
+			_, err := send(t.Context(), client, server.address(), fmt.Sprintf("first-%d", i), "")
+			assert.Check(t, err)
+		})
+	}
+	for range kept {
+		<-together
+	}
+	group.Wait()
+
+	silent, cancel := context.WithCancelCause(t.Context())
+	time.AfterFunc(100*time.Millisecond, func() { cancel(errors.New("server is silent")) })
+	_, err := send(silent, client, server.address(), "lost", "")
+	assert.ErrorContains(t, err, "server is silent")
+	assert.Assert(t, !client.Kept(server.address()), "the others kept are as old")
+	got, err := send(t.Context(), client, server.address(), "after", "")
+	assert.NilError(t, err)
+	assert.Equal(t, got, "whole")
+}
+
+// TestCallerThatLeavesKeepsConnections: a caller that left says nothing of a server.
+func TestCallerThatLeavesKeepsConnections(t *testing.T) {
+	together := make(chan struct{})
+	server := newServer(t, func(conn net.Conn, requests *bufio.Reader, _ int64) {
+		for {
+			request, ok := readRequest(requests)
+			if !ok {
+				return
+			}
+			id := request.Header.Get("Request-Id")
+			if id == "left" {
+				continue
+			}
+			if strings.HasPrefix(id, "first") {
+				together <- struct{}{}
+			}
+			_, _ = io.WriteString(conn, reply(id, "whole"))
+		}
+	})
+	client := newClient()
+	var group sync.WaitGroup
+	for i := range 2 {
+		group.Go(func() {
+			_, err := send(t.Context(), client, server.address(), fmt.Sprintf("first-%d", i), "")
+			assert.Check(t, err)
+		})
+	}
+	<-together
+	<-together
+	group.Wait()
+	left, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := send(left, client, server.address(), "left", "")
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.Assert(t, client.Kept(server.address()))
+}
