--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -100,7 +100,7 @@
 	case KindFrontReset, KindFrontDelay, KindStoreCut:
 		struck = vm.name
 		world.playVMProxy(ctx, event, vm)
-	case KindStoreBusy, KindStoreSilent, KindStoreReset, KindStoreLost, KindStoreTrim:
+	case KindStoreBusy, KindStoreSilent, KindStoreReset, KindStoreLost, KindStoreTrim, KindStoreStale:
 		world.playStore(ctx, event)
 	case KindConfigure:
 		world.operator.addRoute()
@@ -128,6 +128,13 @@
 }
 
 func (world *world) playStore(ctx context.Context, event Event) {
+	if event.Kind == KindStoreStale {
+		for _, vm := range world.vms {
+			vm.store.silence()
+		}
+		wait.For(ctx, event.For) // for which what they held up may show
+		return
+	}
 	if event.Kind == KindStoreTrim {
 		world.store.Trim("keyed.op")
 		world.store.Trim("keyed.servers")
@@ -167,6 +174,11 @@
 // playBackend makes a server, or the way to it, misbehave.
 func (world *world) playBackend(ctx context.Context, event Event, backend *backend) {
 	modes := map[Kind]mode{KindLinkReset: modeReset, KindLinkSilent: modeSilent, KindLinkOneWay: modeOneWay}
+	if event.Kind == KindLinkStale {
+		backend.link.silence()
+		wait.For(ctx, event.For) // for which what they held up may show
+		return
+	}
 	if mode, ok := modes[event.Kind]; ok {
 		backend.link.set(mode)
 		wait.For(ctx, event.For)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -26,6 +26,8 @@
 	KindStoreReset   Kind = "store_reset"   // or resets
 	KindStoreLost    Kind = "store_lost"    // or does what it is asked, and resets
 	KindStoreTrim    Kind = "store_trim"    // it forgets its history
+	KindStoreStale   Kind = "store_stale"   // open connections to it go silent for good
+	KindLinkStale    Kind = "link_stale"    // the same of those to a server
 	KindLinkReset    Kind = "link_reset"    // connections to a server are reset
 	KindLinkSilent   Kind = "link_silent"   // and say nothing either way
 	KindLinkOneWay   Kind = "link_one_way"  // and lose the answers
@@ -46,8 +48,8 @@
 func Kinds() []Kind {
 	return []Kind{
 		KindVMKill, KindVMPause, KindVMStop, KindVMReload, KindAllKill, KindFrontReset, KindFrontDelay,
-		KindStoreCut, KindStoreBusy, KindStoreSilent, KindStoreReset, KindStoreLost, KindStoreTrim,
-		KindLinkReset, KindLinkSilent, KindLinkOneWay,
+		KindStoreCut, KindStoreBusy, KindStoreSilent, KindStoreReset, KindStoreLost, KindStoreTrim, KindStoreStale,
+		KindLinkReset, KindLinkSilent, KindLinkOneWay, KindLinkStale,
 		KindServerErrors, KindServerRefuse, KindServerLost, KindServerCut, KindServerExtra, KindServerHang,
 		KindServerSlow, KindServerKill, KindServerLeave, KindConfigure, KindRevoke,
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -38,7 +38,8 @@
 	mu      sync.Mutex
 	mode    mode
 	changed chan struct{}
-	conns   map[net.Conn]bool
+	// conns has the open connections, and whether each is silent for good.
+	conns map[net.Conn]bool
 }
 
 // newProxy returns a proxy at listen for target.
@@ -77,6 +78,22 @@
 	}
 }
 
+// silence makes the connections that are open now silent for good. New ones work.
+func (proxy *proxy) silence() {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	for conn := range proxy.conns {
+		proxy.conns[conn] = true
+	}
+}
+
+// silent reports whether a connection is silent for good.
+func (proxy *proxy) silent(conn net.Conn) bool {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	return proxy.conns[conn]
+}
+
 // reset closes a connection so that its peer sees a reset.
 func reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
@@ -103,7 +120,7 @@
 		reset(conn)
 		return false
 	}
-	proxy.conns[conn] = true
+	proxy.conns[conn] = false
 	return true
 }
 
@@ -146,6 +163,9 @@
 		count, err := from.Read(buffer)
 		if count > 0 {
 			proxy.hold(backwards)
+			if proxy.silent(from) {
+				continue // read on, so that its peer sees no full window
+			}
 			if _, err := to.Write(buffer[:count]); err != nil {
 				return
 			}
