placement: the border of short prompts moves with the long work in sight

Hypothesis: in bursts of short prompts nearly all servers are kept for them, and long ones that are left from the burst before find none for ten seconds. Cause: the border knew only the short prompts in progress, not what else wanted servers. Change: for each second of reading that waits at any VM or is in progress one server is left, down to as many as short prompts fill to 0.95 of their slots. VMs tell each other how much reading waits. Tests: TestBorderOfShortPrompts, pool TestWaiting.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -17,7 +17,7 @@
 	asked := gateway.now()
 	var turn *pool.Turn
 	if run.takesTurns() {
-		turn = gateway.pool.Wait(run.service.Name, run.arrived.Add(run.route.Objective))
+		turn = gateway.pool.Wait(run.service.Name, run.service.Engine.ReadTime(run.tokens()), run.arrived.Add(run.route.Objective))
 		defer turn.End()
 		wait.For(ctx, gateway.settle())
 	}
@@ -157,6 +157,7 @@
 	}
 	if run.head.Prompt != nil {
 		request.Engine = run.service.Engine
+		request.Waiting = run.gateway.pool.Waiting(run.service.Name)
 		request.Tokens = run.head.Prompt.Tokens
 		request.Memory = run.head.Prompt.Tokens + run.head.Prompt.MaxTokens
 	}
--- a/internal/placement/lengthaware.go
+++ b/internal/placement/lengthaware.go
@@ -76,7 +76,7 @@
 // its caller stays long enough.
 func (lengthaware LengthAware) placeLong(servers []Server, request Request) (Plan, bool) {
 	open := lengthaware.withRoom(servers)
-	free := lengthaware.withRoom(servers[lengthaware.keep(servers):])
+	free := lengthaware.withRoom(servers[lengthaware.keep(servers, request):])
 	for _, candidates := range [][]Server{free, open} {
 		plan, gain, ok := lengthaware.bestLong(candidates, request)
 		if ok && lengthaware.good(gain, request) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -62,6 +62,8 @@
 	Left      time.Duration
 	// Stays is how long the caller still waits for a first event.
 	Stays time.Duration
+	// Waiting is the reading of all long prompts that wait for servers, at all VMs.
+	Waiting time.Duration
 	// Seed is what a policy that chooses at random goes by.
 	Seed uint64
 }
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -11,6 +11,11 @@
 	// 0.6 brings 0.012 of worth (30 days with trouble), since it leaves more servers
 	// to long prompts; 0.95 brings no more.
 	PackSlots float64 `yaml:"pack_slots" validate:"min=0.1,max=1"`
+	// PackDense is the same while long prompts want servers: one for each LongTime of
+	// reading that waits or is in progress. In bursts of short prompts long ones found
+	// no server at all.
+	PackDense float64       `yaml:"pack_dense" validate:"min=0.1,max=1"`
+	LongTime  time.Duration `yaml:"long_time" validate:"min=10ms"`
 	// KeepSpare is how many servers beside the filled ones are kept for tight
 	// requests, and LeaveLong how many are never kept.
 	KeepSpare int `yaml:"keep_spare" validate:"min=0"`
@@ -69,6 +74,8 @@
 	return Settings{
 		TightGap:    400 * time.Millisecond,
 		PackSlots:   0.8,
+		PackDense:   0.95,
+		LongTime:    time.Second,
 		KeepSpare:   1,
 		LeaveLong:   1,
 		NearBacklog: 50 * time.Millisecond,
--- a/internal/placement/tight.go
+++ b/internal/placement/tight.go
@@ -12,7 +12,7 @@
 func (lengthaware LengthAware) placeTight(servers []Server, request Request) (Plan, bool) {
 	work := request.Engine.ReadTime(request.Tokens)
 	reason := ReasonPacked
-	best, fits, ok := lengthaware.leastBusy(servers[:lengthaware.keep(servers)], request, work)
+	best, fits, ok := lengthaware.leastBusy(servers[:lengthaware.keep(servers, request)], request, work)
 	if !fits {
 		reason = ReasonSoonest
 		best, _, ok = lengthaware.leastBusy(servers, request, work)
@@ -92,15 +92,38 @@
 
 // keep returns how many of the servers, in their order, are kept for tight
 // requests: as many as those in progress fill to PackSlots, and KeepSpare more.
-func (lengthaware LengthAware) keep(servers []Server) int {
+// Where reading of long prompts waits or is in progress, servers are left for it,
+// down to as many as tight requests fill to PackDense.
+func (lengthaware LengthAware) keep(servers []Server, request Request) int {
+	settings := lengthaware.settings
+	roomy := filled(servers, settings.PackSlots) + settings.KeepSpare
+	dense := filled(servers, settings.PackDense)
+	wanted := int(longWork(servers, request) / settings.LongTime)
+	count := max(dense, min(roomy, len(servers)-wanted))
+	return min(count, max(1, len(servers)-settings.LeaveLong), len(servers))
+}
+
+// filled returns how many servers the tight requests in progress fill to a part of
+// the slots.
+func filled(servers []Server, part float64) int {
 	tight, slots := 0, 0
 	for i := range servers {
 		tight += servers[i].Tight
 		slots = max(slots, servers[i].Slots)
 	}
-	filled := max(1, int(lengthaware.settings.PackSlots*float64(slots)))
-	count := (tight+filled-1)/filled + lengthaware.settings.KeepSpare
-	return min(count, max(1, len(servers)-lengthaware.settings.LeaveLong), len(servers))
+	each := max(1, int(part*float64(slots)))
+	return (tight + each - 1) / each
+}
+
+// longWork is the reading of long prompts that wait or are being read.
+func longWork(servers []Server, request Request) time.Duration {
+	work := request.Waiting
+	for i := range servers {
+		if servers[i].ReadsLong {
+			work += servers[i].Backlog
+		}
+	}
+	return work
 }
 
 // pass is how long the next pass of a server takes with more to read.
--- /dev/null
+++ b/internal/placement/tight_test.go
@@ -0,0 +1,46 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/placement"
+)
+
+// TestBorderOfShortPrompts has short prompts in 136 of 288 slots: at ease they fill
+// thirteen servers and part of a spare one, packed densely ten.
+func TestBorderOfShortPrompts(t *testing.T) {
+	for name, test := range map[string]struct {
+		waiting time.Duration
+		reading time.Duration
+		// wantDense says that the short prompt goes to one of the first ten servers
+		// although others are less busy.
+		wantDense bool
+	}{
+		"nothing long is in sight":          {},
+		"little waits":                      {waiting: time.Second},
+		"much waits":                        {waiting: 20 * time.Second, wantDense: true},
+		"much is read":                      {reading: 4 * time.Second, wantDense: true},
+		"some waits and some is being read": {waiting: 5 * time.Second, reading: time.Second, wantDense: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			servers := newServers(18, func(i int, server *placement.Server) {
+				switch {
+				case i < 10:
+					server.Running, server.Tight = 13, 13
+				case i < 13:
+					server.Running, server.Tight = 2, 2
+				default:
+					server.ReadsLong, server.Backlog = test.reading > 0, test.reading
+				}
+			})
+			request := short()
+			request.Waiting = test.waiting
+			plan, ok := placement.New(placement.DefaultSettings()).Place(servers, request)
+			assert.Assert(t, ok)
+			assert.Equal(t, plan.Server.ID < "s10", test.wantDense, "%s", plan.Server.ID)
+		})
+	}
+}
--- a/internal/pool/waiting.go
+++ b/internal/pool/waiting.go
@@ -9,6 +9,8 @@
 	vm      string
 	id      uint64
 	service string
+	// work is the reading of its prompt.
+	work time.Duration
 	// due is when the first event is in time.
 	due time.Time
 	// blocked says that the request does not fit now although servers have
@@ -28,13 +30,13 @@
 	waiting *waiting
 }
 
-// Wait notes that a request waits. VMs take turns: the one whose request is
-// most urgent sends first.
-func (pool *Pool) Wait(service string, due time.Time) *Turn {
+// Wait notes that a request waits whose prompt takes that much reading. VMs take
+// turns: the one whose request is most urgent sends first.
+func (pool *Pool) Wait(service string, work time.Duration, due time.Time) *Turn {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	pool.nextID++
-	added := &waiting{vm: pool.vm, id: pool.nextID, service: service, due: due, toldAt: pool.now()}
+	added := &waiting{vm: pool.vm, id: pool.nextID, service: service, work: work, due: due, toldAt: pool.now()}
 	pool.queue = append(pool.queue, added)
 	pool.publisher.Publish(added.report(pool.now()))
 	return &Turn{pool: pool, waiting: added}
@@ -42,11 +44,25 @@
 
 func (waiting *waiting) report(now time.Time) Report {
 	return Report{
-		ID: waiting.id, Server: waiting.service, Phase: PhaseWaiting,
+		ID: waiting.id, Server: waiting.service, Phase: PhaseWaiting, Work: waiting.work,
 		Due: waiting.due.Sub(now), Helps: waiting.blocked,
 	}
 }
 
+// Waiting returns the reading of all prompts that wait for a service, at all VMs.
+func (pool *Pool) Waiting(service string) time.Duration {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	now := pool.now()
+	var work time.Duration
+	for _, waiting := range pool.queue {
+		if waiting.service == service && !pool.silent(waiting, now) {
+			work += waiting.work
+		}
+	}
+	return work
+}
+
 // Rank returns how many requests go before this one, those left out that do not
 // fit anywhere now. It reports false when one that may fit goes first. Requests
 // that all did not fit look again in the order of their rank, each a moment
@@ -87,8 +103,12 @@
 // goesBefore reports whether a request waits for the same service as waiter and
 // goes before it.
 func (pool *Pool) goesBefore(other, waiter *waiting, now time.Time) bool {
-	silent := other.vm != pool.vm && now.Sub(other.toldAt) > pool.settings.RemoteTime
-	return other != waiter && other.service == waiter.service && !silent && other.before(waiter, now)
+	return other != waiter && other.service == waiter.service && !pool.silent(other, now) && other.before(waiter, now)
+}
+
+// silent reports whether another VM did not tell of its request for too long.
+func (pool *Pool) silent(waiting *waiting, now time.Time) bool {
+	return waiting.vm != pool.vm && now.Sub(waiting.toldAt) > pool.settings.RemoteTime
 }
 
 // passOver reports whether the first request was the first for long, and neither
@@ -154,17 +174,17 @@
 		}
 	}
 	pool.queue = append(pool.queue, &waiting{
-		vm: vm, id: report.ID, service: report.Server, due: now.Add(report.Due), blocked: report.Helps, toldAt: now,
+		vm: vm, id: report.ID, service: report.Server, work: report.Work, due: now.Add(report.Due),
+		blocked: report.Helps, toldAt: now,
 	})
 }
 
 // leaveQueue drops the requests that match, and those not told of for long.
 func (pool *Pool) leaveQueue(match func(*waiting) bool) {
-	oldest := pool.now().Add(-pool.settings.RemoteTime)
+	now := pool.now()
 	kept := pool.queue[:0]
 	for _, waiting := range pool.queue {
-		silent := waiting.vm != pool.vm && waiting.toldAt.Before(oldest)
-		if !silent && !match(waiting) {
+		if !pool.silent(waiting, now) && !match(waiting) {
 			kept = append(kept, waiting)
 		}
 	}
--- a/internal/pool/waiting_test.go
+++ b/internal/pool/waiting_test.go
@@ -91,7 +91,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			world := newWorld()
-			turn := world.Wait("engines", world.now.Add(2*time.Second))
+			turn := world.Wait("engines", time.Second, world.now.Add(2*time.Second))
 			test.told(world)
 			rank, next := turn.Rank()
 			assert.Equal(t, rank, test.wantRank)
@@ -104,7 +104,7 @@
 // requests were the first: all others waited until they were forgotten.
 func TestVMThatDoesNotTakeItsTurnIsPassedOver(t *testing.T) {
 	world := newWorld()
-	turn := world.Wait("engines", world.now.Add(2*time.Second))
+	turn := world.Wait("engines", time.Second, world.now.Add(2*time.Second))
 	for id, vm := range []string{"vm-2", "vm-3"} {
 		due := time.Duration(id+1) * 100 * time.Millisecond
 		world.Told(vm, []pool.Report{{ID: 7, Server: "engines", Phase: pool.PhaseWaiting, Due: due}})
@@ -122,3 +122,18 @@
 	world.pass(70 * time.Millisecond)
 	assert.Assert(t, next())
 }
+
+// TestWaiting adds up the reading that waits at all VMs, as each of them sees it.
+func TestWaiting(t *testing.T) {
+	world := newWorld()
+	due := world.now.Add(2 * time.Second)
+	turn := world.Wait("engines", time.Second, due)
+	world.Wait("others", 8*time.Second, due)
+	told := pool.Report{ID: 7, Server: "engines", Phase: pool.PhaseWaiting, Work: 3 * time.Second, Due: time.Second}
+	world.Told("vm-2", []pool.Report{told})
+	assert.Equal(t, world.Waiting("engines"), 4*time.Second)
+	turn.End()
+	assert.Equal(t, world.Waiting("engines"), 3*time.Second)
+	world.pass(2 * time.Second)
+	assert.Equal(t, world.Waiting("engines"), time.Duration(0), "a VM that says nothing is forgotten")
+}
