placement: no part of a prompt silences streams so long that they are given up

Hypothesis: late prompts that are read by one or two servers for five seconds hold up the streams that are written there beyond four pauses; those are cut by the watchdog and read once more elsewhere. Change: servers are left out where the pass would outlast the pause after which the relay gives a stream up (1.6 s, or four pauses). One setting serves both. Test first: TestPartNeverSilencesStreams.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,8 +15,7 @@
 // passed on is known by lastEvent, and the stream may go on at another server.
 func (run *run) relay(ctx context.Context, attempted *attempted) result {
 	reader := events.NewReader(attempted.response)
-	settings := run.gateway.settings.Request
-	gap := max(settings.GapMin, time.Duration(settings.GapTimes*float64(run.route.Gap)))
+	silence := run.gateway.settings.Request.silence(run.route.Gap)
 	first := true
 	for {
 		event, err := reader.Next()
@@ -34,7 +32,7 @@
 		}
 		attempted.use.Event()
 		if attempted.watchdog != nil {
-			attempted.watchdog.Reset(gap)
+			attempted.watchdog.Reset(silence)
 		}
 		if !follows(event.ID, run.lastEvent) {
 			continue
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -99,6 +99,12 @@
 	return settings.Settle + time.Duration(members)*settings.SettleVM
 }
 
+// silence returns after which pause a stream is given up of which shorter ones than
+// gap are in time.
+func (settings RequestSettings) silence(gap time.Duration) time.Duration {
+	return max(settings.GapMin, time.Duration(settings.GapTimes*float64(gap)))
+}
+
 // DrainSettings tune a planned stop.
 type DrainSettings struct {
 	// Notice is how long after the request to stop the balancer may still send
@@ -173,6 +179,6 @@
 	case PolicyRoundRobin:
 		return placement.RoundRobin{}
 	default:
-		return placement.New(settings.Placement)
+		return placement.New(settings.Placement.WithSilence(settings.Request.silence))
 	}
 }
--- a/internal/placement/harm.go
+++ b/internal/placement/harm.go
@@ -13,13 +13,24 @@
 	harm float64
 }
 
-// harms returns the servers with what others lose by a part, least first.
+// silences reports whether a pass is so long that streams at a server are given up
+// and sent again, which would read their prompts once more at another one.
+func (lengthaware LengthAware) silences(server *Server, pass time.Duration) bool {
+	silence := lengthaware.settings.silence
+	return silence != nil && server.MinGap > 0 && pass > silence(server.MinGap)
+}
+
+// harms returns the servers with what others lose by a part, least first. Those are
+// left out where the part would silence streams for too long.
 func (lengthaware LengthAware) harms(servers []Server, request Request, part time.Duration) []harmed {
 	lost := 1 - lengthaware.settings.LatePart
 	list := make([]harmed, 0, len(servers))
 	for i := range servers {
 		server := &servers[i]
 		pass := lengthaware.pass(server, request, part)
+		if lengthaware.silences(server, pass) {
+			continue
+		}
 		// Tight requests that come while the part is read wait for it.
 		harm := lost * server.TightWeight * part.Seconds() / lengthaware.settings.TightLife.Seconds()
 		if pass > lengthaware.settings.TightPass {
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -62,6 +62,17 @@
 	Patience float64 `yaml:"patience" validate:"min=0"`
 	// StaySpare is how long its caller must stay for a prompt to be held.
 	StaySpare time.Duration `yaml:"stay_spare" validate:"min=0"`
+
+	// silence tells for a pause that is in time after which one a stream is given
+	// up, or is nil when none ever is.
+	silence func(gap time.Duration) time.Duration
+}
+
+// WithSilence returns settings for streams that are given up, and go on at another
+// server, after the pause that silence tells for one that is in time.
+func (settings Settings) WithSilence(silence func(gap time.Duration) time.Duration) Settings {
+	settings.silence = silence
+	return settings
 }
 
 // Tight reports whether a request with that pause counts as tight.
--- a/internal/placement/tight_test.go
+++ b/internal/placement/tight_test.go
@@ -44,3 +44,22 @@
 		})
 	}
 }
+
+// TestPartNeverSilencesStreams has one writer with a pause of a second at each of two
+// servers: a prompt that is late anyway took one for 5 s, and the stream there was
+// given up and read again elsewhere.
+func TestPartNeverSilencesStreams(t *testing.T) {
+	servers := newServers(2, func(_ int, server *placement.Server) {
+		server.Running, server.LooseWeight = 1, 1
+		server.LooseGap, server.MinGap = time.Second, time.Second
+	})
+	request := lateLong(230_000)
+	request.Left, request.Stays = -time.Second, 9*time.Second
+	settings := placement.DefaultSettings()
+	settings.MaxParts = 1
+	_, ok := placement.New(settings).Place(servers, request)
+	assert.Assert(t, ok, "it brings more than the writer loses")
+	silence := func(gap time.Duration) time.Duration { return 4 * gap }
+	_, ok = placement.New(settings.WithSilence(silence)).Place(servers, request)
+	assert.Assert(t, !ok)
+}
