losses: what a planner that knew all arrivals could read in time

Cause: what binds is not told by losses alone; it takes a bound to say how much of them a better order could save.

--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -6,9 +6,11 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mastwinch/mastwinch/internal/catalog"
 	"github.com/mastwinch/mastwinch/internal/logread"
 	"github.com/mastwinch/mastwinch/internal/losses"
 )
@@ -99,3 +101,39 @@
 	assert.Assert(t, strings.Contains(string(picture), "refused: no place"))
 	assert.ErrorContains(t, report.Plot(filepath.Join(t.TempDir(), "losses.none")), "plot")
 }
+
+// arrival is a stream that arrived a number of milliseconds after the start and took
+// as long as given, with an objective of 1 s.
+func arrival(id string, at, took, tokens int, objective string) string {
+	return fmt.Sprintf(`{"time":"2026-01-01T10:00:%06.3fZ","msg":"ended","request_id":"%s","kind":"stream","status":200,`+
+		`"objective":%s,"took":%d,"tokens":%d,"first":2000000000,"predicted":1000000000,"sends":1}`+"\n",
+		float64(at+took)/1000, id, objective, took*1_000_000, tokens)
+}
+
+func TestBound(t *testing.T) {
+	const second, short = "1000000000", "300000000"
+	// One engine that reads 100 k tokens in a second, pairs not counted.
+	fleet := losses.Fleet{Servers: 1, LongFrom: time.Second, Engine: catalog.Engine{Slots: 4, ReadPerSecond: 100_000}}
+	for name, test := range map[string]struct {
+		log     string
+		reached int
+	}{
+		"one fits":                 {log: arrival("a", 0, 2000, 100_000, second), reached: 1},
+		"one does not":             {log: arrival("a", 0, 2000, 110_000, second)},
+		"two share":                {log: arrival("a", 0, 2000, 50_000, second) + arrival("b", 0, 2000, 50_000, second), reached: 2},
+		"the smaller goes first":   {log: arrival("a", 0, 2000, 100_000, second) + arrival("b", 0, 2000, 30_000, second), reached: 1},
+		"a later one has its time": {log: arrival("a", 0, 2000, 100_000, second) + arrival("b", 1100, 2000, 90_000, second), reached: 2},
+		"short ones take slots":    {log: arrival("a", 0, 2000, 60_000, second) + arrival("b", 0, 2000, 100, short) + arrival("c", 0, 2000, 100, short)},
+		"and leave the others":     {log: arrival("a", 0, 2000, 60_000, second) + arrival("b", 0, 2000, 100, short), reached: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			lines, err := logread.Read(strings.NewReader(test.log))
+			assert.NilError(t, err)
+			report, err := losses.New(lines)
+			assert.NilError(t, err)
+			bound := report.Bound(fleet)
+			assert.Equal(t, bound.Reached, test.reached)
+			assert.Equal(t, bound.Served, 0)
+		})
+	}
+}
--- a/internal/losses/request.go
+++ b/internal/losses/request.go
@@ -28,6 +28,8 @@
 	Objective time.Duration
 	Tokens    int
 	Cause     Cause
+	// Took is how long it was with its VM; zero when the VM was killed.
+	Took time.Duration
 	// Excess is how much later than predicted its first event came.
 	Excess time.Duration
 	// Beside is how many other prompts were sent to its servers while it was read.
@@ -89,7 +91,8 @@
 }
 
 func (request *Request) end(line logread.Line) {
-	request.Arrived = line.At.Add(-line.Duration("took"))
+	request.Took = line.Duration("took")
+	request.Arrived = line.At.Add(-request.Took)
 	request.route = line.Text("route")
 	request.Kind = catalog.Kind(line.Text("kind"))
 	request.Objective = line.Duration("objective")
