--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -103,8 +103,9 @@
 }
 
 // arrival is a stream that arrived a number of milliseconds after the start and took
-// as long as given, with an objective of 1 s.
-func arrival(id string, at, took, tokens int, objective string) string {
+// 2 s.
+func arrival(id string, at, tokens int, objective string) string {
+	const took = 2000
 	return fmt.Sprintf(`{"time":"2026-01-01T10:00:%06.3fZ","msg":"ended","request_id":"%s","kind":"stream","status":200,`+
 		`"objective":%s,"took":%d,"tokens":%d,"first":2000000000,"predicted":1000000000,"sends":1}`+"\n",
 		float64(at+took)/1000, id, objective, took*1_000_000, tokens)
@@ -118,13 +119,13 @@
 		log     string
 		reached int
 	}{
-		"one fits":                 {log: arrival("a", 0, 2000, 100_000, second), reached: 1},
-		"one does not":             {log: arrival("a", 0, 2000, 110_000, second)},
-		"two share":                {log: arrival("a", 0, 2000, 50_000, second) + arrival("b", 0, 2000, 50_000, second), reached: 2},
-		"the smaller goes first":   {log: arrival("a", 0, 2000, 100_000, second) + arrival("b", 0, 2000, 30_000, second), reached: 1},
-		"a later one has its time": {log: arrival("a", 0, 2000, 100_000, second) + arrival("b", 1100, 2000, 90_000, second), reached: 2},
-		"short ones take slots":    {log: arrival("a", 0, 2000, 60_000, second) + arrival("b", 0, 2000, 100, short) + arrival("c", 0, 2000, 100, short)},
-		"and leave the others":     {log: arrival("a", 0, 2000, 60_000, second) + arrival("b", 0, 2000, 100, short), reached: 1},
+		"one fits":                 {log: arrival("a", 0, 100_000, second), reached: 1},
+		"one does not":             {log: arrival("a", 0, 110_000, second)},
+		"two share":                {log: arrival("a", 0, 50_000, second) + arrival("b", 0, 50_000, second), reached: 2},
+		"the smaller goes first":   {log: arrival("a", 0, 100_000, second) + arrival("b", 0, 30_000, second), reached: 1},
+		"a later one has its time": {log: arrival("a", 0, 100_000, second) + arrival("b", 1100, 90_000, second), reached: 2},
+		"short ones take slots":    {log: arrival("a", 0, 60_000, second) + arrival("b", 0, 100, short) + arrival("c", 0, 100, short)},
+		"and leave the others":     {log: arrival("a", 0, 60_000, second) + arrival("b", 0, 100, short), reached: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			lines, err := logread.Read(strings.NewReader(test.log))
