--- a/internal/gateway/leave_test.go
+++ b/internal/gateway/leave_test.go
@@ -70,3 +70,18 @@
 		assert.Assert(t, checked > 100)
 	})
 }
+
+func TestCallerThatLeavesFreesTheServer(t *testing.T) {
+	left := make(chan time.Time, 1)
+	servers := map[string]backend{"one": func(_ *world, _ int, _ http.ResponseWriter, request *http.Request) {
+		<-request.Context().Done()
+		left <- time.Now()
+	}}
+	inWorld(t, servers, nil, func(world *world) {
+		caller := stream("chat")
+		caller.give = 300 * time.Millisecond
+		started := time.Now()
+		world.ask(caller)
+		assert.Assert(t, (<-left).Sub(started) < 800*time.Millisecond)
+	})
+}
