--- a/internal/losses/plot.go
+++ b/internal/losses/plot.go
@@ -4,8 +4,8 @@
 	"github.com/cockroachdb/errors"
 	"gonum.org/v1/gonum/floats"
 	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/palette"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 )
 
@@ -25,6 +25,7 @@
 	picture.Y.Label.Text = "requests"
 	picture.Legend.Top = true
 	last := report.second(report.requests[len(report.requests)-1])
+	hues := palette.Rainbow(len(Causes()), palette.Red, palette.Magenta, 0.8, 0.9, 1).Colors() //nolint:misspell // the library's name
 	var below *plotter.BarChart
 	for i, cause := range Causes() {
 		values := make(plotter.Values, last+1)
@@ -40,7 +41,7 @@
 		if err != nil {
 			return errors.Wrap(err, "plot")
 		}
-		bars.Color = plotutil.Color(i) //nolint:misspell // the library's name
+		bars.Color = hues[i] //nolint:misspell // the library's name
 		bars.LineStyle.Width = 0
 		if below != nil {
 			bars.StackOn(below)
