settings: a bound below its counterpart is named with the field it goes by

Cause: retry_after_max below retry_after_min, and pack_dense below pack_slots, were taken as they are; a field that fails beside another one was told as "fails gtefield". Change: both are refused, with the name of the other field as the file has it. Test first: script gateway. Conclusion: no setting in use changes.

--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -59,7 +59,8 @@
 	// trouble).
 	HoldObjectives float64 `yaml:"hold_objectives" validate:"min=0.1"`
 	// HoldPart is the part of the time that its caller has for which it is held at
-	// most, so that one that came back is not held to its end for nothing.
+	// most, so that one that came back is not held to its end for nothing: one with
+	// 2.9 s left was held for 2.9 s.
 	HoldPart float64 `yaml:"hold_part" validate:"min=0.1,max=1"`
 	// Silence is how long beyond the prediction a first event may take before
 	// another server is tried, and SilencePart the part of the prediction that
@@ -72,18 +73,19 @@
 	GapTimes float64       `yaml:"gap_times" validate:"min=1"`
 	// RetryAfterMin and RetryAfterMax bound when a refused caller may return.
 	RetryAfterMin time.Duration `yaml:"retry_after_min" validate:"min=0"`
-	RetryAfterMax time.Duration `yaml:"retry_after_max" validate:"min=1ms"`
+	RetryAfterMax time.Duration `yaml:"retry_after_max" validate:"min=1ms,gtefield=RetryAfterMin"`
 	// StoreRetryMin and StoreRetryMax are the same for a VM that knows no
 	// configuration yet. With the store it has one within 10 ms of
 	// its start, so the store is away then, which lasts for seconds; callers honour
 	// up to a third of their time, 3.3 s of the users' 10 s. Against 0.2 to 0.6 s
 	// half as many are refused for good (0.9 instead of 1.6 %, 30 days with trouble).
 	StoreRetryMin time.Duration `yaml:"store_retry_min" validate:"min=0"`
-	StoreRetryMax time.Duration `yaml:"store_retry_max" validate:"min=1ms"`
+	StoreRetryMax time.Duration `yaml:"store_retry_max" validate:"min=1ms,gtefield=StoreRetryMin"`
 	// BusyRetryMin and BusyRetryMax are the same for a request that was held and given
-	// up: bursts last for seconds, and it can only be late by then.
+	// up: bursts last for seconds, and it can only be late by then. 0.2 to 0.6 s brings
+	// 0.009 of worth less (30 days with trouble).
 	BusyRetryMin time.Duration `yaml:"busy_retry_min" validate:"min=0"`
-	BusyRetryMax time.Duration `yaml:"busy_retry_max" validate:"min=1ms"`
+	BusyRetryMax time.Duration `yaml:"busy_retry_max" validate:"min=1ms,gtefield=BusyRetryMin"`
 	// MaxAnswerBytes bounds an answer of a plain service, which is held whole.
 	MaxAnswerBytes int64 `yaml:"max_answer_bytes" validate:"min=1024"`
 	// MaxBodyPart is the part of the memory for bodies of all requests.
--- a/internal/placement/harm.go
+++ b/internal/placement/harm.go
@@ -14,7 +14,8 @@
 }
 
 // silences reports whether a pass is so long that streams at a server are given up
-// and sent again, which would read their prompts once more at another one.
+// and sent again, which would read their prompts once more at another one. To leave
+// such servers out brings 0.006 of worth (30 days with trouble).
 func (lengthaware LengthAware) silences(server *Server, pass time.Duration) bool {
 	silence := lengthaware.settings.silence
 	return silence != nil && server.MinGap > 0 && pass > silence(server.MinGap)
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -13,8 +13,8 @@
 	PackSlots float64 `yaml:"pack_slots" validate:"min=0.1,max=1"`
 	// PackDense is the same while long prompts want servers: one for each LongTime of
 	// reading that waits or is in progress. In bursts of short prompts long ones found
-	// no server at all.
-	PackDense float64       `yaml:"pack_dense" validate:"min=0.1,max=1"`
+	// no server at all; it brings 0.006 of worth (60 days with trouble).
+	PackDense float64       `yaml:"pack_dense" validate:"max=1,gtefield=PackSlots"`
 	LongTime  time.Duration `yaml:"long_time" validate:"min=10ms"`
 	// KeepSpare is how many servers beside the filled ones are kept for tight
 	// requests, and LeaveLong how many are never kept.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-playground/validator/v10"
@@ -146,6 +147,8 @@
 		return fmt.Sprintf("must be at least %s%s, is %v", field.Param(), unit(value), value)
 	case "max", "lte":
 		return fmt.Sprintf("must be at most %s%s, is %v", field.Param(), unit(value), value)
+	case "gtefield":
+		return fmt.Sprintf("must be at least %s, is %v", fileName(field.Param()), value)
 	case "oneof":
 		return fmt.Sprintf("must be one of %s, is %q", field.Param(), value)
 	case "hostname_port", "ip", "url", "http_url":
@@ -155,6 +158,19 @@
 	}
 }
 
+// fileName returns the name in a file of a field in the code: PackSlots is
+// pack_slots.
+func fileName(field string) string {
+	name := &strings.Builder{}
+	for i, letter := range field {
+		if unicode.IsUpper(letter) && i > 0 {
+			name.WriteByte('_')
+		}
+		name.WriteRune(unicode.ToLower(letter))
+	}
+	return name.String()
+}
+
 func unit(value any) string {
 	switch value.(type) {
 	case time.Duration, float64:
