--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -10,7 +10,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -221,98 +220,6 @@
 	return err == nil && response.StatusCode == http.StatusOK
 }
 
-// answer is what a caller got.
-type answer struct {
-	status int
-	header http.Header
-	body   string
-	// whole says that the body ended as it should.
-	whole bool
-	// last says that the connection takes no other request.
-	last bool
-	took time.Duration
-}
-
-// caller is a request of a caller.
-type caller struct {
-	method string
-	path   string
-	header map[string]string
-	body   string
-	// give is after how long the caller leaves, or zero for never.
-	give time.Duration
-}
-
-// stream returns a request on a route of streams.
-func stream(route string) caller {
-	return caller{method: http.MethodPost, path: "/" + route + "/x?a=%2F&b=1", body: "prompt", header: map[string]string{
-		"Token-Counts": "4960,500", "Model": "m", "Prefix-Hash": "5c1e07a2:800",
-	}}
-}
-
-// plain returns a request on a route of plain services.
-func plain(method, route string) caller {
-	return caller{method: method, path: "/" + route + "/x"}
-}
-
-func (caller caller) with(name, value string) caller {
-	header := maps.Clone(caller.header)
-	if header == nil {
-		header = make(map[string]string)
-	}
-	header[name] = value
-	caller.header = header
-	return caller
-}
-
-// ask sends a request on a connection of its own.
-func (world *world) ask(caller caller) answer {
-	world.mu.Lock()
-	world.next++
-	id := fmt.Sprintf("request-%d", world.next)
-	world.mu.Unlock()
-	header := map[string]string{
-		"Host": "register.example", "Request-Id": id, "Deadline-Ms": "10000", "Authorization": "Bearer " + testKey,
-	}
-	maps.Copy(header, caller.header)
-	raw := &strings.Builder{}
-	fmt.Fprintf(raw, "%s %s HTTP/1.1\r\n", caller.method, caller.path)
-	for name, value := range header {
-		if value != "" {
-			fmt.Fprintf(raw, "%s: %s\r\n", name, value)
-		}
-	}
-	if caller.body != "" {
-		fmt.Fprintf(raw, "Content-Length: %d\r\n", len(caller.body))
-	}
-	raw.WriteString("\r\n" + caller.body)
-	return world.raw(raw.String(), caller.give)
-}
-
-// raw sends bytes on a connection of its own and reads one answer.
-func (world *world) raw(bytes string, give time.Duration) answer {
-	started := time.Now()
-	conn, err := world.network.Dial(world.t.Context(), vmAddress)
-	if err != nil {
-		return answer{}
-	}
-	defer func() { _ = conn.Close() }()
-	if give > 0 {
-		timer := time.AfterFunc(give, func() { _ = conn.Close() })
-		defer timer.Stop()
-	}
-	go func() { _, _ = io.WriteString(conn, bytes) }()
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return answer{took: time.Since(started)}
-	}
-	body, err := io.ReadAll(response.Body)
-	return answer{
-		status: response.StatusCode, header: response.Header, body: string(body),
-		whole: err == nil, last: response.Close, took: time.Since(started),
-	}
-}
-
 // requests returns what reached the servers, in no order.
 func (world *world) requests() []seenRequest {
 	world.mu.Lock()
@@ -324,87 +231,6 @@
 	return all
 }
 
-// seal writes what every answer of a server carries.
-func seal(writer http.ResponseWriter, request *http.Request) {
-	writer.Header().Set("Request-Id", request.Header.Get("Request-Id"))
-	writer.Header().Set("Response-Seal", "seal-of-"+request.Header.Get("Expect-Instance"))
-}
-
-// answers answers a plain request with a status.
-func answers(status int, body string) backend {
-	return func(_ *world, _ int, writer http.ResponseWriter, request *http.Request) {
-		seal(writer, request)
-		writer.WriteHeader(status)
-		_, _ = io.WriteString(writer, body)
-	}
-}
-
-// refuses says that it did not run the request.
-func refuses(status int) backend {
-	return func(_ *world, _ int, writer http.ResponseWriter, request *http.Request) {
-		writer.Header().Set("Request-Id", request.Header.Get("Request-Id"))
-		writer.Header().Set("Not-Executed", "1")
-		writer.WriteHeader(status)
-	}
-}
-
-// breaks closes the connection without an answer.
-func breaks() backend {
-	return func(*world, int, http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
-}
-
-// hangs says nothing until the caller leaves.
-func hangs() backend {
-	return func(_ *world, _ int, _ http.ResponseWriter, request *http.Request) { <-request.Context().Done() }
-}
-
-// anyFirst does one thing with the first request to any server, another with
-// the others.
-func anyFirst(one, others backend) backend {
-	return func(world *world, nth int, writer http.ResponseWriter, request *http.Request) {
-		if len(world.requests()) == 1 {
-			one(world, nth, writer, request)
-			return
-		}
-		others(world, nth, writer, request)
-	}
-}
-
-const gapOfEvents = 50 * time.Millisecond
-
-// streams sends events up to last, from the one after the caller's last on. It
-// breaks off within the event after cut, when cut is above zero.
-func streams(last, cut int) backend {
-	return func(_ *world, _ int, writer http.ResponseWriter, request *http.Request) {
-		seal(writer, request)
-		writer.Header().Set("Content-Type", "text/event-stream")
-		from := 0
-		_, _ = fmt.Sscan(request.Header.Get("Last-Event-Id"), &from)
-		for id := from + 1; id <= last; id++ {
-			time.Sleep(gapOfEvents)
-			if cut > 0 && id > cut {
-				_, _ = fmt.Fprintf(writer, "id: %d\nda", id)
-				_ = http.NewResponseController(writer).Flush()
-				panic(http.ErrAbortHandler)
-			}
-			_, err := fmt.Fprintf(writer, "id: %d\ndata: piece %d\n\n", id, id)
-			if err != nil {
-				return
-			}
-			_ = http.NewResponseController(writer).Flush()
-		}
-	}
-}
-
-// wholeStream is the body of a stream of so many events.
-func wholeStream(last int) string {
-	body := &strings.Builder{}
-	for id := 1; id <= last; id++ {
-		fmt.Fprintf(body, "id: %d\ndata: piece %d\n\n", id, id)
-	}
-	return body.String()
-}
-
 // Faults of the store.
 const (
 	metastoreSilent = metastore.FaultSilent
--- /dev/null
+++ b/internal/keeper/fakelog_test.go
@@ -0,0 +1,97 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastwinch/mastwinch/internal/infra"
+)
+
+var errDown = errors.New("the log is down")
+
+// fakeLog is a stream in memory.
+type fakeLog struct {
+	mu      sync.Mutex
+	first   uint64
+	entries [][]byte
+	down    bool
+	// loseAnswers is how many appends still take effect with an error.
+	loseAnswers int
+	appends     int
+	grown       chan struct{}
+}
+
+func newFakeLog() *fakeLog {
+	return &fakeLog{grown: make(chan struct{})}
+}
+
+func (fakelog *fakeLog) Append(_ context.Context, data []byte) error {
+	fakelog.mu.Lock()
+	defer fakelog.mu.Unlock()
+	fakelog.appends++
+	if fakelog.down {
+		return errDown
+	}
+	fakelog.entries = append(fakelog.entries, data)
+	close(fakelog.grown)
+	fakelog.grown = make(chan struct{})
+	if fakelog.loseAnswers > 0 {
+		fakelog.loseAnswers--
+		return errors.New("answer lost")
+	}
+	return nil
+}
+
+func (fakelog *fakeLog) Read(ctx context.Context, from uint64) (infra.Page, error) {
+	page, grown, err := fakelog.page(from)
+	if err != nil || len(page.Entries) > 0 {
+		return page, err
+	}
+	select {
+	case <-grown:
+		page, _, err = fakelog.page(from)
+		return page, err
+	case <-time.After(time.Second):
+	case <-ctx.Done():
+	}
+	return page, nil
+}
+
+func (fakelog *fakeLog) page(from uint64) (infra.Page, <-chan struct{}, error) {
+	fakelog.mu.Lock()
+	defer fakelog.mu.Unlock()
+	switch {
+	case fakelog.down:
+		return infra.Page{}, nil, errDown
+	case from < fakelog.first:
+		return infra.Page{}, nil, &infra.ExpiredError{Wanted: from, First: fakelog.first}
+	}
+	page := infra.Page{First: fakelog.first, Next: fakelog.first + uint64(len(fakelog.entries))}
+	for offset := from; offset < page.Next; offset++ {
+		page.Entries = append(page.Entries, infra.Entry{Offset: offset, Data: fakelog.entries[offset-fakelog.first]})
+	}
+	return page, fakelog.grown, nil
+}
+
+// expire drops the entries before offset first.
+func (fakelog *fakeLog) expire(first uint64) {
+	fakelog.mu.Lock()
+	defer fakelog.mu.Unlock()
+	fakelog.entries = fakelog.entries[first-fakelog.first:]
+	fakelog.first = first
+}
+
+func (fakelog *fakeLog) setDown(down bool) {
+	fakelog.mu.Lock()
+	defer fakelog.mu.Unlock()
+	fakelog.down = down
+}
+
+func (fakelog *fakeLog) count() int {
+	fakelog.mu.Lock()
+	defer fakelog.mu.Unlock()
+	return fakelog.appends
+}
