upstream: the test of silent connections waits until all its requests have come

Its requests were to take a connection each, but each was answered as soon as the test had heard of it, so on a busy machine the second one took the connection of the first, which was silent by then, without a bound. Change: none is answered before all have come. Both tests still fail where the code they hold is switched off (checked by hand, both ways). Conclusion: the test was at fault, not the client.

--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -229,12 +229,42 @@
 	<-closed
 }
 
+// barrier lets nobody pass before a number of them have come.
+type barrier struct {
+	waiting sync.WaitGroup
+}
+
+func newBarrier(count int) *barrier {
+	barrier := &barrier{}
+	barrier.waiting.Add(count)
+	return barrier
+}
+
+func (barrier *barrier) pass() {
+	barrier.waiting.Done()
+	barrier.waiting.Wait()
+}
+
+// sendTogether sends requests of which none is answered before all have come, so that
+// each takes a connection of its own, which is kept.
+func sendTogether(t *testing.T, client *upstream.Client, address string, count int) {
+	t.Helper()
+	var group sync.WaitGroup
+	for i := range count {
+		group.Go(func() {
+			_, err := send(t.Context(), client, address, fmt.Sprintf("first-%d", i), "")
+			assert.Check(t, err)
+		})
+	}
+	group.Wait()
+}
+
 // TestOpenConnectionsGoSilent has a way to a server on which open connections say
 // nothing more, without a reset, while new ones work. Each kept connection held up
 // one request of its own until it was known.
 func TestOpenConnectionsGoSilent(t *testing.T) {
 	const kept = 3
-	together := make(chan struct{})
+	together := newBarrier(kept)
 	server := newServer(t, func(conn net.Conn, requests *bufio.Reader, nth int64) {
 		for {
 			request, ok := readRequest(requests)
@@ -242,7 +272,7 @@
 				return
 			}
 			if nth <= kept {
-				together <- struct{}{}
+				together.pass()
 			}
 			_, _ = io.WriteString(conn, reply(request.Header.Get("Request-Id"), "whole"))
 			if nth <= kept {
@@ -252,17 +282,7 @@
 		}
 	})
 	client := newClient()
-	var group sync.WaitGroup
-	for i := range kept {
-		group.Go(func() {
-			_, err := send(t.Context(), client, server.address(), fmt.Sprintf("first-%d", i), "")
-			assert.Check(t, err)
-		})
-	}
-	for range kept {
-		<-together
-	}
-	group.Wait()
+	sendTogether(t, client, server.address(), kept)
 
 	silent, cancel := context.WithCancelCause(t.Context())
 	time.AfterFunc(100*time.Millisecond, func() { cancel(errors.New("server is silent")) })
@@ -276,7 +296,8 @@
 
 // TestCallerThatLeavesKeepsConnections: a caller that left says nothing of a server.
 func TestCallerThatLeavesKeepsConnections(t *testing.T) {
-	together := make(chan struct{})
+	const kept = 2
+	together := newBarrier(kept)
 	server := newServer(t, func(conn net.Conn, requests *bufio.Reader, _ int64) {
 		for {
 			request, ok := readRequest(requests)
@@ -288,22 +309,13 @@
 				continue
 			}
 			if strings.HasPrefix(id, "first") {
-				together <- struct{}{}
+				together.pass()
 			}
 			_, _ = io.WriteString(conn, reply(id, "whole"))
 		}
 	})
 	client := newClient()
-	var group sync.WaitGroup
-	for i := range 2 {
-		group.Go(func() {
-			_, err := send(t.Context(), client, server.address(), fmt.Sprintf("first-%d", i), "")
-			assert.Check(t, err)
-		})
-	}
-	<-together
-	<-together
-	group.Wait()
+	sendTogether(t, client, server.address(), kept)
 	left, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(50*time.Millisecond, cancel)
 	_, err := send(left, client, server.address(), "left", "")
