--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -28,6 +28,10 @@
 	return fmt.Sprintf("%s %v", group.Kind, group.Objective)
 }
 
+func groupOf(request *Request) Group {
+	return Group{Kind: request.Kind, Objective: request.Objective}
+}
+
 func compareGroups(a, b Group) int {
 	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Objective, b.Objective))
 }
@@ -58,7 +62,7 @@
 func (report *Report) groups() ([]Group, map[Group][]*Request) {
 	byGroup := make(map[Group][]*Request)
 	for _, request := range report.requests {
-		group := Group{Kind: request.Kind, Objective: request.Objective}
+		group := groupOf(request)
 		byGroup[group] = append(byGroup[group], request)
 	}
 	return slices.SortedFunc(maps.Keys(byGroup), compareGroups), byGroup
@@ -112,7 +116,7 @@
 func (report *Report) writeSeconds(table io.Writer, groups []Group) {
 	lost := make(map[int]map[Group]map[Cause]int)
 	for _, request := range report.requests {
-		second, group := report.second(request), Group{Kind: request.Kind, Objective: request.Objective}
+		second, group := report.second(request), groupOf(request)
 		if !request.Cause.lost() {
 			continue
 		}
