losses: reasons are those that the gateway writes, not copies of their texts

Cause: found on reading the change again; a renamed reason would have been told as another cause. Conclusion: no behaviour changes; the tests of causes hold.

--- a/internal/losses/request.go
+++ b/internal/losses/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mastwinch/mastwinch/internal/catalog"
+	"github.com/mastwinch/mastwinch/internal/gateway"
 	"github.com/mastwinch/mastwinch/internal/logread"
 )
 
@@ -106,20 +107,20 @@
 // causeOf tells why the request of a last line was not served in time.
 func causeOf(line logread.Line) Cause {
 	status := line.Count("status")
-	switch line.Text("reason") {
-	case "caller_gone":
+	switch gateway.Reason(line.Text("reason")) {
+	case gateway.ReasonCallerGone:
 		return CauseLeft
-	case "stopping":
+	case gateway.ReasonStopping:
 		return CauseStopping
-	case "time_over":
+	case gateway.ReasonTime:
 		return CauseTime
-	case "servers_busy":
+	case gateway.ReasonBusy:
 		return CauseHeld
-	case "servers_refused":
+	case gateway.ReasonRefused:
 		return CauseBudget
-	case "no_configuration", "configuration_too_old":
+	case gateway.ReasonNoConfiguration, gateway.ReasonStale:
 		return CauseUnknown
-	case "server_failed":
+	case gateway.ReasonServerFailed:
 		return CauseServer
 	}
 	switch {
