--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -112,27 +112,29 @@
 	return sum / float64(len(requests))
 }
 
+// lossKey is where a lost request counts.
+type lossKey struct {
+	second int
+	group  Group
+	cause  Cause
+}
+
 // writeSeconds prints for each second the causes of what was lost in each group.
 func (report *Report) writeSeconds(table io.Writer, groups []Group) {
-	lost := make(map[int]map[Group]map[Cause]int)
+	lost := make(map[lossKey]int)
+	last := 0
 	for _, request := range report.requests {
-		second, group := report.second(request), groupOf(request)
 		if !request.Cause.lost() {
 			continue
 		}
-		if lost[second] == nil {
-			lost[second] = make(map[Group]map[Cause]int)
-		}
-		if lost[second][group] == nil {
-			lost[second][group] = make(map[Cause]int)
-		}
-		lost[second][group][request.Cause]++
+		last = report.second(request)
+		lost[lossKey{second: last, group: groupOf(request), cause: request.Cause}]++
 	}
 	fmt.Fprintln(table, "second\trequests\tcause\tcount\t")
-	for _, second := range slices.Sorted(maps.Keys(lost)) {
+	for second := range last + 1 {
 		for _, group := range groups {
 			for _, cause := range Causes() {
-				if counted := lost[second][group][cause]; counted > 0 {
+				if counted := lost[lossKey{second: second, group: group, cause: cause}]; counted > 0 {
 					fmt.Fprintf(table, "%d\t%v\t%s\t%d\t\n", second, group, cause, counted)
 				}
 			}
