losses: the bound reckons as far as its prompts may take

Cause: it reckoned for one minute after the last arrival, a figure beside those of the prompts themselves, and ran past its end for an objective of two minutes. Change: the end is that of the last objective, or of the last request. Test first: TestBoundOfAnObjectiveOfMinutes panicked with an index out of range.

--- a/internal/losses/bound.go
+++ b/internal/losses/bound.go
@@ -65,7 +65,7 @@
 		from := report.slot(request.Arrived)
 		jobs = append(jobs, job{
 			request: request, work: fleet.Engine.ReadTime(request.Tokens),
-			from: from, due: from + int(request.Objective/slotTime),
+			from: from, due: report.slot(request.Arrived.Add(request.Objective)),
 		})
 	}
 	slices.SortFunc(jobs, func(a, b job) int {
@@ -95,13 +95,16 @@
 // freeReading returns the reading that servers without short prompts can do in each
 // slot.
 func (report *Report) freeReading(fleet Fleet) []time.Duration {
-	last := report.requests[len(report.requests)-1]
-	busy := make([]int, report.slot(last.Arrived)+int(time.Minute/slotTime))
+	last := 0
+	for _, request := range report.requests {
+		last = max(last, report.slot(request.Arrived.Add(max(request.Took, request.Objective))))
+	}
+	busy := make([]int, last+1)
 	for _, request := range report.requests {
 		if request.Kind != catalog.KindStream || long(request, fleet) {
 			continue
 		}
-		for slot := report.slot(request.Arrived); slot <= min(len(busy)-1, report.slot(request.Arrived.Add(request.Took))); slot++ {
+		for slot := report.slot(request.Arrived); slot <= report.slot(request.Arrived.Add(request.Took)); slot++ {
 			busy[slot]++
 		}
 	}
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -138,3 +138,14 @@
 		})
 	}
 }
+
+// TestBoundOfAnObjectiveOfMinutes has a prompt that may take longer than a minute after
+// the last arrival, and does not fit: the reckoning ran past its end.
+func TestBoundOfAnObjectiveOfMinutes(t *testing.T) {
+	lines, err := logread.Read(strings.NewReader(arrival("a", 0, 20_000_000, "120000000000")))
+	assert.NilError(t, err)
+	report, err := losses.New(lines)
+	assert.NilError(t, err)
+	engine := catalog.Engine{Slots: 4, ReadPerSecond: 100_000}
+	assert.Equal(t, report.Bound(losses.Fleet{Servers: 1, LongFrom: time.Second, Engine: engine}).Reached, 0)
+}
