feed, exchange: the store is read through several VMs, also at the start

Logged per VM in a scratch copy: 2,016 at the start, because 295 VMs entering the register take turns of 4 ms, 1.2 s in all, and read directly until they know whom to ask; 200 to 400 a second while the only reader of a data centre is turned away or cut off, until 3 s later.

Change: a VM lists the register before it enters and need not enter again when it starts again, and waits up to 2 s for knowing whom to ask; one that reads the store for others says when that does not answer, then a second one is asked and all agree on one that does; a question that waits there ends at once.

Ruled out: reading less often while it is away. A VM with an old configuration refuses keys, which costs more than the calls.

--- a/internal/exchange/coordinators.go
+++ b/internal/exchange/coordinators.go
@@ -210,8 +210,8 @@
 	return addresses, true
 }
 
-// readers returns the first live VMs of this data centre, and some before them that are
-// away.
+// readers returns the first VMs of this data centre that are live and read the store, the
+// live ones before them that cannot, and some that are away.
 func (exchange *Exchange) readers() []string {
 	var readers []string
 	live, away := 0, 0
@@ -221,7 +221,9 @@
 		case live == exchange.settings.Readers:
 			return readers
 		case exchange.isLive(vm):
-			live++
+			if vm == exchange.self.VM || !exchange.peers[vm].blind {
+				live++
+			}
 			readers = append(readers, vm)
 		case away < exchange.settings.Greet:
 			away++
--- a/internal/exchange/coordinators_test.go
+++ b/internal/exchange/coordinators_test.go
@@ -206,3 +206,50 @@
 		assert.Assert(t, after[""] <= 2, "the silent one, and the new reader: %v", after)
 	})
 }
+
+// TestReadersThatTheStoreTurnsAway has the three VMs that would read the store for their
+// data centre turned away by it: the others agree on one that is not, and each by itself
+// made four calls a second.
+func TestReadersThatTheStoreTurnsAway(t *testing.T) {
+	inFleet(t, 36, func(t *testing.T, vms *vms, _ []*countingConn) {
+		never := func(string) bool { return false }
+		blind := make(map[string]bool)
+		for range 3 {
+			reader := vms.parts[33].Role(6, never).Ask
+			for number := range vms.parts {
+				if address(number) == reader {
+					vms.sinks[number].setBlind(true)
+				}
+			}
+			blind[reader] = true
+			time.Sleep(1200 * time.Millisecond)
+		}
+		assert.Equal(t, len(blind), 3)
+		asked := make(map[string]int)
+		for number := 0; number < 36; number += 3 {
+			if !blind[address(number)] {
+				asked[vms.parts[number].Role(6, never).Ask]++
+			}
+		}
+		assert.Equal(t, len(asked), 2, "one address, and the reader itself: %v", asked)
+	})
+}
+
+// TestVMThatStartsAgainEntersOnce has VMs that are in the register already: they know each
+// other with one question, which does not take turns as entering does.
+func TestVMThatStartsAgainEntersOnce(t *testing.T) {
+	inFleet(t, 36, func(t *testing.T, vms *vms, _ []*countingConn) {
+		assert.Equal(t, vms.register.count(), 36)
+		for number, stop := range vms.stop {
+			stop()
+			synctest.Wait()
+			vms.addMember(t, number)
+		}
+		time.Sleep(300 * time.Millisecond)
+		assert.Equal(t, vms.register.count(), 36)
+		for _, part := range vms.parts {
+			assert.Equal(t, part.Known(), 36)
+		}
+		assert.Equal(t, len(vms.agreed(t)), 3)
+	})
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,8 +52,8 @@
 	// Warm is for how long a VM must have been told before it decides while another
 	// one can: what is under way is told again once in Repeat.
 	Warm time.Duration `yaml:"warm" validate:"min=0"`
-	// Readers is how many VMs of its own data centre a VM keeps in touch with, so
-	// that it knows who reads the store there.
+	// Readers is how many VMs of its own data centre that the store answers a VM keeps
+	// in touch with, so that it knows who reads the store there.
 	Readers int `yaml:"readers" validate:"min=1"`
 	// Greet is the most VMs that are not heard and greeted in each list of those that
 	// a VM keeps in touch with.
@@ -71,7 +72,7 @@
 		CoordinateFrom: 24,
 		Coordinators:   3,
 		Warm:           1200 * time.Millisecond,
-		Readers:        2,
+		Readers:        3,
 		Greet:          4,
 	}
 }
@@ -84,6 +85,8 @@
 	DataCentre string `json:"data_centre"`
 	// Capacity is that of the VM's link, in Mbit/s.
 	Capacity int `json:"capacity"`
+	// First says that all VMs start for the first time, so that the register is empty.
+	First bool `json:"-"`
 }
 
 // Register is where VMs find each other.
@@ -100,6 +103,8 @@
 	Asked(vm string, asks []dispatch.Ask)
 	// Answered takes what another VM decided for requests of this one.
 	Answered(vm string, answers []dispatch.Answer)
+	// Blind reports whether the platform's store does not answer this VM.
+	Blind() bool
 }
 
 // peer is another VM.
@@ -111,6 +116,8 @@
 	heard time.Time
 	// started is since when it takes datagrams, as far as it told.
 	started time.Time
+	// blind says that the platform's store did not answer it.
+	blind bool
 	// doubted says that it did not answer and was not heard since.
 	doubted bool
 }
@@ -245,9 +252,25 @@
 	}
 }
 
+// enterOnce lists the VMs, and enters this one if it is not there yet. One that starts
+// again need not: so it knows the others at once, also when all start again and entering
+// would take turns for a second. One that enters lists again, since others may do so at
+// the same time.
 func (exchange *Exchange) enterOnce(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, exchange.settings.Hello)
 	defer cancel()
+	entered := false
+	if !exchange.self.First {
+		members, err := exchange.register.List(bounded)
+		if err != nil {
+			return err
+		}
+		entered = slices.Contains(members, exchange.self)
+		exchange.meetAll(members)
+	}
+	if entered {
+		return nil
+	}
 	if err := exchange.register.Enter(bounded, exchange.self); err != nil {
 		return err
 	}
@@ -255,6 +278,12 @@
 	if err != nil {
 		return err
 	}
+	exchange.meetAll(members)
+	return nil
+}
+
+// meetAll takes in the VMs of the register, and greets them.
+func (exchange *Exchange) meetAll(members []Member) {
 	for _, member := range members {
 		exchange.know(member)
 	}
@@ -263,7 +292,6 @@
 	exchange.mu.Unlock()
 	exchange.logger.Info("register read", "members", len(members))
 	exchange.send(targets{direct: exchange.greeted()}, nil, true)
-	return nil
 }
 
 // know takes a VM into the peers.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -27,6 +27,8 @@
 	mu      sync.Mutex
 	members map[string]exchange.Member
 	away    bool
+	// entered counts how often a VM entered.
+	entered int
 }
 
 var _ exchange.Register = (*register)(nil)
@@ -38,6 +40,7 @@
 		return errAway
 	}
 	register.members[member.VM] = member
+	register.entered++
 	return nil
 }
 
@@ -51,6 +54,12 @@
 	return list, nil
 }
 
+func (register *register) count() int {
+	register.mu.Lock()
+	defer register.mu.Unlock()
+	return register.entered
+}
+
 func (register *register) setAway(away bool) {
 	register.mu.Lock()
 	defer register.mu.Unlock()
@@ -62,6 +71,8 @@
 	mu   sync.Mutex
 	own  []pool.Report
 	told map[string][]pool.Report
+	// blind says that the store does not answer the VM.
+	blind bool
 }
 
 var _ exchange.Sink = (*sink)(nil)
@@ -82,6 +93,18 @@
 
 func (*sink) Answered(string, []dispatch.Answer) {}
 
+func (sink *sink) Blind() bool {
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	return sink.blind
+}
+
+func (sink *sink) setBlind(blind bool) {
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	sink.blind = blind
+}
+
 func (sink *sink) toldBy(vm string) []pool.Report {
 	sink.mu.Lock()
 	defer sink.mu.Unlock()
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -46,7 +46,7 @@
 		return
 	}
 	if returned {
-		exchange.logger.Info("VM heard", "peer", update.GetVm(), "address", update.GetAddress())
+		exchange.logger.Debug("VM heard", "peer", update.GetVm(), "address", update.GetAddress())
 	}
 	exchange.reply(update, address, returned, sink)
 	if update.GetRelay() {
@@ -111,6 +111,7 @@
 	known.doubted = false
 	if up := update.GetUpMs(); up > 0 {
 		known.started = known.heard.Add(-time.Duration(up) * time.Millisecond)
+		known.blind = update.GetBlind()
 	}
 	exchange.knownElsewhere = max(exchange.knownElsewhere, int(update.GetKnown()))
 	return known.address, returned, true
@@ -124,7 +125,7 @@
 	exchange.mu.Unlock()
 	switch {
 	case update.GetPing(), coordinated && update.GetHello():
-		exchange.pong(address)
+		exchange.pong(address, sink.Blind())
 	case !coordinated && (returned || update.GetHello()):
 		exchange.send(targets{direct: []net.Addr{address}}, sink.Own(), false)
 	}
--- a/internal/exchange/role.go
+++ b/internal/exchange/role.go
@@ -1,6 +1,9 @@
 package exchange
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/mastwinch/mastwinch/internal/feed"
 	"github.com/mastwinch/mastwinch/internal/rendezvous"
 )
@@ -17,20 +20,18 @@
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
 	if !exchange.listed {
+		return feed.Role{Unsettled: true}
+	}
+	neighbours := exchange.neighbourhood()
+	if 1+len(neighbours) < least {
 		return feed.Role{}
 	}
 	most := exchange.self.Capacity
-	count := 1
+	unheard := false
 	addresses := map[string]string{exchange.self.VM: ""}
-	for _, peer := range exchange.peers {
-		if peer.DataCentre != exchange.self.DataCentre {
-			continue
-		}
-		live := exchange.live(peer)
-		if live || exchange.coordinated() {
-			count++ // where some VMs decide for all, most others are not heard
-		}
-		if !live || avoid(peer.Address) || peer.Capacity < most {
+	for _, peer := range neighbours {
+		unheard = unheard || (peer.heard.IsZero() && peer.Capacity >= exchange.self.Capacity)
+		if !exchange.live(peer) || peer.blind || peer.Capacity < most || avoid(peer.Address) {
 			continue
 		}
 		if peer.Capacity > most {
@@ -39,13 +40,19 @@
 		}
 		addresses[peer.VM] = peer.Address
 	}
-	if count < least {
-		return feed.Role{}
-	}
-	names := make([]string, 0, len(addresses))
-	for name := range addresses {
-		names = append(names, name)
-	}
+	names := slices.Collect(maps.Keys(addresses))
 	address := addresses[rendezvous.Order(readerOrder, names)[0]]
-	return feed.Role{Ask: address, Serves: address == ""}
+	return feed.Role{Ask: address, Serves: address == "", Unsettled: address == "" && unheard}
+}
+
+// neighbourhood returns the other VMs of this data centre: the live ones or, where some
+// VMs decide for all and most others are not heard, all that are known.
+func (exchange *Exchange) neighbourhood() []*peer {
+	var neighbours []*peer
+	for _, peer := range exchange.peers {
+		if peer.DataCentre == exchange.self.DataCentre && (exchange.coordinated() || exchange.live(peer)) {
+			neighbours = append(neighbours, peer)
+		}
+	}
+	return neighbours
 }
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -75,9 +75,10 @@
 }
 
 // pong tells a VM that it is heard, and who decides.
-func (exchange *Exchange) pong(address net.Addr) {
+func (exchange *Exchange) pong(address net.Addr, blind bool) {
 	update := exchange.update()
 	update.UpMs = uint32(exchange.now().Sub(exchange.started).Milliseconds()) //nolint:gosec // weeks at most
+	update.Blind = blind
 	update.Peers, update.Known = exchange.deciders()
 	exchange.sendTo([]net.Addr{address}, update)
 }
--- a/internal/feed/codec.go
+++ b/internal/feed/codec.go
@@ -33,6 +33,9 @@
 	return page
 }
 
+// errNothing says that a VM has nothing to tell, since its source does not answer.
+var errNothing = errors.New("feed: nothing to tell")
+
 // get asks for one page.
 func (log *Log) get(request *http.Request) (follower.Page, error) {
 	response, err := log.client.Do(request)
@@ -44,6 +47,9 @@
 	if err != nil {
 		return follower.Page{}, errors.Wrap(err, "feed")
 	}
+	if response.StatusCode == http.StatusServiceUnavailable {
+		return follower.Page{}, errNothing
+	}
 	if response.StatusCode != http.StatusOK {
 		return follower.Page{}, errors.Newf("feed: status %d", response.StatusCode)
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/mastwinch/mastwinch/internal/follower"
+	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
 // Path of a page, and names in its query.
@@ -40,8 +41,18 @@
 	// ReaderWait bounds how long a question waits at the store when others
 	// depend on the answer.
 	ReaderWait time.Duration `yaml:"reader_wait" validate:"min=0,max=30s"`
-	// Avoid is how long a VM is not asked that did not answer.
-	Avoid time.Duration `yaml:"avoid" validate:"min=10ms"`
+	// Avoid is how long a VM is not asked that did not answer, and AvoidLost how long
+	// one that said that it has nothing to tell: it tries to get it all the time.
+	Avoid     time.Duration `yaml:"avoid" validate:"min=10ms"`
+	AvoidLost time.Duration `yaml:"avoid_lost" validate:"min=10ms"`
+	// Tries is how many other VMs are asked before the store, while the first of them
+	// answers within Patience that it does not know: 60 VMs behind one reader that the
+	// store turned away made 200 calls a second.
+	Tries int `yaml:"tries" validate:"min=1"`
+	// Meet is how long after its start a VM waits at most until it knows whom to ask.
+	// Each VM that reads the store meanwhile makes five calls more, and 295 that enter
+	// the register in turn, 4 ms each, take 1.2 s.
+	Meet time.Duration `yaml:"meet" validate:"min=0,max=10s"`
 	// Wait is how long a question to another VM waits.
 	Wait time.Duration `yaml:"wait" validate:"min=0,max=30s"`
 	// Patience is how long an answer may take beyond Wait.
@@ -56,6 +67,9 @@
 		Margin:     400 * time.Millisecond,
 		ReaderWait: 600 * time.Millisecond,
 		Avoid:      3 * time.Second,
+		AvoidLost:  time.Second,
+		Tries:      2,
+		Meet:       2 * time.Second,
 		Wait:       900 * time.Millisecond,
 		Patience:   300 * time.Millisecond,
 	}
@@ -97,6 +111,8 @@
 	Ask string
 	// Serves says that others depend on what this VM reads.
 	Serves bool
+	// Unsettled says that this VM does not know yet who else is there.
+	Unsettled bool
 }
 
 // Members says which part this VM has.
@@ -124,6 +140,8 @@
 	avoided map[string]time.Time
 	// asked is who was asked last, empty for the store.
 	asked string
+	// begun is when this VM started.
+	begun time.Time
 }
 
 var _ follower.Log = (*Log)(nil)
@@ -136,35 +154,77 @@
 ) *Log {
 	return &Log{
 		name: name, direct: direct, members: members, bound: bound, client: &http.Client{Transport: transport},
-		settings: settings, logger: logger, now: now, avoided: make(map[string]time.Time),
+		settings: settings, logger: logger, now: now,
+		avoided: make(map[string]time.Time), begun: now(),
 	}
 }
 
+// meetTick is the time between looks whether this VM knows the others.
+const meetTick = 10 * time.Millisecond
+
 // Read implements follower.Log.
 func (log *Log) Read(ctx context.Context, offset int64, wait time.Duration) (follower.Page, error) {
-	role := Role{}
-	if log.maxAge() > log.settings.ReaderWait {
-		role = log.members.Role(log.settings.MinMembers, log.avoids)
-	}
-	log.noteAsked(role.Ask)
+	log.meet(ctx)
 	asked := log.now()
-	if role.Ask != "" {
-		page, err := log.readThrough(ctx, role.Ask, offset)
-		if err == nil {
-			return page, nil
-		}
-		log.avoid(role.Ask, err)
+	page, role, err := log.readElsewhere(ctx, offset)
+	if err == nil {
+		return page, nil
+	}
+	if !errors.Is(err, errNobody) {
 		wait = 0 // much time is over since the last proof
 	}
 	if role.Serves {
 		wait = min(wait, log.settings.ReaderWait)
 	}
 	late := log.now().Sub(asked)
-	page, err := log.direct.Read(ctx, offset, wait)
+	page, err = log.direct.Read(ctx, offset, wait)
 	page.Age -= late // the store was asked that much later
 	return page, err //nolint:wrapcheck // the log says what failed
 }
 
+// meet waits until this VM knows whom to ask, at its start.
+func (log *Log) meet(ctx context.Context) {
+	for log.role().Unsettled && log.now().Sub(log.begun) < log.settings.Meet {
+		if !wait.For(ctx, meetTick) {
+			return
+		}
+	}
+}
+
+// errNobody says that no other VM reads for this one.
+var errNobody = errors.New("feed: nobody to ask")
+
+// readElsewhere asks other VMs, and returns the part of this one as it is then.
+func (log *Log) readElsewhere(ctx context.Context, offset int64) (follower.Page, Role, error) {
+	asked := log.now()
+	failed := errNobody
+	for range log.settings.Tries {
+		role := log.role()
+		log.noteAsked(role.Ask)
+		if role.Ask == "" {
+			return follower.Page{}, role, failed
+		}
+		page, err := log.readThrough(ctx, role.Ask, offset)
+		if err == nil {
+			return page, role, nil
+		}
+		log.avoid(role.Ask, err)
+		failed = err
+		if log.now().Sub(asked) > log.settings.Patience {
+			break // the bound leaves no time for another one
+		}
+	}
+	return follower.Page{}, log.role(), failed
+}
+
+// role is the part of this VM.
+func (log *Log) role() Role {
+	if log.maxAge() <= log.settings.ReaderWait {
+		return Role{}
+	}
+	return log.members.Role(log.settings.MinMembers, log.avoids)
+}
+
 // maxAge is how old another VM's content may be, so that a change that it does
 // not have yet is known within the bound by the next question.
 func (log *Log) maxAge() time.Duration {
@@ -203,7 +263,11 @@
 	log.logger.Info("feed of another VM not taken", "log", log.name, "address", address, "error", err)
 	log.mu.Lock()
 	defer log.mu.Unlock()
-	log.avoided[address] = log.now().Add(log.settings.Avoid)
+	time := log.settings.Avoid
+	if errors.Is(err, errNothing) {
+		time = log.settings.AvoidLost
+	}
+	log.avoided[address] = log.now().Add(time)
 }
 
 // noteAsked logs when another VM is asked than before.
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -32,6 +32,10 @@
 
 var _ follower.Log = (*store)(nil)
 
+func newStore() *store {
+	return &store{}
+}
+
 func (store *store) Read(_ context.Context, _ int64, wait time.Duration) (follower.Page, error) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
@@ -117,7 +121,7 @@
 					DialContext:       func(ctx context.Context, _, address string) (net.Conn, error) { return network.Dial(ctx, address) },
 					DisableKeepAlives: true,
 				}
-				store := &store{}
+				store := newStore()
 				log := feed.New("log", store, members{role: test.role}, func() time.Duration { return test.bound },
 					transport, feed.DefaultSettings(), slog.New(slog.DiscardHandler), time.Now)
 				for range 2 { // the second time a VM that failed is not asked
--- /dev/null
+++ b/internal/feed/others_test.go
@@ -0,0 +1,139 @@
+package feed_test
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/feed"
+	"github.com/mastwinch/mastwinch/internal/follower"
+	"github.com/mastwinch/mastwinch/internal/memnet"
+)
+
+const secondAddress = "10.0.0.2:7340"
+
+// several gives the first VM that is not avoided, once it knows them.
+type several struct {
+	addresses []string
+	known     time.Time
+}
+
+func (several several) Role(_ int, avoid func(string) bool) feed.Role {
+	if time.Now().Before(several.known) {
+		return feed.Role{Unsettled: true}
+	}
+	for _, address := range several.addresses {
+		if !avoid(address) {
+			return feed.Role{Ask: address}
+		}
+	}
+	return feed.Role{Serves: true}
+}
+
+// readers serves the tails of two VMs, and returns them with a log that reads there.
+func readers(t *testing.T, members feed.Members) (first, second *follower.Tail, store *store, log *feed.Log) {
+	t.Helper()
+	network := memnet.New()
+	first, second = follower.NewTail(time.Now), follower.NewTail(time.Now)
+	for address, tail := range map[string]*follower.Tail{readerAddress: first, secondAddress: second} {
+		listener, err := network.Listen(t.Context(), address)
+		assert.NilError(t, err)
+		server := &http.Server{Handler: feed.Handler(map[string]*follower.Tail{"log": tail}, slog.New(slog.DiscardHandler))}
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(func() { _ = server.Close() })
+	}
+	transport := &http.Transport{
+		DialContext:       func(ctx context.Context, _, address string) (net.Conn, error) { return network.Dial(ctx, address) },
+		DisableKeepAlives: true,
+	}
+	store = newStore()
+	log = feed.New("log", store, members, func() time.Duration { return 4 * time.Second },
+		transport, feed.DefaultSettings(), slog.New(slog.DiscardHandler), time.Now)
+	return first, second, store, log
+}
+
+func content(key string) follower.Page {
+	return follower.Page{Next: 1, Whole: true, Records: []follower.Record{{Key: key, Value: []byte("1")}}}
+}
+
+// TestReaderThatTheStoreTurnedAway has a first reader that says so: the next one is
+// asked. Sixty VMs behind one reader each asked the store, 200 times a second.
+func TestReaderThatTheStoreTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second, store, log := readers(t, several{addresses: []string{readerAddress, secondAddress}})
+		first.Add(content("first"), time.Now())
+		second.Add(content("second"), time.Now())
+		read := func(want string) {
+			t.Helper()
+			started := time.Now()
+			page, err := log.Read(t.Context(), follower.Everything, time.Second)
+			assert.NilError(t, err)
+			assert.Equal(t, page.Records[0].Key, want)
+			assert.Assert(t, time.Since(started) < 10*time.Millisecond)
+		}
+		read("first")
+		first.Lose()
+		read("second")
+		read("second")
+		first.Add(content("first"), time.Now())
+		time.Sleep(1100 * time.Millisecond)
+		read("first")
+		first.Lose()
+		second.Lose()
+		assert.Equal(t, store.calls, 0)
+		read("direct")
+	})
+}
+
+// TestQuestionEndsWhenTheReaderIsTurnedAway has a question that waits there.
+func TestQuestionEndsWhenTheReaderIsTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second, _, log := readers(t, several{addresses: []string{readerAddress, secondAddress}})
+		first.Add(content("first"), time.Now())
+		second.Add(content("second"), time.Now())
+		time.AfterFunc(100*time.Millisecond, first.Lose)
+		started := time.Now()
+		_, err := log.Read(t.Context(), 1, time.Second)
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(started) >= 100*time.Millisecond)
+		page, err := log.Read(t.Context(), follower.Everything, time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, page.Records[0].Key, "second")
+	})
+}
+
+// TestStartReadsThroughOthers has a VM that knows the others some milliseconds after its
+// start, and a reader that has read nothing yet: it made four calls to the store by itself.
+func TestStartReadsThroughOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		known := time.Now().Add(20 * time.Millisecond)
+		first, _, store, log := readers(t, several{addresses: []string{readerAddress}, known: known})
+		time.AfterFunc(30*time.Millisecond, func() { first.Add(content("first"), time.Now()) })
+		page, err := log.Read(t.Context(), follower.Everything, time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, page.Records[0].Key, "first")
+		assert.Equal(t, store.calls, 0)
+	})
+}
+
+// TestStartAloneReadsTheStore has a VM that never learns of others.
+func TestStartAloneReadsTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, _, store, log := readers(t, several{known: time.Now().Add(time.Hour)})
+		started := time.Now()
+		_, err := log.Read(t.Context(), follower.Everything, time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, store.calls, 1)
+		assert.Assert(t, time.Since(started) <= 2010*time.Millisecond)
+		started = time.Now()
+		_, err = log.Read(t.Context(), follower.Everything, 0)
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(started) < time.Millisecond, "it waits once")
+	})
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -137,6 +137,7 @@
 			lost = true
 			follower.logger.Warn("source lost", "source", follower.source.Name, "offset", offset, "error", err)
 			follower.listener.Lost()
+			follower.tail.Lose()
 		}
 		wait.For(ctx, pause)
 		pause = min(2*pause, follower.settings.RetryMax)
--- a/internal/follower/tail.go
+++ b/internal/follower/tail.go
@@ -26,6 +26,8 @@
 	// proven is when the question was asked that last proved this current. It is
 	// zero before the first.
 	proven time.Time
+	// lost says that the last question for more was not answered.
+	lost bool
 	// renewed is closed, and replaced, when there is news or a newer proof.
 	renewed chan struct{}
 }
@@ -56,6 +58,7 @@
 		tail.changes = append(tail.changes, page.Records...)
 		tail.changes = slices.Clone(tail.changes[max(0, len(tail.changes)-maxTail):])
 	}
+	tail.lost = false
 	tail.next = page.Next
 	if proven.After(tail.proven) {
 		tail.proven = proven
@@ -64,14 +67,39 @@
 	tail.renewed = make(chan struct{})
 }
 
-// errUnproven says that a tail has nothing to tell yet.
-var errUnproven = errors.New("nothing was read yet")
+var (
+	// errUnproven says that a tail has nothing to tell yet.
+	errUnproven = errors.New("nothing was read yet")
+	// errLost says that a tail will not be renewed soon.
+	errLost = errors.New("the source does not answer")
+)
+
+// Lose notes that the source does not answer, until a page comes. Who reads here had
+// better read elsewhere, before what is known here is too old for it.
+func (tail *Tail) Lose() {
+	tail.mu.Lock()
+	defer tail.mu.Unlock()
+	if tail.lost {
+		return
+	}
+	tail.lost = true
+	close(tail.renewed)
+	tail.renewed = make(chan struct{})
+}
+
+// Lost reports whether the source does not answer.
+func (tail *Tail) Lost() bool {
+	tail.mu.Lock()
+	defer tail.mu.Unlock()
+	return tail.lost
+}
 
 // Read implements Log. It answers as soon as there is a change or a newer proof.
 func (tail *Tail) Read(ctx context.Context, offset int64, wait time.Duration) (Page, error) {
 	asked := tail.now()
 	page, renewed, err := tail.page(offset, asked)
-	if err != nil || len(page.Records) > 0 || wait <= 0 {
+	unread := errors.Is(err, errUnproven) // the first page is on its way
+	if (err != nil && !unread) || len(page.Records) > 0 || wait <= 0 {
 		return page, err
 	}
 	timeout := time.NewTimer(wait)
@@ -91,7 +119,10 @@
 	tail.mu.Lock()
 	defer tail.mu.Unlock()
 	if tail.proven.IsZero() {
-		return Page{}, nil, errUnproven
+		return Page{}, tail.renewed, errUnproven
+	}
+	if tail.lost {
+		return Page{}, nil, errLost
 	}
 	page := Page{Next: tail.next, Age: asked.Sub(tail.proven)}
 	missing := tail.next - offset
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,6 +111,7 @@
 	}
 	self := exchange.Member{
 		VM: site.VM, Address: site.PeerAddress, DataCentre: site.DataCentre, Capacity: site.Capacity,
+		First: site.First,
 	}
 	exchange := exchange.New(settings.Exchange, self, packets, sources.Register, logger, now)
 	life, end := context.WithCancelCause(context.Background())
@@ -162,10 +163,22 @@
 type told struct {
 	*pool.Pool
 	*coordinator.Coordinator
+
+	tails map[string]*follower.Tail
 }
 
 var _ exchange.Sink = told{}
 
+// Blind implements exchange.Sink.
+func (told told) Blind() bool {
+	for _, tail := range told.tails {
+		if tail.Lost() {
+			return true
+		}
+	}
+	return false
+}
+
 // service finds a service in the configuration in force.
 func (gateway *Gateway) service(name string) (*catalog.Service, bool) {
 	current := gateway.belief.current.Load()
@@ -193,7 +206,7 @@
 	group.Go(func() error { return gateway.listenAndServe(working, ready, gateway.site.ReadyAddress) })
 	group.Go(func() error { return gateway.listenAndServe(working, peers, gateway.site.PeerAddress) })
 	group.Go(func() error {
-		return gateway.exchange.Run(working, told{Pool: gateway.pool, Coordinator: gateway.coordinator})
+		return gateway.exchange.Run(working, told{Pool: gateway.pool, Coordinator: gateway.coordinator, tails: gateway.tails})
 	})
 	group.Go(func() error { gateway.coordinator.Run(working); return nil })
 	group.Go(func() error { gateway.configuration.Run(working); return nil })
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -200,6 +200,12 @@
 	world.stop()
 }
 
+// restart stops the VM and starts it again.
+func (world *world) restart() {
+	world.finish()
+	world.start()
+}
+
 // finish stops the VM and waits for its end.
 func (world *world) finish() {
 	world.stop()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -186,7 +186,7 @@
 	known := pool.servers[entry.ID]
 	if known == nil {
 		pool.servers[entry.ID] = &server{entry: entry}
-		pool.logger.Info("server listed", "server", entry.ID, "service", entry.Service,
+		pool.logger.Debug("server listed", "server", entry.ID, "service", entry.Service,
 			"address", entry.Address, "leaving", entry.Leaving)
 		return
 	}
