feed: a store that is away is asked by two VMs of a data centre

Change: a VM that two others would read for, and that the store did not answer itself, asks it each 3 s and waits for the answers of these two meanwhile. They answer as soon as they read something (Tail.Await).

Ruled out: asking less often without waiting for somebody. What is refused in each second after the store is back is worth more than its calls.

--- a/internal/exchange/coordinators.go
+++ b/internal/exchange/coordinators.go
@@ -214,14 +214,16 @@
 // live ones before them that cannot, and some that are away.
 func (exchange *Exchange) readers() []string {
 	var readers []string
-	live, away := 0, 0
+	live, away, blind := 0, 0, 0
 	for _, vm := range exchange.ordered() {
 		switch {
 		case exchange.dataCentre(vm) != exchange.self.DataCentre:
-		case live == exchange.settings.Readers:
-			return readers
+		case live == exchange.settings.Readers, blind == 2*exchange.settings.Readers:
+			return readers // where all are turned away the store is away for all
 		case exchange.isLive(vm):
-			if vm == exchange.self.VM || !exchange.peers[vm].blind {
+			if vm != exchange.self.VM && exchange.peers[vm].blind {
+				blind++
+			} else {
 				live++
 			}
 			readers = append(readers, vm)
--- a/internal/exchange/role.go
+++ b/internal/exchange/role.go
@@ -1,7 +1,7 @@
 package exchange
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 
 	"github.com/mastwinch/mastwinch/internal/feed"
@@ -26,23 +26,42 @@
 	if 1+len(neighbours) < least {
 		return feed.Role{}
 	}
-	most := exchange.self.Capacity
+	best := exchange.self.VM
 	unheard := false
-	addresses := map[string]string{exchange.self.VM: ""}
+	var blind []string
 	for _, peer := range neighbours {
 		unheard = unheard || (peer.heard.IsZero() && peer.Capacity >= exchange.self.Capacity)
-		if !exchange.live(peer) || peer.blind || peer.Capacity < most || avoid(peer.Address) {
-			continue
+		switch {
+		case !exchange.live(peer):
+		case peer.blind && exchange.readsBefore(peer.VM, exchange.self.VM):
+			blind = append(blind, peer.VM)
+		case !peer.blind && !avoid(peer.Address) && exchange.readsBefore(peer.VM, best):
+			best = peer.VM
 		}
-		if peer.Capacity > most {
-			most = peer.Capacity
-			clear(addresses)
-		}
-		addresses[peer.VM] = peer.Address
 	}
-	names := slices.Collect(maps.Keys(addresses))
-	address := addresses[rendezvous.Order(readerOrder, names)[0]]
-	return feed.Role{Ask: address, Serves: address == "", Unsettled: address == "" && unheard}
+	if best != exchange.self.VM {
+		return feed.Role{Ask: exchange.peers[best].Address}
+	}
+	role := feed.Role{Serves: true, Unsettled: unheard}
+	slices.SortFunc(blind, func(a, b string) int { return exchange.compareReaders(a, b) })
+	for _, vm := range blind {
+		role.Before = append(role.Before, exchange.peers[vm].Address)
+	}
+	return role
+}
+
+// readsBefore reports whether a VM reads the store for others rather than another one.
+func (exchange *Exchange) readsBefore(vm, other string) bool {
+	return exchange.compareReaders(vm, other) < 0
+}
+
+// compareReaders orders VMs by who reads the store: the greatest capacity first, then by
+// rendezvous.
+func (exchange *Exchange) compareReaders(a, b string) int {
+	return cmp.Or(
+		cmp.Compare(exchange.capacity(b), exchange.capacity(a)),
+		rendezvous.Compare(readerOrder, a, b),
+	)
 }
 
 // neighbourhood returns the other VMs of this data centre: the live ones or, where some
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -25,6 +26,8 @@
 	queryLog    = "log"
 	queryOffset = "offset"
 	queryWait   = "wait_ms"
+	// queryAwait says that the asker has nobody better to ask.
+	queryAwait = "await"
 )
 
 // maxWait bounds what others may ask a VM to wait.
@@ -49,6 +52,10 @@
 	// answers within Patience that it does not know: 60 VMs behind one reader that the
 	// store turned away made 200 calls a second.
 	Tries int `yaml:"tries" validate:"min=1"`
+	// Probe is the time between questions to a store that answered neither this VM nor
+	// those that read it before this one. Meanwhile it waits for their answers, so that
+	// 295 VMs do not ask a store that is away 700 times a second.
+	Probe time.Duration `yaml:"probe" validate:"min=10ms"`
 	// Meet is how long after its start a VM waits at most until it knows whom to ask.
 	// Each VM that reads the store meanwhile makes five calls more, and 295 that enter
 	// the register in turn, 4 ms each, take 1.2 s.
@@ -69,6 +76,7 @@
 		Avoid:      3 * time.Second,
 		AvoidLost:  time.Second,
 		Tries:      2,
+		Probe:      3 * time.Second,
 		Meet:       2 * time.Second,
 		Wait:       900 * time.Millisecond,
 		Patience:   300 * time.Millisecond,
@@ -88,7 +96,11 @@
 			return
 		}
 		wait := min(maxWait, time.Duration(milliseconds)*time.Millisecond)
-		page, err := tail.Read(request.Context(), offset, wait)
+		read := tail.Read
+		if query.Has(queryAwait) {
+			read = tail.Await
+		}
+		page, err := read(request.Context(), offset, wait)
 		if err != nil {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -111,6 +123,9 @@
 	Ask string
 	// Serves says that others depend on what this VM reads.
 	Serves bool
+	// Before has the addresses of VMs that would read for this one, and that the store
+	// does not answer.
+	Before []string
 	// Unsettled says that this VM does not know yet who else is there.
 	Unsettled bool
 }
@@ -142,6 +157,8 @@
 	asked string
 	// begun is when this VM started.
 	begun time.Time
+	// failed is when this VM asked the store last, if that did not answer, or zero.
+	failed time.Time
 }
 
 var _ follower.Log = (*Log)(nil)
@@ -176,12 +193,40 @@
 	if role.Serves {
 		wait = min(wait, log.settings.ReaderWait)
 	}
+	if address := log.awaited(role); address != "" {
+		return log.readThrough(ctx, address, offset, "&"+queryAwait)
+	}
 	late := log.now().Sub(asked)
 	page, err = log.direct.Read(ctx, offset, wait)
+	log.noteDirect(err)
 	page.Age -= late // the store was asked that much later
 	return page, err //nolint:wrapcheck // the log says what failed
 }
 
+// fewReaders is how many VMs of a data centre ask a store that is away all the time.
+const fewReaders = 2
+
+// awaited returns where this VM waits for the store to come back, or nothing when it asks
+// the store itself.
+func (log *Log) awaited(role Role) string {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	if len(role.Before) < fewReaders || log.failed.IsZero() || log.now().Sub(log.failed) >= log.settings.Probe {
+		return ""
+	}
+	return role.Before[rand.IntN(fewReaders)] //nolint:gosec // no secret
+}
+
+// noteDirect notes whether the store answered.
+func (log *Log) noteDirect(err error) {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	log.failed = time.Time{}
+	if err != nil {
+		log.failed = log.now()
+	}
+}
+
 // meet waits until this VM knows whom to ask, at its start.
 func (log *Log) meet(ctx context.Context) {
 	for log.role().Unsettled && log.now().Sub(log.begun) < log.settings.Meet {
@@ -204,7 +249,7 @@
 		if role.Ask == "" {
 			return follower.Page{}, role, failed
 		}
-		page, err := log.readThrough(ctx, role.Ask, offset)
+		page, err := log.readThrough(ctx, role.Ask, offset, "")
 		if err == nil {
 			return page, role, nil
 		}
@@ -231,13 +276,13 @@
 	return log.bound() - log.settings.Margin - log.settings.Wait - log.settings.Patience
 }
 
-// readThrough asks another VM.
-func (log *Log) readThrough(ctx context.Context, address string, offset int64) (follower.Page, error) {
+// readThrough asks another VM, how being added to the query.
+func (log *Log) readThrough(ctx context.Context, address string, offset int64, how string) (follower.Page, error) {
 	bounded, cancel := context.WithTimeout(ctx, log.settings.Wait+log.settings.Patience)
 	defer cancel()
 	target := "http://" + address + path + "?" + queryLog + "=" + log.name +
 		"&" + queryOffset + "=" + strconv.FormatInt(offset, 10) +
-		"&" + queryWait + "=" + strconv.FormatInt(log.settings.Wait.Milliseconds(), 10)
+		"&" + queryWait + "=" + strconv.FormatInt(log.settings.Wait.Milliseconds(), 10) + how
 	request, err := http.NewRequestWithContext(bounded, http.MethodGet, target, nil)
 	if err != nil {
 		return follower.Page{}, errors.Wrap(err, "feed")
--- a/internal/feed/others_test.go
+++ b/internal/feed/others_test.go
@@ -137,3 +137,39 @@
 		assert.Assert(t, time.Since(started) < time.Millisecond, "it waits once")
 	})
 }
+
+// turnedAway is a VM whose readers have all been turned away by the store.
+type turnedAway struct{}
+
+func (turnedAway) Role(int, func(string) bool) feed.Role {
+	return feed.Role{Serves: true, Before: []string{readerAddress, secondAddress}}
+}
+
+// TestStoreThatIsAwayIsAskedByFew has the store away for eight seconds: a VM that has two
+// readers before it asks each three seconds, and learns through them at once when it is
+// back. With 295 VMs that each asked it cost 7,000 calls and 0.07 of worth.
+func TestStoreThatIsAwayIsAskedByFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second, store, log := readers(t, turnedAway{})
+		first.Add(content("first"), time.Now())
+		first.Lose()
+		second.Add(content("second"), time.Now())
+		second.Lose()
+		store.away = true
+		back := time.Now().Add(8 * time.Second)
+		time.AfterFunc(8*time.Second, func() {
+			first.Add(content("first"), time.Now())
+			second.Add(content("second"), time.Now())
+		})
+		for time.Now().Before(back) {
+			_, err := log.Read(t.Context(), follower.Everything, time.Second)
+			if err == nil {
+				break
+			}
+			assert.Assert(t, time.Now().Before(back.Add(time.Second)))
+		}
+		assert.Assert(t, !time.Now().Before(back), "it was served by nobody before")
+		assert.Assert(t, time.Since(back) < 20*time.Millisecond, "%s", time.Since(back))
+		assert.Assert(t, store.calls <= 3, "%d calls", store.calls)
+	})
+}
--- a/internal/follower/tail.go
+++ b/internal/follower/tail.go
@@ -96,10 +96,20 @@
 
 // Read implements Log. It answers as soon as there is a change or a newer proof.
 func (tail *Tail) Read(ctx context.Context, offset int64, wait time.Duration) (Page, error) {
+	return tail.read(ctx, offset, wait, errUnproven) // the first page is on its way
+}
+
+// Await is Read for those who have nobody better to ask: it waits for the source to
+// answer again.
+func (tail *Tail) Await(ctx context.Context, offset int64, wait time.Duration) (Page, error) {
+	return tail.read(ctx, offset, wait, errUnproven, errLost)
+}
+
+// read waits for news, or for the end of one of the errors.
+func (tail *Tail) read(ctx context.Context, offset int64, wait time.Duration, passing ...error) (Page, error) {
 	asked := tail.now()
 	page, renewed, err := tail.page(offset, asked)
-	unread := errors.Is(err, errUnproven) // the first page is on its way
-	if (err != nil && !unread) || len(page.Records) > 0 || wait <= 0 {
+	if (err != nil && !errors.IsAny(err, passing...)) || len(page.Records) > 0 || wait <= 0 {
 		return page, err
 	}
 	timeout := time.NewTimer(wait)
@@ -122,7 +132,7 @@
 		return Page{}, tail.renewed, errUnproven
 	}
 	if tail.lost {
-		return Page{}, nil, errLost
+		return Page{}, tail.renewed, errLost
 	}
 	page := Page{Next: tail.next, Age: asked.Sub(tail.proven)}
 	missing := tail.next - offset
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -29,9 +29,12 @@
 
 // Order returns nodes in the order of their rank for key.
 func Order(key string, nodes []string) []string {
-	return slices.SortedFunc(slices.Values(nodes), func(a, b string) int {
-		return cmp.Or(cmp.Compare(weight(key, b), weight(key, a)), cmp.Compare(a, b))
-	})
+	return slices.SortedFunc(slices.Values(nodes), func(a, b string) int { return Compare(key, a, b) })
+}
+
+// Compare orders two nodes by their rank for key.
+func Compare(key, a, b string) int {
+	return cmp.Or(cmp.Compare(weight(key, b), weight(key, a)), cmp.Compare(a, b))
 }
 
 func before(key, other string, own uint64, node string) bool {
