placement: a pass is reckoned with the context that is written

Parts were chosen up to 30 ms below the pause, but each thousand tokens of context adds 4.3 us to each of 68 steps of a pass, 68 ms when the memory is full.

Change: catalog.Engine knows what each request and its context add to a step, and the policy reckons passes with what a server has.

--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -21,8 +21,13 @@
 	MemoryTokens int
 	// Stride is the steps of a pass with writers.
 	Stride int
-	// Step is what each step takes.
-	Step time.Duration
+	// Step is what each step takes, and PerRequest what it takes more for each request
+	// that is written.
+	Step       time.Duration
+	PerRequest time.Duration
+	// PerThousand is what a step takes more for each thousand tokens of the context of
+	// those that are written.
+	PerThousand time.Duration
 	// ReadPerSecond is the prompt tokens read in a second, pairs not counted.
 	ReadPerSecond float64
 	// PairsPerMillion is the time for a million pairs of a token and one
@@ -41,7 +46,13 @@
 	return time.Duration(linear + pairs)
 }
 
-// PassTime is how long a pass with writers takes when nothing is read.
-func (engine *Engine) PassTime() time.Duration {
-	return time.Duration(engine.Stride) * engine.Step
+// thousand scales the price of context.
+const thousand = 1e3
+
+// PassTime is how long a pass with writers takes when nothing is read, beside so many
+// requests with so many tokens of context together.
+func (engine *Engine) PassTime(requests, context int) time.Duration {
+	step := float64(engine.Step) + float64(requests)*float64(engine.PerRequest) +
+		float64(context)/thousand*float64(engine.PerThousand)
+	return time.Duration(float64(engine.Stride) * step)
 }
--- a/internal/placement/lengthaware.go
+++ b/internal/placement/lengthaware.go
@@ -170,7 +170,7 @@
 		chosen = append(chosen, *server.Server)
 		latest = max(latest, server.Backlog)
 	}
-	plan := Plan{Reason: ReasonApart, Part: part, Predicted: latest + part + request.Engine.PassTime()}
+	plan := Plan{Reason: ReasonApart, Part: part, Predicted: latest + part + request.Engine.PassTime(0, 0)}
 	if !alone {
 		slices.SortStableFunc(chosen, func(a, b Server) int { return cmp.Compare(b.MemoryFree, a.MemoryFree) })
 		shares, ok := share(chosen, request)
--- a/internal/placement/tight.go
+++ b/internal/placement/tight.go
@@ -19,7 +19,7 @@
 	}
 	plan := Plan{
 		Server: best, Part: work, Tight: true, Reason: reason,
-		Predicted: best.Backlog + work + request.Engine.PassTime(),
+		Predicted: best.Backlog + work + request.Engine.PassTime(0, 0),
 	}
 	// A slot elsewhere is free sooner than a server that reads for long.
 	held := !fits && plan.Predicted > max(request.Left, lengthaware.settings.TightHold)
@@ -128,7 +128,8 @@
 
 // pass is how long the next pass of a server takes with more to read.
 func (lengthaware LengthAware) pass(server *Server, request Request, part time.Duration) time.Duration {
-	return request.Engine.PassTime() + lengthaware.settings.PassSpare + server.Backlog + part
+	context := max(0, request.Engine.MemoryTokens-server.MemoryFree)
+	return request.Engine.PassTime(server.Running, context) + lengthaware.settings.PassSpare + server.Backlog + part
 }
 
 // fits reports whether a part keeps all pauses at a server in time.
--- a/internal/pool/sending.go
+++ b/internal/pool/sending.go
@@ -115,7 +115,7 @@
 	now := pool.now()
 	use := &Use{pool: pool}
 	if request.Engine != nil {
-		use.pass = request.Engine.PassTime() + pool.settings.PassSpare
+		use.pass = request.Engine.PassTime(0, 0) + pool.settings.PassSpare
 	}
 	for _, report := range reports(id, plan, request) {
 		use.ids = append(use.ids, report.ID)
