--- /dev/null
+++ b/internal/exchange/register.go
@@ -0,0 +1,110 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+
+	"github.com/mastwinch/mastwinch/internal/wait"
+)
+
+// Member is a VM of the system.
+type Member struct {
+	VM string `json:"vm"`
+	// Address is where the VM takes datagrams, and calls of other VMs.
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	// Capacity is that of the VM's link, in Mbit/s.
+	Capacity int `json:"capacity"`
+	// First says that all VMs start for the first time, so that the register is empty.
+	First bool `json:"-"`
+}
+
+// Register is where VMs find each other.
+type Register interface {
+	Enter(ctx context.Context, member Member) error
+	List(ctx context.Context) ([]Member, error)
+}
+
+// enter puts this VM into the register and finds the others there.
+func (exchange *Exchange) enter(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := exchange.enterOnce(ctx)
+		if err == nil {
+			return
+		}
+		exchange.logger.Warn("register not reached", "error", err)
+		wait.For(ctx, exchange.settings.Register)
+	}
+}
+
+// enterOnce lists the VMs, and enters this one if it is not there yet. One that starts
+// again need not: so it knows the others at once, also when all start again and entering
+// would take turns for a second. One that enters lists again, since others may do so at
+// the same time.
+func (exchange *Exchange) enterOnce(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, exchange.settings.Hello)
+	defer cancel()
+	entered := false
+	if !exchange.self.First {
+		members, err := exchange.register.List(bounded)
+		if err != nil {
+			return err
+		}
+		entered = slices.Contains(members, exchange.self)
+		exchange.meetAll(members)
+	}
+	if entered {
+		return nil
+	}
+	if err := exchange.register.Enter(bounded, exchange.self); err != nil {
+		return err
+	}
+	members, err := exchange.register.List(bounded)
+	if err != nil {
+		return err
+	}
+	exchange.meetAll(members)
+	return nil
+}
+
+// meetAll takes in the VMs of the register, and greets them.
+func (exchange *Exchange) meetAll(members []Member) {
+	for _, member := range members {
+		exchange.know(member)
+	}
+	exchange.mu.Lock()
+	exchange.listed = true
+	exchange.mu.Unlock()
+	exchange.logger.Info("register read", "members", len(members))
+	exchange.send(targets{direct: exchange.greeted()}, nil, true)
+}
+
+// know takes a VM into the peers.
+func (exchange *Exchange) know(member Member) {
+	if member.VM == exchange.self.VM {
+		return
+	}
+	parsed, err := netip.ParseAddrPort(member.Address)
+	if err != nil {
+		exchange.logger.Error("address of a VM not understood", "peer", member.VM, "address", member.Address, "error", err)
+		return
+	}
+	exchange.mu.Lock()
+	defer exchange.mu.Unlock()
+	known := exchange.peers[member.VM]
+	if known == nil {
+		known = &peer{}
+		exchange.peers[member.VM] = known
+		exchange.order = nil
+	}
+	if member.DataCentre == "" {
+		member.DataCentre, member.Capacity = known.DataCentre, known.Capacity
+	}
+	if member.Capacity != known.Capacity {
+		exchange.order = nil
+	}
+	known.Member = member
+	known.address = net.UDPAddrFromAddrPort(parsed)
+}
--- /dev/null
+++ b/internal/exchange/settings.go
@@ -0,0 +1,54 @@
+package exchange
+
+import "time"
+
+// Settings tune the exchange.
+type Settings struct {
+	// Gather is how long changes are gathered into one datagram.
+	Gather time.Duration `yaml:"gather" validate:"min=0,max=1s"`
+	// Repeat is the time between telling of all that is under way.
+	Repeat time.Duration `yaml:"repeat" validate:"min=10ms"`
+	// Silence is after how long without a datagram a VM counts as away.
+	Silence time.Duration `yaml:"silence" validate:"min=10ms"`
+	// Hello is the time between datagrams to VMs that are away.
+	Hello time.Duration `yaml:"hello" validate:"min=10ms"`
+	// Register is the time between tries to enter the register.
+	Register time.Duration `yaml:"register" validate:"min=10ms"`
+	// RelayFrom is how many live VMs another data centre must have for one of
+	// them to pass on there what it is told, so that what goes between data
+	// centres does not grow with the VMs. With the two or three of a data centre
+	// today a relay would save nothing and could lose something.
+	RelayFrom int `yaml:"relay_from" validate:"min=2"`
+	// CoordinateFrom is from how many known VMs on some of them decide for all: what
+	// each VM tells goes to these only. Told to all it grows with the square of the VMs.
+	CoordinateFrom int `yaml:"coordinate_from" validate:"min=2"`
+	// Coordinators is how many VMs are told of all that is under way, so that one
+	// decides and the others can go on for it.
+	Coordinators int `yaml:"coordinators" validate:"min=1"`
+	// Warm is for how long a VM must have been told before it decides while another
+	// one can: what is under way is told again once in Repeat.
+	Warm time.Duration `yaml:"warm" validate:"min=0"`
+	// Readers is how many VMs of its own data centre that the store answers a VM keeps
+	// in touch with, so that it knows who reads the store there.
+	Readers int `yaml:"readers" validate:"min=1"`
+	// Greet is the most VMs that are not heard and greeted in each list of those that
+	// a VM keeps in touch with.
+	Greet int `yaml:"greet" validate:"min=0"`
+}
+
+// DefaultSettings returns settings for today's six to eight VMs.
+func DefaultSettings() Settings {
+	return Settings{
+		Gather:         time.Millisecond,
+		Repeat:         500 * time.Millisecond,
+		Silence:        1600 * time.Millisecond,
+		Hello:          2 * time.Second,
+		Register:       500 * time.Millisecond,
+		RelayFrom:      5,
+		CoordinateFrom: 24,
+		Coordinators:   3,
+		Warm:           1200 * time.Millisecond,
+		Readers:        3,
+		Greet:          4,
+	}
+}
--- a/internal/pool/sending.go
+++ b/internal/pool/sending.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"slices"
 	"time"
 
 	"github.com/mastwinch/mastwinch/internal/placement"
@@ -98,16 +97,6 @@
 	return pool.StartAs(pool.ReserveID(), plan, request)
 }
 
-// ReserveID returns a number for a request of this VM. The sendings of the request
-// have the numbers after it.
-func (pool *Pool) ReserveID() uint64 {
-	pool.mu.Lock()
-	defer pool.mu.Unlock()
-	first := pool.nextID
-	pool.nextID += 1 + placement.MaxParts
-	return first
-}
-
 // StartAs is Start for a request with a number that was reserved.
 func (pool *Pool) StartAs(id uint64, plan placement.Plan, request placement.Request) *Use {
 	pool.mu.Lock()
@@ -126,34 +115,6 @@
 	return use
 }
 
-// Assign notes that a request of any VM got the servers of a plan, before that VM
-// tells of it. If it never does, the request is forgotten like any that is not told of.
-func (pool *Pool) Assign(vm string, id uint64, plan placement.Plan, request placement.Request) {
-	pool.mu.Lock()
-	defer pool.mu.Unlock()
-	now := pool.now()
-	for _, report := range reports(id, plan, request) {
-		pool.add(vm, report, now)
-	}
-}
-
-// Withdraw forgets a request that was assigned and is not sent.
-func (pool *Pool) Withdraw(vm string, id uint64) {
-	pool.mu.Lock()
-	defer pool.mu.Unlock()
-	withdrawn := false
-	for _, server := range pool.servers {
-		server.sendings = slices.DeleteFunc(server.sendings, func(sending *sending) bool {
-			ours := sending.vm == vm && sending.ID > id && sending.ID <= id+placement.MaxParts
-			withdrawn = withdrawn || ours
-			return ours
-		})
-	}
-	if withdrawn {
-		pool.wake()
-	}
-}
-
 // reports returns what is told of a request with that number at the servers of a plan.
 func reports(id uint64, plan placement.Plan, request placement.Request) []Report {
 	list := make([]Report, 0, 1+len(plan.Helpers))
@@ -312,76 +273,3 @@
 	}
 	return reports
 }
-
-// Told takes over what another VM told of its requests.
-func (pool *Pool) Told(vm string, reports []Report) {
-	pool.mu.Lock()
-	defer pool.mu.Unlock()
-	now := pool.now()
-	freed := false
-	for _, report := range reports {
-		freed = pool.told(vm, report, now) || freed
-	}
-	if freed {
-		pool.wake()
-	}
-}
-
-// told takes over one report, and tells whether it may have made room.
-func (pool *Pool) told(vm string, report Report, now time.Time) bool {
-	if report.Phase == PhaseWaiting {
-		pool.toldWaiting(vm, report, now)
-		return false
-	}
-	if report.Health != HealthUntold {
-		pool.toldHealth(report)
-		return false
-	}
-	server := pool.servers[report.Server]
-	if server == nil {
-		// A request that waited, or a server that this VM does not know.
-		pool.leaveQueue(func(waiting *waiting) bool { return waiting.vm == vm && waiting.id == report.ID })
-		return report.Phase == PhaseOver
-	}
-	for _, known := range server.sendings {
-		if known.vm != vm || known.ID != report.ID {
-			continue
-		}
-		if report.Phase < known.Phase {
-			return false // told earlier, and late
-		}
-		if report.Pace > 0 && report.Pace != known.Pace {
-			known.Pace = report.Pace
-			server.learnPace(report.Pace, now, pool.settings)
-		}
-		advanced := report.Phase > known.Phase
-		if report.Phase == PhaseOver {
-			pool.end(known)
-			return true
-		}
-		if advanced {
-			server.lastRead = now
-		}
-		known.Phase = report.Phase
-		known.toldAt = now
-		return advanced
-	}
-	if report.Phase != PhaseOver {
-		server.add(&sending{
-			Report: report, vm: vm, sentAt: now.Add(-report.Age), learntAt: now, toldAt: now,
-		})
-	}
-	return false
-}
-
-// forget drops what other VMs have not told of for too long.
-func (pool *Pool) forget(server *server, now time.Time) {
-	oldest := now.Add(-pool.settings.RemoteTime)
-	kept := server.sendings[:0]
-	for _, sending := range server.sendings {
-		if sending.vm == pool.vm || !sending.toldAt.Before(oldest) {
-			kept = append(kept, sending)
-		}
-	}
-	server.sendings = kept
-}
