--- /dev/null
+++ b/internal/exchange/asks_internal_test.go
@@ -0,0 +1,100 @@
+package exchange
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mastwinch/mastwinch/internal/dispatch"
+	"github.com/mastwinch/mastwinch/internal/wire"
+)
+
+// aMinute bounds times, in milliseconds.
+const aMinute = 60_000
+
+func drawMilliseconds(t *rapid.T, least int, label string) time.Duration {
+	return time.Duration(rapid.IntRange(least, aMinute).Draw(t, label)) * time.Millisecond
+}
+
+// TestAsksAndAnswersArriveAsTheyWere sends drawn ones through a datagram.
+func TestAsksAndAnswersArriveAsTheyWere(t *testing.T) {
+	names := rapid.SliceOfN(rapid.StringMatching(`[a-z0-9-]{1,20}`), 0, dispatchServers)
+	rapid.Check(t, func(t *rapid.T) {
+		ask := dispatch.Ask{
+			ID:         rapid.Uint64().Draw(t, "id"),
+			Service:    rapid.StringMatching(`[a-z0-9]{0,12}`).Draw(t, "service"),
+			Tokens:     rapid.IntRange(0, 2_000_000).Draw(t, "tokens"),
+			Memory:     rapid.IntRange(0, 2_000_000).Draw(t, "memory"),
+			Gap:        drawMilliseconds(t, 0, "gap"),
+			Objective:  drawMilliseconds(t, 0, "objective"),
+			Due:        drawMilliseconds(t, -aMinute, "due"),
+			Stays:      drawMilliseconds(t, -aMinute, "stays"),
+			DataCentre: rapid.StringMatching(`[a-z0-9]{0,12}`).Draw(t, "data centre"),
+			Tried:      names.Draw(t, "tried"),
+			Withdrawn:  rapid.Bool().Draw(t, "withdrawn"),
+		}
+		answer := dispatch.Answer{
+			ID:        rapid.Uint64().Draw(t, "answered"),
+			Decision:  dispatch.Decision(rapid.IntRange(0, 2).Draw(t, "decision")),
+			Servers:   names.Draw(t, "servers"),
+			Part:      time.Duration(rapid.IntRange(0, math.MaxInt32).Draw(t, "part")) * time.Microsecond,
+			Shares:    rapid.SliceOfN(rapid.IntRange(0, 2_000_000), 0, dispatchServers).Draw(t, "shares"),
+			Predicted: drawMilliseconds(t, 0, "predicted"),
+			Tight:     rapid.Bool().Draw(t, "tight"),
+			Reason:    rapid.StringMatching(`[a-z ]{0,20}`).Draw(t, "reason"),
+		}
+		data, err := proto.Marshal(&wire.LoadUpdate{
+			Asks: []*wire.Ask{encodeAsk(ask)}, Verdicts: []*wire.Verdict{encodeAnswer(answer)},
+		})
+		assert.NilError(t, err)
+		assert.Assert(t, len(data) < maxDatagram)
+		update := &wire.LoadUpdate{}
+		assert.NilError(t, proto.Unmarshal(data, update))
+		gotAsk, gotAnswer := decodeAsks(update.GetAsks())[0], decodeAnswers(update.GetVerdicts())[0]
+		assert.Equal(t, len(gotAsk.Tried), len(ask.Tried))
+		assert.Equal(t, len(gotAnswer.Servers), len(answer.Servers))
+		assert.Equal(t, len(gotAnswer.Shares), len(answer.Shares))
+		for i := range ask.Tried {
+			assert.Equal(t, gotAsk.Tried[i], ask.Tried[i])
+		}
+		for i := range answer.Servers {
+			assert.Equal(t, gotAnswer.Servers[i], answer.Servers[i])
+		}
+		for i := range answer.Shares {
+			assert.Equal(t, gotAnswer.Shares[i], answer.Shares[i])
+		}
+		gotAsk.Tried, gotAnswer.Servers, gotAnswer.Shares = ask.Tried, answer.Servers, answer.Shares
+		assert.DeepEqual(t, gotAsk, ask)
+		assert.DeepEqual(t, gotAnswer, answer)
+	})
+}
+
+// dispatchServers is the most servers that one request gets.
+const dispatchServers = 17
+
+// FuzzDatagram decodes datagrams of any content: that never panics, and nothing is left
+// out or added.
+func FuzzDatagram(f *testing.F) {
+	whole, err := proto.Marshal(&wire.LoadUpdate{
+		Vm: "vm-1", Address: "10.0.0.1:7340", Asks: []*wire.Ask{{Id: 1, Service: "engines"}},
+		Verdicts: []*wire.Verdict{{Id: 1, Servers: []string{"s1"}}}, Sendings: []*wire.Sending{{Id: 1, Server: "s1"}},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole)
+	f.Add(whole[:len(whole)/2])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		update := &wire.LoadUpdate{}
+		if proto.Unmarshal(data, update) != nil {
+			return
+		}
+		assert.Equal(t, len(decode(update.GetSendings())), len(update.GetSendings()))
+		assert.Equal(t, len(decodeAsks(update.GetAsks())), len(update.GetAsks()))
+		assert.Equal(t, len(decodeAnswers(update.GetVerdicts())), len(update.GetVerdicts()))
+	})
+}
