--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -35,3 +36,35 @@
 		assert.Assert(t, !beside || pass <= gap, "%d servers: a pass of %s", parts, pass)
 	}
 }
+
+// TestSameSeedKeepsToAServer has servers that are alike, of which one after the other is full: a VM
+// that always gives the same seed goes to the same one while it has room, so that kept
+// connections are used again; VMs with other seeds go elsewhere.
+func TestSameSeedKeepsToAServer(t *testing.T) {
+	policy := placement.New(placement.DefaultSettings())
+	chosen := func(servers []placement.Server, seed uint64) string {
+		request := short()
+		request.Seed = seed
+		plan, ok := policy.Place(servers, request)
+		assert.Assert(t, ok)
+		return plan.Server.ID
+	}
+	servers := newServers(12, func(_ int, server *placement.Server) { server.Running, server.Tight = 11, 11 })
+	counts := make(map[string]int)
+	for seed := range uint64(200) {
+		first := chosen(servers, seed)
+		counts[first]++
+		for left := range servers {
+			if servers[left].ID == first {
+				continue
+			}
+			others := slices.Clone(servers)
+			others[left].Running = others[left].Slots
+			assert.Equal(t, chosen(others, seed), first, "while %s is full", servers[left].ID)
+		}
+	}
+	for server, count := range counts {
+		assert.Assert(t, count < 50, "%d of 200 at %s", count, server)
+	}
+	assert.Assert(t, len(counts) >= 10, "%v", counts)
+}
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -25,8 +25,8 @@
 	// NearRunning is how many requests more a server may have to count as equally
 	// busy.
 	NearRunning int `yaml:"near_running" validate:"min=0"`
-	// PassSpare is what a pass takes beside reading and the steps themselves:
-	// the context of what is written.
+	// PassSpare is what a pass takes beside reading, steps and context: what was sent
+	// within one pass is read together.
 	PassSpare time.Duration `yaml:"pass_spare" validate:"min=0"`
 	// MaxParts is the most servers that read one prompt.
 	MaxParts int `yaml:"max_parts" validate:"min=1,max=17"`
--- a/internal/placement/tight.go
+++ b/internal/placement/tight.go
@@ -3,7 +3,10 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // placeTight chooses among the servers that are kept for tight requests, the
@@ -72,9 +75,17 @@
 	return connected
 }
 
-// anyOf returns one of the servers by a seed.
+// anyOf returns one of the servers by a seed: with the same seed mostly the same one,
+// whatever else is among them.
 func anyOf(servers []*Server, seed uint64) *Server {
-	return servers[seed%uint64(len(servers))]
+	return slices.MaxFunc(servers, func(a, b *Server) int {
+		return cmp.Compare(weight(seed, a), weight(seed, b))
+	})
+}
+
+// weight draws a number for a server by a seed.
+func weight(seed uint64, server *Server) uint64 {
+	return xxhash.Sum64String(strconv.FormatUint(seed, 16) + server.ID) //nolint:mnd // hexadecimal
 }
 
 // alike reports whether a server is as good for a tight request as the least busy.
@@ -128,8 +139,9 @@
 
 // pass is how long the next pass of a server takes with more to read.
 func (lengthaware LengthAware) pass(server *Server, request Request, part time.Duration) time.Duration {
-	context := max(0, request.Engine.MemoryTokens-server.MemoryFree)
-	return request.Engine.PassTime(server.Running, context) + lengthaware.settings.PassSpare + server.Backlog + part
+	engine := request.Engine
+	context := max(0, engine.MemoryTokens-server.MemoryFree)
+	return engine.PassTime(server.Running, context) + lengthaware.settings.PassSpare + server.Backlog + part
 }
 
 // fits reports whether a part keeps all pauses at a server in time.
