exchange: VMs that are away are greeted in turns; gateway: only unknown servers are left out

Found while writing a test of a VM whose decider knows other servers: a VM that starts greeted the first four of those that were away, in their order. With more that are gone for good before the live ones it found nobody and decided by itself for ever (TestVMFindsOthersBehindManyThatAreGone fails without this). Now the others take turns, four in each half second, and any one that answers tells who decides. Servers that a VM does not know are left out one by one when it asks again, not with all others of the plan.

--- a/internal/exchange/coordinators.go
+++ b/internal/exchange/coordinators.go
@@ -102,7 +102,7 @@
 			if live < 0 {
 				silent = group
 			}
-			away = append(away, silent[:min(len(silent), exchange.settings.Greet)]...)
+			away = append(away, silent...)
 			groups[at] = nil
 			if live >= 0 {
 				chosen = append(chosen, group[live])
@@ -197,7 +197,9 @@
 	}
 	watched := make(map[string]bool)
 	chosen, away := exchange.survey()
-	for _, vm := range slices.Concat(chosen, away, exchange.readers()) {
+	readers, awayHere := exchange.readers()
+	away = exchange.some(append(away, awayHere...))
+	for _, vm := range slices.Concat(chosen, readers, away) {
 		watched[vm] = true
 	}
 	delete(watched, exchange.self.VM)
@@ -208,29 +210,49 @@
 	return addresses, true
 }
 
-// readers returns the first VMs of this data centre that are live and read the store, the
-// live ones before them that cannot, and some that are away.
-func (exchange *Exchange) readers() []string {
-	var readers []string
-	live, away, blind := 0, 0, 0
+// readers returns the first VMs of this data centre that are live and read the store, with
+// the live ones before them that cannot, and those before them that are away.
+func (exchange *Exchange) readers() (readers, away []string) {
+	live, blind := 0, 0
 	for _, vm := range exchange.ordered() {
 		switch {
 		case exchange.dataCentre(vm) != exchange.self.DataCentre:
 		case live == exchange.settings.Readers, blind == 2*exchange.settings.Readers:
-			return readers // where all are turned away the store is away for all
-		case exchange.isLive(vm):
+			return readers, away // where all are turned away the store is away for all
+		case !exchange.isLive(vm):
+			away = append(away, vm)
+		default:
 			if vm != exchange.self.VM && exchange.peers[vm].blind {
 				blind++
 			} else {
 				live++
 			}
 			readers = append(readers, vm)
-		case away < exchange.settings.Greet:
-			away++
-			readers = append(readers, vm)
 		}
 	}
-	return readers
+	return readers, away
+}
+
+// some returns the first VMs of each data centre that are away, which are back first of all
+// when all start together, and as many of the others, which take turns: VMs that are gone
+// for good stay in the register, and any one that is back tells who decides.
+func (exchange *Exchange) some(away []string) []string {
+	counts := make(map[string]int)
+	var some, others []string
+	for _, vm := range away {
+		dataCentre := exchange.dataCentre(vm)
+		if counts[dataCentre] < exchange.settings.Greet {
+			counts[dataCentre]++
+			some = append(some, vm)
+		} else {
+			others = append(others, vm)
+		}
+	}
+	for range min(exchange.settings.Greet, len(others)) {
+		some = append(some, others[exchange.turn%len(others)])
+		exchange.turn++
+	}
+	return some
 }
 
 // greeted returns the VMs that are told of this one when it starts. One that others may
--- a/internal/exchange/coordinators_test.go
+++ b/internal/exchange/coordinators_test.go
@@ -253,3 +253,27 @@
 		assert.Equal(t, len(vms.agreed(t)), 3)
 	})
 }
+
+// TestVMFindsOthersBehindManyThatAreGone has a register in which 40 VMs with great links
+// are gone for good: a VM that greeted only the first of those that were away found nobody,
+// and decided by itself for ever.
+func TestVMFindsOthersBehindManyThatAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		vms := newVMs(t, 0)
+		defer vms.end()
+		for number := range 40 {
+			gone := exchange.Member{
+				VM: fmt.Sprintf("gone-%d", number), Address: address(100 + number),
+				DataCentre: []string{"north", "south", "west"}[number%3], Capacity: largeLink,
+			}
+			assert.NilError(t, vms.register.Enter(t.Context(), gone))
+		}
+		vms.addFleet(t, 12)
+		time.Sleep(6 * time.Second)
+		chosen := vms.agreed(t)
+		assert.Equal(t, len(chosen), 3)
+		for _, vm := range chosen {
+			assert.Assert(t, numberOf(t, vm) < 6, "%s has a small link", vm)
+		}
+	})
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -73,6 +73,8 @@
 	groups [][]string
 	// chosenSince has since when each of the VMs that decide does.
 	chosenSince map[string]time.Time
+	// turn counts those that were away and greeted.
+	turn int
 	// knownElsewhere is the most VMs that another one said it knew.
 	knownElsewhere int
 	// listed says that the register was read once.
--- a/internal/exchange/settings.go
+++ b/internal/exchange/settings.go
@@ -31,8 +31,9 @@
 	// Readers is how many VMs of its own data centre that the store answers a VM keeps
 	// in touch with, so that it knows who reads the store there.
 	Readers int `yaml:"readers" validate:"min=1"`
-	// Greet is the most VMs that are not heard and greeted in each list of those that
-	// a VM keeps in touch with.
+	// Greet is how many of the VMs that are away, and would decide or read the store if
+	// they were not, are greeted in each Repeat: so many of each data centre, and of the
+	// rest. Each that answers tells who decides.
 	Greet int `yaml:"greet" validate:"min=0"`
 }
 
--- a/internal/gateway/coordinated_test.go
+++ b/internal/gateway/coordinated_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,9 +29,11 @@
 	}
 }
 
-// addMute lets one of them take part, and answer no request for servers.
-func (world *world) addMute(number int) net.PacketConn {
+// addPeer lets one of them take part, which decides as answer says. Without it no request
+// for servers is answered.
+func (world *world) addPeer(number int, answer func(ask *wire.Ask) *wire.Verdict) net.PacketConn {
 	address := fmt.Sprintf("10.0.1.%d:82", number)
+	vm := fmt.Sprintf("vm-%d", number)
 	conn, err := world.network.ListenPacket(world.t.Context(), address)
 	assert.NilError(world.t, err)
 	go func() {
@@ -40,21 +43,34 @@
 			if err != nil {
 				return
 			}
-			update := &wire.LoadUpdate{}
-			asks := proto.Unmarshal(buffer[:count], update) == nil && (update.GetPing() || update.GetHello())
-			if !asks {
+			reply := &wire.LoadUpdate{Vm: vm, Address: address, UpMs: 60_000}
+			if !decide(buffer[:count], reply, answer) {
 				continue
 			}
-			answer, err := proto.Marshal(&wire.LoadUpdate{Vm: fmt.Sprintf("vm-%d", number), Address: address, UpMs: 60_000})
+			data, err := proto.Marshal(reply)
 			if err != nil {
 				return
 			}
-			_, _ = conn.WriteTo(answer, from)
+			_, _ = conn.WriteTo(data, from)
 		}
 	}()
 	return conn
 }
 
+// decide adds verdicts on what a datagram asks to a reply, and reports whether one is due.
+func decide(data []byte, reply *wire.LoadUpdate, answer func(ask *wire.Ask) *wire.Verdict) bool {
+	update := &wire.LoadUpdate{}
+	if proto.Unmarshal(data, update) != nil {
+		return false
+	}
+	for _, ask := range update.GetAsks() {
+		if answer != nil && !ask.GetWithdrawn() {
+			reply.Verdicts = append(reply.Verdicts, answer(ask))
+		}
+	}
+	return len(reply.GetVerdicts()) > 0 || update.GetPing() || update.GetHello()
+}
+
 // TestVMServesAmongMany has one VM of many: it decides for itself when the others are
 // away, and when the one that should decide is there and does not answer.
 func TestVMServesAmongMany(t *testing.T) {
@@ -71,11 +87,11 @@
 			inWorld(t, engines, services, func(world *world) {
 				world.addMembers(30)
 				if test.mute {
-					conn := world.addMute(2)
+					conn := world.addPeer(2, nil)
 					defer func() { _ = conn.Close() }()
 				}
 				world.restart()
-				time.Sleep(3 * time.Second)
+				time.Sleep(4 * time.Second)
 				got := world.ask(stream("chat").with("Token-Counts", "1000,50"))
 				assert.Equal(t, got.status, http.StatusOK)
 				assert.Assert(t, got.whole)
@@ -86,3 +102,33 @@
 		})
 	}
 }
+
+// TestServersThatThisVMDoesNotKnow has a VM that decides for a server which left: only
+// that one is left out when this VM asks again.
+func TestServersThatThisVMDoesNotKnow(t *testing.T) {
+	engines := map[string]backend{"a": streams(3, 0), "b": streams(3, 0)}
+	inWorld(t, engines, nil, func(world *world) {
+		var mu sync.Mutex
+		var tried [][]string
+		world.addMembers(30)
+		conn := world.addPeer(2, func(ask *wire.Ask) *wire.Verdict {
+			mu.Lock()
+			defer mu.Unlock()
+			tried = append(tried, ask.GetTried())
+			verdict := &wire.Verdict{Id: ask.GetId(), Decision: wire.Decision_DECISION_PLACED, Servers: []string{"engines-a"}}
+			if len(ask.GetTried()) == 0 {
+				verdict.Servers = append(verdict.GetServers(), "engines-left")
+			}
+			return verdict
+		})
+		defer func() { _ = conn.Close() }()
+		world.restart()
+		time.Sleep(4 * time.Second)
+		got := world.ask(stream("chat").with("Token-Counts", "1000,50"))
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Assert(t, got.whole)
+		mu.Lock()
+		defer mu.Unlock()
+		assert.DeepEqual(t, tried, [][]string{nil, {"engines-left"}})
+	})
+}
--- a/internal/gateway/elsewhere.go
+++ b/internal/gateway/elsewhere.go
@@ -43,18 +43,19 @@
 		if !placed {
 			return placement.Plan{}, nil, false
 		}
-		servers, known := gateway.pool.Find(run.service.Name, answer.Servers)
-		if known {
+		servers, missing := gateway.pool.Find(run.service.Name, answer.Servers)
+		if len(missing) == 0 {
 			plan := planOf(answer, servers)
 			return plan, gateway.pool.StartAs(id, plan, run.placementRequest()), true
 		}
-		// This VM knows better that one of them leaves, or the other one knows it earlier.
+		// The VM that decided does not know yet that one of them leaves, or this one does
+		// not know it yet: others will do.
 		gateway.coordinator.Withdraw(id)
-		gateway.logger.Info("servers not known", "request_id", run.head.ID, "servers", answer.Servers)
-		if slices.Contains(run.tried, answer.Servers[0]) {
-			return placement.Plan{}, nil, false
+		gateway.logger.Info("servers not known", "request_id", run.head.ID, "servers", missing)
+		if slices.Contains(run.tried, missing[0]) {
+			return placement.Plan{}, nil, false // it has no others
 		}
-		run.tried = append(run.tried, answer.Servers...)
+		run.tried = append(run.tried, missing...)
 	}
 	return placement.Plan{}, nil, false
 }
--- a/internal/pool/assign_test.go
+++ b/internal/pool/assign_test.go
@@ -131,8 +131,9 @@
 				}
 			}
 			assert.Equal(t, found, !test.wantGone)
-			_, usable := world.Find("engines", []string{"a"})
-			assert.Equal(t, usable, !test.wantGone)
+			usable, missing := world.Find("engines", []string{"a", "b"})
+			assert.Equal(t, len(missing) == 1, test.wantGone)
+			assert.Equal(t, len(usable)+len(missing), 2)
 		})
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -222,21 +222,21 @@
 	return open
 }
 
-// Find returns servers of a service by their IDs. It reports false when one of them is
-// not known here, or takes nothing more.
-func (pool *Pool) Find(service string, ids []string) ([]placement.Server, bool) {
+// Find returns servers of a service by their IDs, and the IDs of those that are not known
+// here or take nothing more.
+func (pool *Pool) Find(service string, ids []string) (found []placement.Server, missing []string) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	now := pool.now()
-	found := make([]placement.Server, 0, len(ids))
 	for _, id := range ids {
 		server := pool.servers[id]
 		if server == nil || server.entry.Service != service || !pool.takes(server, now) {
-			return nil, false
+			missing = append(missing, id)
+			continue
 		}
 		found = append(found, server.view(now, pool.settings))
 	}
-	return found, len(found) > 0
+	return found, missing
 }
 
 // takes reports whether a server may get requests.
