--- a/internal/feed/handler.go
+++ b/internal/feed/handler.go
@@ -1,9 +1,11 @@
 package feed
 
 import (
+	"compress/gzip"
 	"log/slog"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -39,7 +41,26 @@
 			writer.WriteHeader(http.StatusInternalServerError)
 			return
 		}
-		_, _ = writer.Write(data) // who is gone needs no answer
+		write(writer, request, data)
 	})
 	return mux
 }
+
+// compressFrom is from how many bytes on a page is compressed. A whole configuration of
+// some 180 KB to 60 VMs that start together takes a link of 200 Mbit/s 0.43 s.
+const compressFrom = 4 << 10
+
+// write writes a page, compressed if it is large and the asker takes that.
+func write(writer http.ResponseWriter, request *http.Request, data []byte) {
+	if len(data) < compressFrom || !strings.Contains(request.Header.Get("Accept-Encoding"), "gzip") {
+		_, _ = writer.Write(data) // who is gone needs no answer
+		return
+	}
+	writer.Header().Set("Content-Encoding", "gzip")
+	compressor, err := gzip.NewWriterLevel(writer, gzip.BestSpeed)
+	if err != nil {
+		return // never with this level
+	}
+	_, _ = compressor.Write(data) // as above
+	_ = compressor.Close()        // as above
+}
