--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -59,6 +59,7 @@
 	}
 }
 
+// compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
