exchange, coordinator, gateway, feed: logic that stood twice, and work done for nothing

Cause: a reading of the whole change. The loop that cuts reports into datagrams stood in send and sendAll; this VM or a peer was told apart in three places; what a datagram says of a VM was put together twice; a request was described anew for the VM that decides though placementRequest does it; answers were grouped by VM only to be sent one by one; the coordinator had a logger that nothing used; and each question to the store worked out the VM's part twice, one of them only for the start.

Change: updates, member and memberOf serve both; newAsk takes what placementRequest says; decided answers are a list; the time since the start is asked before the part. Behaviour and the tests' assertions stay; New of coordinator takes no logger, so its test gives none.

--- a/internal/coordinator/ask.go
+++ b/internal/coordinator/ask.go
@@ -70,7 +70,7 @@
 	for _, answer := range answers {
 		waits := coordinator.open[answer.ID]
 		select {
-		case waits <- reply{Answer: answer, vm: vm}: // nobody reads from nil
+		case waits <- addressed{Answer: answer, vm: vm}: // nobody reads from nil
 		default:
 		}
 	}
@@ -85,10 +85,10 @@
 	return vms[0], true
 }
 
-func (coordinator *Coordinator) begin(id uint64) <-chan reply {
+func (coordinator *Coordinator) begin(id uint64) <-chan addressed {
 	coordinator.asking.Lock()
 	defer coordinator.asking.Unlock()
-	answers := make(chan reply, replies)
+	answers := make(chan addressed, replies)
 	coordinator.open[id] = answers
 	return answers
 }
@@ -118,7 +118,7 @@
 // await waits for an answer of a VM. Late ones of others, which were told that nothing is
 // wanted of them, are left out.
 func (coordinator *Coordinator) await(
-	ctx context.Context, answers <-chan reply, vm string, most time.Duration,
+	ctx context.Context, answers <-chan addressed, vm string, most time.Duration,
 ) (dispatch.Answer, bool) {
 	timer := time.NewTimer(most)
 	defer timer.Stop()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -9,7 +9,6 @@
 package coordinator
 
 import (
-	"log/slog"
 	"sync"
 	"time"
 
@@ -49,9 +48,8 @@
 	services Services
 	network  Network
 	// tight tells for a pause that is in time whether it counts as tight.
-	tight  func(gap time.Duration) bool
-	logger *slog.Logger
-	now    func() time.Time
+	tight func(gap time.Duration) bool
+	now   func() time.Time
 
 	deciding sync.Mutex
 	queue    *dispatch.Queue
@@ -64,7 +62,7 @@
 
 	asking sync.Mutex
 	// open has the asks of this VM that are not over.
-	open map[uint64]chan reply
+	open map[uint64]chan addressed
 	// took is how long answers took lately.
 	took time.Duration
 }
@@ -75,8 +73,8 @@
 	at     time.Time
 }
 
-// reply is an answer and who gave it.
-type reply struct {
+// addressed is an answer and the VM that it comes from or goes to.
+type addressed struct {
 	dispatch.Answer
 
 	vm string
@@ -85,7 +83,7 @@
 // New returns the part of the VM with that name.
 func New(
 	settings Settings, vm string, policy placement.Policy, tight func(gap time.Duration) bool,
-	servers Servers, services Services, network Network, logger *slog.Logger, now func() time.Time,
+	servers Servers, services Services, network Network, now func() time.Time,
 ) *Coordinator {
 	return &Coordinator{
 		settings: settings,
@@ -94,12 +92,11 @@
 		services: services,
 		network:  network,
 		tight:    tight,
-		logger:   logger,
 		now:      now,
 		queue:    dispatch.New(policy),
 		renewed:  make(map[dispatch.Key]time.Time),
 		given:    make(map[dispatch.Key]given),
 		wake:     make(chan struct{}, 1),
-		open:     make(map[uint64]chan reply),
+		open:     make(map[uint64]chan addressed),
 	}
 }
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -134,25 +134,25 @@
 // pass looks at all that waits, tells what was decided, and reports whether something
 // still waits.
 func (coordinator *Coordinator) pass(now time.Time) bool {
-	verdicts, waiting := coordinator.decideWaiting(now)
-	for vm, answers := range verdicts {
-		for _, answer := range answers {
-			coordinator.answer(vm, answer)
-		}
+	answers, waiting := coordinator.decideWaiting(now)
+	for _, answer := range answers {
+		coordinator.answer(answer.vm, answer.Answer)
 	}
 	return waiting
 }
 
-func (coordinator *Coordinator) decideWaiting(now time.Time) (map[string][]dispatch.Answer, bool) {
+// decideWaiting returns the answers to those that got servers, each with the VM that it
+// goes to, and whether others still wait.
+func (coordinator *Coordinator) decideWaiting(now time.Time) ([]addressed, bool) {
 	coordinator.deciding.Lock()
 	defer coordinator.deciding.Unlock()
 	coordinator.lapse(now)
 	if coordinator.queue.Len() == 0 {
 		return nil, false
 	}
-	answers := make(map[string][]dispatch.Answer)
+	var answers []addressed
 	for _, verdict := range coordinator.queue.Pass((*view)(coordinator), now) {
-		answers[verdict.VM] = append(answers[verdict.VM], coordinator.give(verdict, now))
+		answers = append(answers, addressed{Answer: coordinator.give(verdict, now), vm: verdict.VM})
 	}
 	return answers, coordinator.queue.Len() > 0
 }
--- a/internal/coordinator/world_test.go
+++ b/internal/coordinator/world_test.go
@@ -109,7 +109,7 @@
 	settings := placement.DefaultSettings()
 	services := func(name string) (*catalog.Service, bool) { return world.service, name == serviceName }
 	added.coordinator = coordinator.New(coordinator.DefaultSettings(), added.name, placement.New(settings), settings.Tight,
-		added.pool, services, added, slog.New(slog.DiscardHandler), time.Now)
+		added.pool, services, added, time.Now)
 	world.vms = append(world.vms, added)
 }
 
--- a/internal/exchange/coordinators.go
+++ b/internal/exchange/coordinators.go
@@ -119,11 +119,20 @@
 	return slices.Contains(exchange.chosen(), vm)
 }
 
-func (exchange *Exchange) dataCentre(vm string) string {
+// member returns a VM that is known, which may be this one.
+func (exchange *Exchange) member(vm string) Member {
 	if vm == exchange.self.VM {
-		return exchange.self.DataCentre
+		return exchange.self
 	}
-	return exchange.peers[vm].DataCentre
+	return exchange.peers[vm].Member
+}
+
+func (exchange *Exchange) dataCentre(vm string) string {
+	return exchange.member(vm).DataCentre
+}
+
+func (exchange *Exchange) capacity(vm string) int {
+	return exchange.member(vm).Capacity
 }
 
 func (exchange *Exchange) isLive(vm string) bool {
@@ -161,23 +170,13 @@
 	return exchange.order
 }
 
-func (exchange *Exchange) capacity(vm string) int {
-	if vm == exchange.self.VM {
-		return exchange.self.Capacity
-	}
-	return exchange.peers[vm].Capacity
-}
-
 // deciders returns the VMs that decide and how many VMs are known.
 func (exchange *Exchange) deciders() ([]*wire.Peer, uint32) {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
 	var peers []*wire.Peer
 	for _, vm := range exchange.chosen() {
-		member := exchange.self
-		if vm != exchange.self.VM {
-			member = exchange.peers[vm].Member
-		}
+		member := exchange.member(vm)
 		peers = append(peers, &wire.Peer{
 			Vm: member.VM, Address: member.Address, DataCentre: member.DataCentre,
 			Capacity: uint32(member.Capacity), //nolint:gosec // a link's
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -67,19 +67,12 @@
 // meet takes in the VMs that a datagram names, where they are new or moved.
 func (exchange *Exchange) meet(update *wire.LoadUpdate) {
 	if update.GetHello() || !exchange.knows(update) {
-		exchange.know(Member{
-			VM: update.GetVm(), Address: update.GetAddress(),
-			DataCentre: update.GetDataCentre(), Capacity: int(update.GetCapacity()),
-		})
+		exchange.know(memberOf(update))
 	}
 	for _, peer := range update.GetPeers() {
-		if exchange.knows(peer) {
-			continue
+		if !exchange.knows(peer) {
+			exchange.know(memberOf(peer))
 		}
-		exchange.know(Member{
-			VM: peer.GetVm(), Address: peer.GetAddress(),
-			DataCentre: peer.GetDataCentre(), Capacity: int(peer.GetCapacity()),
-		})
 	}
 }
 
@@ -87,6 +80,15 @@
 type located interface {
 	GetVm() string
 	GetAddress() string
+	GetDataCentre() string
+	GetCapacity() uint32
+}
+
+func memberOf(named located) Member {
+	return Member{
+		VM: named.GetVm(), Address: named.GetAddress(),
+		DataCentre: named.GetDataCentre(), Capacity: int(named.GetCapacity()),
+	}
 }
 
 // knows reports whether a VM is known at its address.
--- a/internal/exchange/role.go
+++ b/internal/exchange/role.go
@@ -43,7 +43,7 @@
 		return feed.Role{Ask: exchange.peers[best].Address}
 	}
 	role := feed.Role{Serves: true, Unsettled: unheard}
-	slices.SortFunc(blind, func(a, b string) int { return exchange.compareReaders(a, b) })
+	slices.SortFunc(blind, exchange.compareReaders)
 	for _, vm := range blind {
 		role.Before = append(role.Before, exchange.peers[vm].Address)
 	}
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -15,12 +16,8 @@
 	if targets.empty() {
 		return
 	}
-	for first := true; first || len(reports) > 0; first = false {
-		count := min(maxSendings, len(reports))
-		update := &wire.LoadUpdate{
-			Vm: exchange.self.VM, Address: exchange.self.Address, Hello: hello, Sendings: encode(reports[:count]),
-		}
-		reports = reports[count:]
+	for _, update := range exchange.updates(reports) {
+		update.Hello = hello
 		if hello {
 			update.DataCentre = exchange.self.DataCentre
 			update.Capacity = uint32(exchange.self.Capacity) //nolint:gosec // a link's
@@ -50,16 +47,26 @@
 
 // sendAll tells of all that is under way, and asks whether it is heard.
 func (exchange *Exchange) sendAll(addresses []net.Addr, reports []pool.Report) {
-	for first := true; first || len(reports) > 0; first = false {
-		count := min(maxSendings, len(reports))
-		update := exchange.update()
-		update.Ping = first
-		update.Sendings = encode(reports[:count])
-		reports = reports[count:]
+	for number, update := range exchange.updates(reports) {
+		update.Ping = number == 0
 		exchange.sendTo(addresses, update)
 	}
 }
 
+// updates returns as many datagrams as reports take, and one where there are none.
+func (exchange *Exchange) updates(reports []pool.Report) []*wire.LoadUpdate {
+	var updates []*wire.LoadUpdate
+	for chunk := range slices.Chunk(reports, maxSendings) {
+		update := exchange.update()
+		update.Sendings = encode(chunk)
+		updates = append(updates, update)
+	}
+	if len(updates) == 0 {
+		updates = append(updates, exchange.update())
+	}
+	return updates
+}
+
 // Ask asks another VM for servers.
 func (exchange *Exchange) Ask(vm string, ask dispatch.Ask) {
 	update := exchange.update()
--- a/internal/exchange/targets.go
+++ b/internal/exchange/targets.go
@@ -18,9 +18,9 @@
 }
 
 // route returns how others are told. Where some VMs decide for all, these are. Else all
-// live VMs are: those of small data centres and of this
-// one directly, those of each other one through one of them. It is another one
-// each time, so that one which is slow or half cut off loses little.
+// live VMs are: those of small data centres and of this one directly, those of each other
+// one through one of them. It is another one each time, so that one which is slow or half
+// cut off loses little.
 func (exchange *Exchange) route() targets {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -145,7 +145,7 @@
 
 // meet waits until this VM knows whom to ask, at its start.
 func (log *Log) meet(ctx context.Context) {
-	for log.role().Unsettled && log.now().Sub(log.begun) < log.settings.Meet {
+	for log.now().Sub(log.begun) < log.settings.Meet && log.role().Unsettled {
 		if !wait.For(ctx, meetTick) {
 			return
 		}
--- a/internal/gateway/elsewhere.go
+++ b/internal/gateway/elsewhere.go
@@ -62,17 +62,12 @@
 
 // newAsk describes the request to the VM that decides.
 func (run *run) newAsk(id uint64) dispatch.Ask {
-	now := run.gateway.now()
-	ask := dispatch.Ask{
-		ID: id, Service: run.service.Name, Gap: run.route.Gap, Objective: run.route.Objective,
-		Due: run.arrived.Add(run.route.Objective).Sub(now), Stays: run.stays(),
-		DataCentre: run.gateway.site.DataCentre, Tried: run.tried,
+	request := run.placementRequest()
+	return dispatch.Ask{
+		ID: id, Service: run.service.Name, Tokens: request.Tokens, Memory: request.Memory,
+		Gap: request.Gap, Objective: request.Objective, Due: request.Left, Stays: request.Stays,
+		DataCentre: request.DataCentre, Tried: run.tried,
 	}
-	if run.head.Prompt != nil {
-		ask.Tokens = run.head.Prompt.Tokens
-		ask.Memory = run.head.Prompt.Tokens + run.head.Prompt.MaxTokens
-	}
-	return ask
 }
 
 // planOf returns the plan that an answer tells, over the servers that it names.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -127,16 +127,14 @@
 // DefaultSettings returns settings for data centres of one city.
 func DefaultSettings() Settings {
 	return Settings{
-		Policy:    PolicyLengthAware,
-		Placement: placement.DefaultSettings(),
-		Pool:      pool.DefaultSettings(),
-		Exchange:  exchange.DefaultSettings(),
-
+		Policy:      PolicyLengthAware,
+		Placement:   placement.DefaultSettings(),
+		Pool:        pool.DefaultSettings(),
+		Exchange:    exchange.DefaultSettings(),
 		Coordinator: coordinator.DefaultSettings(),
-
-		Network:  network.DefaultSettings(),
-		Feed:     feed.DefaultSettings(),
-		Upstream: upstream.DefaultSettings(),
+		Network:     network.DefaultSettings(),
+		Feed:        feed.DefaultSettings(),
+		Upstream:    upstream.DefaultSettings(),
 		Configuration: follower.Settings{
 			Wait: 1500 * time.Millisecond, Patience: 700 * time.Millisecond,
 			RetryMin: 100 * time.Millisecond, RetryMax: 800 * time.Millisecond,
