placement: who is packed goes by what a prompt costs against the shortest pause

Cause: requests with pauses up to 400 ms were packed together, read whole by one engine, and came first. That split short from long only where no middle kind has a pause below it: with pauses of 200 and 330 ms prompts of 41 k tokens were read beside short streams.

Hypothesis: a prompt is packed if an engine full of its like can read it whole within the shortest pause of any route to its service; that follows from route and engine.

Ways: a pause up to 400 ms (before); the request's own pause against its cost (not built: with pauses of 129 and 695 ms, 35 k tokens still count as short by it); the shortest pause (kept).

--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -72,6 +72,19 @@
 	return route.Targets[len(route.Targets)-1].Service
 }
 
+// shortestGap is the shortest pause that is in time among the routes to a service, or zero.
+func shortestGap(routes []Route, service string) time.Duration {
+	var shortest time.Duration
+	for i := range routes {
+		route := &routes[i]
+		leads := slices.ContainsFunc(route.Targets, func(target Target) bool { return target.Service == service })
+		if leads && route.Gap > 0 && (shortest == 0 || route.Gap < shortest) {
+			shortest = route.Gap
+		}
+	}
+	return shortest
+}
+
 func sortByPrefix(routes []*Route) {
 	slices.SortStableFunc(routes, func(a, b *Route) int {
 		return cmp.Compare(len(b.Prefix), len(a.Prefix))
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -8,6 +8,9 @@
 	// MaxConnections is how many connections one server takes from all VMs
 	// together.
 	MaxConnections int
+	// ShortestGap is the shortest pause between events that is in time among the routes
+	// to the service, or zero when none states one. New reckons it.
+	ShortestGap time.Duration
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -47,9 +47,7 @@
 	servers  Servers
 	services Services
 	network  Network
-	// tight tells for a pause that is in time whether it counts as tight.
-	tight func(gap time.Duration) bool
-	now   func() time.Time
+	now      func() time.Time
 
 	deciding sync.Mutex
 	queue    *dispatch.Queue
@@ -82,8 +80,7 @@
 
 // New returns the part of the VM with that name.
 func New(
-	settings Settings, vm string, policy placement.Policy, tight func(gap time.Duration) bool,
-	servers Servers, services Services, network Network, now func() time.Time,
+	settings Settings, vm string, policy placement.Policy, servers Servers, services Services, network Network, now func() time.Time,
 ) *Coordinator {
 	return &Coordinator{
 		settings: settings,
@@ -91,7 +88,6 @@
 		servers:  servers,
 		services: services,
 		network:  network,
-		tight:    tight,
 		now:      now,
 		queue:    dispatch.New(policy),
 		renewed:  make(map[dispatch.Key]time.Time),
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -40,13 +40,13 @@
 		Due: now.Add(ask.Due), Leaves: now.Add(ask.Stays),
 		Placement: placement.Request{
 			DataCentre: ask.DataCentre, Engine: service.Engine, Tokens: ask.Tokens, Memory: ask.Memory,
-			Gap: ask.Gap, Objective: ask.Objective,
+			Gap: ask.Gap, ShortestGap: service.ShortestGap, Objective: ask.Objective,
 			// A VM keeps to the same servers where they are equal: of 295 VMs before 150
 			// engines a fifth less open new connections (18,640 to 14,933 on one day).
 			Seed: xxhash.Sum64String(vm),
 		},
 	}
-	request.Tight = service.Engine == nil || coordinator.tight(ask.Gap)
+	request.Tight = service.Engine == nil || request.Placement.Tight()
 	if service.Engine != nil {
 		request.Work = service.Engine.ReadTime(ask.Tokens)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,8 +136,7 @@
 		end:      end,
 		budgets:  make(map[string]*retrybudget.Budget),
 	}
-	gateway.coordinator = coordinator.New(settings.Coordinator, site.VM, gateway.policy, settings.Placement.Tight,
-		gateway.pool, gateway.service, exchange, now)
+	gateway.coordinator = coordinator.New(settings.Coordinator, site.VM, gateway.policy, gateway.pool, gateway.service, exchange, now)
 	gateway.reservations = reservation.New(life, settings.Reservation.WithHoldAtMost(site.Bounds.HoldMax), orders, gateway.upstream, logger, now)
 	gateway.metrics = newMetrics(gateway)
 	gateway.bounds.Store(&site.Bounds)
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -146,8 +146,8 @@
 
 // takesTurns reports whether the request waits in turn with those of other VMs.
 func (run *run) takesTurns() bool {
-	return run.head.Prompt != nil && run.service.Engine != nil &&
-		run.route.Gap > 0 && !run.gateway.settings.Placement.Tight(run.route.Gap)
+	request := run.placementRequest()
+	return request.Engine != nil && request.Gap > 0 && !request.Tight()
 }
 
 func (run *run) logPlan(plan placement.Plan, waited time.Duration) {
@@ -165,12 +165,13 @@
 // placementRequest describes the request to the policy.
 func (run *run) placementRequest() placement.Request {
 	request := placement.Request{
-		DataCentre: run.gateway.site.DataCentre,
-		Gap:        run.route.Gap,
-		Objective:  run.route.Objective,
-		Left:       run.arrived.Add(run.route.Objective).Sub(run.gateway.now()),
-		Stays:      run.stays(),
-		Seed:       run.seed + uint64(run.sends), //nolint:gosec // a small count
+		DataCentre:  run.gateway.site.DataCentre,
+		Gap:         run.route.Gap,
+		ShortestGap: run.service.ShortestGap,
+		Objective:   run.route.Objective,
+		Left:        run.arrived.Add(run.route.Objective).Sub(run.gateway.now()),
+		Stays:       run.stays(),
+		Seed:        run.seed + uint64(run.sends), //nolint:gosec // a small count
 	}
 	if run.head.Prompt != nil {
 		request.Engine = run.service.Engine
--- a/internal/placement/lengthaware.go
+++ b/internal/placement/lengthaware.go
@@ -48,7 +48,7 @@
 		return LeastInHand{}.Place(servers, request)
 	}
 	sound := withoutSuspects(servers)
-	if lengthaware.settings.Tight(request.Gap) {
+	if request.Tight() {
 		return lengthaware.placeTight(sound, request)
 	}
 	return lengthaware.placeLong(sound, request)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,11 +3,7 @@
 // clock.
 package placement
 
-import (
-	"time"
-
-	"github.com/mastwinch/mastwinch/internal/catalog"
-)
+import "time"
 
 // Server is what is known of one backend server.
 type Server struct {
@@ -44,30 +40,6 @@
 	Connected bool
 }
 
-// Request is what a decision needs to know of a request.
-type Request struct {
-	// DataCentre is where the request is.
-	DataCentre string
-	// Engine is nil for a plain service.
-	Engine *catalog.Engine
-	// Tokens is the length of the prompt.
-	Tokens int
-	// Memory is the KV memory that the request needs when it ends, in tokens.
-	Memory int
-	// Gap is the longest pause between events that is in time.
-	Gap time.Duration
-	// Objective is the time within which a first event is in time, and Left
-	// what is left of it. Left may be negative.
-	Objective time.Duration
-	Left      time.Duration
-	// Stays is how long the caller still waits for a first event.
-	Stays time.Duration
-	// Waiting is the reading of all long prompts that wait for servers, at all VMs.
-	Waiting time.Duration
-	// Seed is what a policy that chooses at random goes by.
-	Seed uint64
-}
-
 // tokensPerWeight scales what a request is worth by its length: in the users'
 // sheets 5 k tokens are worth 1.3, 45 k 3.9 and 133 k 15.
 const tokensPerWeight = 10_000
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -4,8 +4,6 @@
 
 // Settings tune LengthAware.
 type Settings struct {
-	// TightGap is the pause up to which a request counts as tight.
-	TightGap time.Duration `yaml:"tight_gap" validate:"min=1ms"`
 	// PackSlots is the part of the slots of a server that tight requests fill. The
 	// rest is room for those that several VMs send at the same moment. 0.8 instead of
 	// 0.6 brings 0.012 of worth (30 days with trouble), since it leaves more servers
@@ -75,15 +73,9 @@
 	return settings
 }
 
-// Tight reports whether a request with that pause counts as tight.
-func (settings Settings) Tight(gap time.Duration) bool {
-	return gap > 0 && gap <= settings.TightGap
-}
-
 // DefaultSettings returns the settings that docs/RESULTS.md found best.
 func DefaultSettings() Settings {
 	return Settings{
-		TightGap:    400 * time.Millisecond,
 		PackSlots:   0.8,
 		PackDense:   0.95,
 		LongTime:    time.Second,
