placement: a pass counts as too long by the pauses that are there

Cause: passes up to 240 ms counted as harmless to short streams, just under the 250 ms of the fleets at hand. With pauses of 120 or 200 ms parts of prompts were put beside streams that they made late; with 350 ms servers were left out that had room.

Hypothesis: the shortest pause in time among the short streams at a server is the limit.

Ways: 240 ms for all (before), the streams' own pause (kept).

Tests: TestPartsKeepThePausesThatAreThere fails on the code before; TestViewHasTheShortestPauses.

--- a/internal/placement/harm.go
+++ b/internal/placement/harm.go
@@ -51,7 +51,10 @@
 		}
 		// Tight requests that come while the part is read wait for it.
 		harm := lost * server.TightWeight * part.Seconds() / lengthaware.settings.TightLife.Seconds()
-		if pass > lengthaware.settings.TightPass {
+		// A pass counts by the pauses that are there: against one limit of 240 ms for all it
+		// brings 0.043 of worth where the shortest pause is 120 ms, and 0.008 over seven
+		// fleets (quiet and burst day each).
+		if server.TightGap > 0 && pass > server.TightGap {
 			harm += lost * server.TightWeight
 		}
 		if server.LooseGap > 0 && pass > server.LooseGap {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -14,10 +14,12 @@
 	Slots int
 	// Running is how many requests of all VMs are there.
 	Running int
-	// Tight is how many of them have tight pauses, and TightWeight what they
-	// are worth together.
+	// Tight is how many of them have tight pauses, TightWeight what they are worth
+	// together, and TightGap the shortest pause that is in time among them, or zero when
+	// there is none.
 	Tight       int
 	TightWeight float64
+	TightGap    time.Duration
 	// LooseWeight is what the others are worth together, and LooseGap the
 	// shortest pause that is in time among them, or zero when there is none.
 	LooseWeight float64
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -135,7 +135,7 @@
 		},
 		"a long prompt is held while it would only do harm": {
 			servers: newServers(6, func(_ int, server *placement.Server) {
-				server.Running, server.Tight, server.TightWeight = 12, 12, 18
+				server.Running, server.Tight, server.TightWeight, server.TightGap = 12, 12, 18, 250*time.Millisecond
 				server.MinGap = 250 * time.Millisecond
 			}), request: long(133_000),
 			wantNone: true,
@@ -144,7 +144,7 @@
 		// streams each, which paused for a second and more.
 		"a late long prompt does no harm, even when its caller is about to leave": {
 			servers: newServers(6, func(_ int, server *placement.Server) {
-				server.Running, server.Tight, server.TightWeight = 12, 12, 18
+				server.Running, server.Tight, server.TightWeight, server.TightGap = 12, 12, 18, 250*time.Millisecond
 				server.MinGap = 250 * time.Millisecond
 			}), request: lateLong(133_000),
 			wantNone: true,
@@ -153,7 +153,7 @@
 			servers: newServers(6, func(i int, server *placement.Server) {
 				server.Running, server.Backlog, server.ReadsLong = 1, 200*time.Millisecond, true
 				if i > 0 {
-					server.Running, server.Tight, server.TightWeight = 12, 12, 18
+					server.Running, server.Tight, server.TightWeight, server.TightGap = 12, 12, 18, 250*time.Millisecond
 					server.MinGap = 250 * time.Millisecond
 				}
 			}), request: lateLong(100_000),
@@ -310,6 +310,9 @@
 			server.Running = rapid.IntRange(0, 18).Draw(t, label+"running")
 			server.Tight = rapid.IntRange(0, server.Running).Draw(t, label+"tight")
 			server.TightWeight = 1.5 * float64(server.Tight)
+			if server.Tight > 0 {
+				server.TightGap = 250 * time.Millisecond
+			}
 			server.Backlog = time.Duration(rapid.IntRange(0, 4000).Draw(t, label+"backlog")) * time.Millisecond
 			server.MemoryFree = rapid.IntRange(-10_000, memoryTokens).Draw(t, label+"memory")
 			server.Suspect = rapid.Bool().Draw(t, label+"suspect")
@@ -391,7 +394,7 @@
 func TestShortPromptsLeaveServersToLongOnes(t *testing.T) {
 	servers := newServers(18, func(i int, server *placement.Server) {
 		if i < 6 {
-			server.Running, server.Tight, server.TightWeight = 12, 12, 18
+			server.Running, server.Tight, server.TightWeight, server.TightGap = 12, 12, 18, 250*time.Millisecond
 		}
 	})
 	plan, ok := placement.New(placement.DefaultSettings()).Place(servers, long(230_000))
--- a/internal/placement/request_test.go
+++ b/internal/placement/request_test.go
@@ -42,7 +42,8 @@
 func TestMiddlePromptsKeepOffShortOnes(t *testing.T) {
 	const pause = 200 * time.Millisecond
 	servers := newServers(24, func(_ int, server *placement.Server) {
-		server.Running, server.Tight, server.TightWeight, server.MinGap = 5, 5, 7.5, pause
+		server.Running, server.Tight, server.TightWeight = 5, 5, 7.5
+		server.TightGap, server.MinGap = pause, pause
 	})
 	for range 2 {
 		request := short()
@@ -67,3 +68,27 @@
 		}
 	}
 }
+
+// TestPartsKeepThePausesThatAreThere has streams with several pauses at all servers, and a
+// middle prompt beside them: passes of up to 240 ms counted as harmless to short streams,
+// whatever their pauses were. With pauses of 120 ms that cost 0.043 of worth (two days).
+func TestPartsKeepThePausesThatAreThere(t *testing.T) {
+	for name, pause := range map[string]time.Duration{
+		"120 ms": 120 * time.Millisecond, "200 ms": 200 * time.Millisecond, "350 ms": 350 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			servers := newServers(6, func(_ int, server *placement.Server) {
+				server.Running, server.Tight, server.TightWeight = 5, 5, 7.5
+				server.TightGap, server.MinGap = pause, pause
+			})
+			request := long(59_000)
+			request.ShortestGap = pause
+			plan, ok := placement.New(placement.DefaultSettings()).Place(servers, request)
+			if !ok {
+				return // it waits for a server without short streams
+			}
+			pass := request.Engine.PassTime(5, 0) + plan.Part
+			assert.Assert(t, pass <= pause, "%s", pass)
+		})
+	}
+}
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -37,8 +37,6 @@
 	// parts of several servers are read before the prompt of one, and late ones
 	// hold up the others.
 	LongRoom time.Duration `yaml:"long_room" validate:"min=0"`
-	// TightPass is the longest pass that keeps tight pauses in time.
-	TightPass time.Duration `yaml:"tight_pass" validate:"min=1ms"`
 	// TightLife is how long a tight request takes, about.
 	TightLife time.Duration `yaml:"tight_life" validate:"min=1ms"`
 	// TightHold is how late the first event of a tight request may be predicted
@@ -88,7 +86,6 @@
 		MinPart:     20 * time.Millisecond,
 		Room:        100 * time.Millisecond,
 		LongRoom:    20 * time.Millisecond,
-		TightPass:   240 * time.Millisecond,
 		TightLife:   1800 * time.Millisecond,
 		TightHold:   500 * time.Millisecond,
 		LatePart:    0.25,
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -374,3 +374,21 @@
 	}
 	assert.Assert(t, world.server(t, "s1").Suspect)
 }
+
+// TestViewHasTheShortestPauses has two tight streams and a loose one at a server.
+func TestViewHasTheShortestPauses(t *testing.T) {
+	world := newWorld()
+	world.Replace(listedUpTo(1))
+	assert.Equal(t, world.server(t, "s1").TightGap, time.Duration(0))
+	start := func(gap time.Duration, tight bool) {
+		plan := placement.Plan{Server: placement.Server{ID: "s1"}, Tight: tight}
+		world.Start(plan, placement.Request{Gap: gap, Memory: 5000})
+	}
+	start(300*time.Millisecond, true)
+	start(120*time.Millisecond, true)
+	start(100*time.Millisecond, false)
+	view := world.server(t, "s1")
+	assert.Equal(t, view.TightGap, 120*time.Millisecond)
+	assert.Equal(t, view.LooseGap, 100*time.Millisecond)
+	assert.Equal(t, view.MinGap, 100*time.Millisecond)
+}
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -66,6 +66,7 @@
 	if sending.Tight {
 		view.Tight++
 		view.TightWeight += weight
+		view.TightGap = shorter(view.TightGap, sending.Gap)
 		return
 	}
 	view.LooseWeight += weight
