gateway: a stream that broke off is due by its pause

Cause: when a server broke a stream off, the request asked for another server as one whose first event was due by its objective, so mostly as one that is late already, behind all new ones.

Hypothesis: it is due within the pause after the last event that the caller has; while that can be kept it goes first, and else after those in time. Its caller leaves so long after that event.

Ruled out: the same for callers that come back after their VM was killed; the VM that gets them does not know when the last event was.

Test: TestStreamThatBrokeOffIsDueByItsPause, in which the second ask was 200 ms overdue before.

--- a/internal/gateway/coordinated_test.go
+++ b/internal/gateway/coordinated_test.go
@@ -132,3 +132,33 @@
 		assert.DeepEqual(t, tried, [][]string{nil, {"engines-left"}})
 	})
 }
+
+// TestStreamThatBrokeOffIsDueByItsPause has a server that breaks a stream off: the request was
+// asked for again as one that was late already, behind all new ones.
+func TestStreamThatBrokeOffIsDueByItsPause(t *testing.T) {
+	inWorld(t, map[string]backend{"a": streams(12, 9), "b": streams(12, 0)}, nil, func(world *world) {
+		var mu sync.Mutex
+		var due []time.Duration
+		world.addMembers(30)
+		conn := world.addPeer(3, func(ask *wire.Ask) *wire.Verdict {
+			mu.Lock()
+			defer mu.Unlock()
+			server := "engines-a"
+			if len(due) > 0 {
+				server = "engines-b"
+			}
+			due = append(due, time.Duration(ask.GetDueMs())*time.Millisecond)
+			return &wire.Verdict{Id: ask.GetId(), Decision: wire.Decision_DECISION_PLACED, Servers: []string{server}}
+		})
+		defer func() { _ = conn.Close() }()
+		world.restart()
+		time.Sleep(4 * time.Second)
+		got := world.ask(stream("chat").with("Token-Counts", "1000,50"))
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Assert(t, got.whole)
+		mu.Lock()
+		defer mu.Unlock()
+		assert.Equal(t, len(due), 2)
+		assert.Assert(t, due[1] > 0 && due[1] <= 250*time.Millisecond, "%s", due[1])
+	})
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -169,8 +169,8 @@
 		Gap:         run.route.Gap,
 		ShortestGap: run.service.ShortestGap,
 		Objective:   run.route.Objective,
-		Left:        run.arrived.Add(run.route.Objective).Sub(run.gateway.now()),
-		Stays:       run.stays(),
+		Left:        run.due().Sub(run.gateway.now()),
+		Stays:       run.leaves().Sub(run.gateway.now()),
 		Seed:        run.seed + uint64(run.sends), //nolint:gosec // a small count
 	}
 	if run.head.Prompt != nil {
@@ -198,12 +198,25 @@
 	staysGapTimes       = 8
 )
 
-// stays is how long the caller still waits for the first event.
-func (run *run) stays() time.Duration {
-	silence := max(staysMin, staysObjectiveTimes*run.route.Objective, staysGapTimes*run.route.Gap)
-	until := run.arrived.Add(silence)
+// due is when the next event is in time: the first one within the objective, and each
+// other one within the pause after the one before it. So a stream that broke off goes
+// before new requests while its pause can still be kept, and after them when it can't.
+func (run *run) due() time.Time {
+	if run.account.last.IsZero() {
+		return run.arrived.Add(run.route.Objective)
+	}
+	return run.account.last.Add(run.route.Gap)
+}
+
+// leaves is when the caller leaves unless an event comes before.
+func (run *run) leaves() time.Time {
+	since := run.arrived
+	if !run.account.last.IsZero() {
+		since = run.account.last
+	}
+	until := since.Add(max(staysMin, staysObjectiveTimes*run.route.Objective, staysGapTimes*run.route.Gap))
 	if run.deadline.Before(until) {
-		until = run.deadline
+		return run.deadline
 	}
-	return until.Sub(run.gateway.now())
+	return until
 }
