pool, reservation: an engine that has less memory than is believed is found out once

Cause: prompts beyond one engine's free memory set memory aside at several.

Hypothesis: the reply says what is left; what the engine has in use beyond what is known counts from then on, at this VM and at those that decide. One that takes no orders or does not answer is left out for the request.

Ruled out: reports of all engines at the start (a priced call each; most would be asked in vain).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,9 +84,28 @@
 	}
 	ticket := fmt.Sprintf("%s-%016x-%d", run.gateway.site.VM, run.seed, run.looks)
 	held, err := run.gateway.reservations.Gather(ctx, ticket, wants)
+	run.noteNotFree(err)
 	return held, errors.Wrap(err, "reserve")
 }
 
+// noteNotFree tells the pool which engines have less memory than was believed. One that gave
+// another answer, or none, is not asked again for this request. Otherwise the same plan
+// was made again each 20 ms: 122 times in a second after VMs had been killed, while eight
+// prompts waited until they were refused.
+func (run *run) noteNotFree(err error) {
+	var failed *reservation.GatherError
+	if !errors.As(err, &failed) {
+		return
+	}
+	for _, failure := range failed.Failures {
+		if failure.Err == nil && failure.Reply.Kind == reservation.ReplyNotFree {
+			run.gateway.pool.NotFree(run.service, failure.Instance, failure.Tokens, failure.Reply.Free)
+			continue
+		}
+		run.tried = append(run.tried, failure.Instance)
+	}
+}
+
 // sendFailed tells whether a request that could not be sent may have run.
 func sendFailed(err error) result {
 	var notSent *upstream.NotSentError
--- a/internal/gateway/place_test.go
+++ b/internal/gateway/place_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -92,3 +93,59 @@
 		assert.Assert(t, faulty != "")
 	})
 }
+
+// TestEngineWithoutMemoryIsNotAskedAgain has an engine whose memory is in use by what no VM
+// tells of, as it is after VMs were killed: the same plan was made again each 20 ms
+// until the prompt was refused, though others had memory.
+func TestEngineWithoutMemoryIsNotAskedAgain(t *testing.T) {
+	for name, reply := range map[string]func(writer http.ResponseWriter){
+		"it says what is left": func(writer http.ResponseWriter) {
+			writer.WriteHeader(http.StatusConflict)
+			_, _ = io.WriteString(writer, `{"free": 5000}`)
+		},
+		"it takes no orders": func(writer http.ResponseWriter) { writer.WriteHeader(http.StatusBadRequest) },
+		"it breaks off":      func(http.ResponseWriter) { panic(http.ErrAbortHandler) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var mu sync.Mutex
+			full := ""
+			asked := 0
+			engine := func(world *world, nth int, writer http.ResponseWriter, request *http.Request) {
+				if request.URL.Path != "/order" {
+					streams(3, 0)(world, nth, writer, request)
+					return
+				}
+				body := world.lastBody(request.Header.Get("Expect-Instance"))
+				if strings.Contains(body, `"release"`) {
+					_, _ = io.WriteString(writer, `{"free": 232000}`)
+					return
+				}
+				mu.Lock()
+				if full == "" {
+					full = request.Header.Get("Expect-Instance")
+				}
+				refuses := full == request.Header.Get("Expect-Instance")
+				if refuses {
+					asked++
+				}
+				mu.Unlock()
+				if refuses {
+					reply(writer)
+					return
+				}
+				_, _ = io.WriteString(writer, `{"free": 100000}`)
+			}
+			engines := map[string]backend{"a": engine, "b": engine, "c": engine, "d": engine}
+			inWorld(t, engines, nil, func(world *world) {
+				world.configure(2, audit(4000))
+				time.Sleep(2 * time.Second)
+				got := world.ask(stream("audit").with("Token-Counts", "300000,500").with("Deadline-Ms", "15000"))
+				assert.Equal(t, got.status, http.StatusOK)
+				assert.Assert(t, got.whole)
+				mu.Lock()
+				defer mu.Unlock()
+				assert.Equal(t, asked, 1)
+			})
+		})
+	}
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -114,6 +114,14 @@
 	})
 }
 
+// lastBody returns the body of the last request to a server.
+func (world *world) lastBody(id string) string {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	seen := world.seen[id]
+	return seen[len(seen)-1].Body
+}
+
 // list puts a server's entry into the store.
 func (world *world) list(id, service, address, state string) {
 	value, err := json.Marshal(map[string]any{
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -1,5 +1,7 @@
 package pool
 
+import "github.com/mastwinch/mastwinch/internal/catalog"
+
 // Succeeded notes a good answer of a server.
 func (pool *Pool) Succeeded(id string) {
 	pool.mu.Lock()
@@ -45,6 +47,39 @@
 	}
 }
 
+// NotFree notes that a server said how much KV memory it has left, which was too little for
+// wanted tokens of a request that is noted there already. What it has in use beyond what
+// is known here counts from now on, at all VMs: it mostly belongs to a VM that was killed,
+// and is free again when nobody renews it.
+func (pool *Pool) NotFree(service *catalog.Service, id string, wanted, free int) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	server := pool.servers[id]
+	if server == nil || service.Engine == nil {
+		return
+	}
+	known := -wanted
+	for _, sending := range server.sendings {
+		known += sending.Memory
+	}
+	hidden := max(0, service.Engine.MemoryTokens-free-known)
+	pool.hide(server, hidden)
+	pool.publisher.Publish(Report{Server: id, Phase: PhaseOver, Health: HealthNotFree, Memory: hidden})
+}
+
+// hide lets hidden memory count, each time for twice as long as the last time, unless that is
+// long over: mostly it is that of a request which just ended, and released in a moment.
+func (pool *Pool) hide(server *server, tokens int) {
+	now := pool.now()
+	settings := pool.settings
+	if now.Sub(server.hiddenUntil) > settings.HiddenMax {
+		server.hiddenFor = 0
+	}
+	server.hidden = tokens
+	server.hiddenFor = min(settings.HiddenMax, max(settings.HiddenMin, 2*server.hiddenFor))
+	server.hiddenUntil = now.Add(server.hiddenFor)
+}
+
 // toldHealth takes over how a server did for a request of another VM.
 func (pool *Pool) toldHealth(report Report) {
 	switch report.Health {
@@ -54,6 +89,10 @@
 		pool.failed(report.Server)
 	case HealthClosed:
 		pool.closed(report.Server)
+	case HealthNotFree:
+		if server := pool.servers[report.Server]; server != nil {
+			pool.hide(server, report.Memory)
+		}
 	case HealthUntold:
 	}
 }
--- a/internal/pool/sending.go
+++ b/internal/pool/sending.go
@@ -64,6 +64,8 @@
 	HealthFailed
 	// HealthClosed: it takes nothing more.
 	HealthClosed
+	// HealthNotFree: it has KV memory in use that no VM told of, as much as the report says.
+	HealthNotFree
 )
 
 // sending is a request at a server.
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -27,6 +27,11 @@
 	pacedAt time.Time
 	// lastRead is when a prompt was last known to be read.
 	lastRead time.Time
+	// hidden is the KV memory that the server has in use for what is not known here, in
+	// tokens, until hiddenUntil. hiddenFor is how long that was at first.
+	hidden      int
+	hiddenFor   time.Duration
+	hiddenUntil time.Time
 }
 
 // view returns what a policy sees, MemoryFree being less than zero by what is
@@ -57,6 +62,9 @@
 	// A server that owes first events for longer than usual is held up by what is
 	// not known here, and looks idle only by what is.
 	view.Backlog = max(0, free.Sub(now)) + overdue
+	if now.Before(server.hiddenUntil) {
+		view.MemoryFree -= server.hidden
+	}
 	return view
 }
 
--- a/internal/pool/settings.go
+++ b/internal/pool/settings.go
@@ -34,6 +34,11 @@
 	// TurnTime is how long a request of another VM may take to look when its turn
 	// came, before others go.
 	TurnTime time.Duration `yaml:"turn_time" validate:"min=10ms"`
+	// HiddenMin is for how long memory counts that a server has in use and no VM told of. It
+	// doubles each time that it is so again, up to HiddenMax, which is as long as memory stays
+	// set aside without being renewed (reservation.Settings.Hold).
+	HiddenMin time.Duration `yaml:"hidden_min" validate:"min=1ms"`
+	HiddenMax time.Duration `yaml:"hidden_max" validate:"min=1ms,gtefield=HiddenMin"`
 	// RemoteTime is for how long what another VM told holds without being told
 	// again.
 	RemoteTime time.Duration `yaml:"remote_time" validate:"min=100ms"`
@@ -64,6 +69,8 @@
 		OverdueAfter: 200 * time.Millisecond,
 		OverduePart:  0.3,
 		TurnTime:     60 * time.Millisecond,
+		HiddenMin:    100 * time.Millisecond,
+		HiddenMax:    3500 * time.Millisecond,
 		RemoteTime:   1600 * time.Millisecond,
 	}
 }
--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -59,19 +59,26 @@
 	return settings
 }
 
-// Reply is what an engine says to an order.
-type Reply string
+// ReplyKind says whether an engine does what an order wants.
+type ReplyKind string
 
-// Replies.
+// Kinds of reply.
 const (
 	// ReplyDone: it holds.
-	ReplyDone Reply = "done"
+	ReplyDone ReplyKind = "done"
 	// ReplyNotFree: there is no memory for it.
-	ReplyNotFree Reply = "not_free"
+	ReplyNotFree ReplyKind = "not_free"
 	// ReplyRefused: the engine does not take the order.
-	ReplyRefused Reply = "refused"
+	ReplyRefused ReplyKind = "refused"
 )
 
+// Reply is what an engine says to an order.
+type Reply struct {
+	Kind ReplyKind
+	// Free is the memory that it has left, in tokens. It counts for ReplyNotFree only.
+	Free int
+}
+
 // Codec makes orders and reads replies.
 type Codec interface {
 	Reserve(instance, ticket string, tokens int, hold time.Duration) upstream.Request
@@ -94,14 +101,29 @@
 
 // NotFreeError says at which engine memory could not be set aside.
 type NotFreeError struct {
-	Instance string
-	Reply    Reply
-	Err      error
+	Want
+
+	// Reply is what the engine said, unless Err says that it said nothing.
+	Reply Reply
+	Err   error
 }
 
 // Error implements error.
 func (e *NotFreeError) Error() string {
-	return fmt.Sprintf("memory at %s: %s %v", e.Instance, e.Reply, e.Err)
+	if e.Err != nil {
+		return fmt.Sprintf("memory at %s: %v", e.Instance, e.Err)
+	}
+	return fmt.Sprintf("memory at %s: %s, %d of %d tokens free", e.Instance, e.Reply.Kind, e.Reply.Free, e.Tokens)
+}
+
+// GatherError has all engines at which memory for one prompt could not be set aside.
+type GatherError struct {
+	Failures []*NotFreeError
+}
+
+// Error implements error.
+func (e *GatherError) Error() string {
+	return fmt.Sprintf("%d engines, the first: %v", len(e.Failures), e.Failures[0])
 }
 
 // Book makes reservations.
@@ -136,24 +158,25 @@
 	unanswered map[string]time.Time
 }
 
-// Gather sets memory aside at all engines or at none, under the same ticket.
+// Gather sets memory aside at all engines or at none, under the same ticket. Its error is a
+// GatherError.
 func (book *Book) Gather(ctx context.Context, ticket string, wants []Want) (*Held, error) {
 	held := &Held{book: book, ticket: ticket, wants: wants, unanswered: make(map[string]time.Time)}
-	failures := make(chan error, len(wants))
+	replies := make(chan *NotFreeError, len(wants))
 	for _, want := range wants {
-		go func() { failures <- held.reserve(ctx, want) }()
+		go func() { replies <- held.reserve(ctx, want) }()
 	}
-	var failed error
+	var failures []*NotFreeError
 	for range wants {
-		if err := <-failures; err != nil {
-			failed = err
+		if failure := <-replies; failure != nil {
+			failures = append(failures, failure)
 		}
 	}
 	renewing, stop := context.WithCancel(book.life)
 	held.stop = stop
-	if failed != nil {
+	if len(failures) > 0 {
 		held.Release()
-		return nil, failed
+		return nil, &GatherError{Failures: failures}
 	}
 	held.done.Go(func() { held.renew(renewing) })
 	return held, nil
@@ -180,16 +203,16 @@
 	for wait.For(ctx, held.book.settings.Renew) {
 		for _, want := range held.wants {
 			held.done.Go(func() {
-				if err := held.reserve(ctx, want); err != nil && ctx.Err() == nil {
-					held.book.logger.Warn("memory not renewed", "ticket", held.ticket, "server", want.Instance, "error", err)
+				if failure := held.reserve(ctx, want); failure != nil && ctx.Err() == nil {
+					held.book.logger.Warn("memory not renewed", "ticket", held.ticket, "server", want.Instance, "error", failure)
 				}
 			})
 		}
 	}
 }
 
-// reserve sets memory aside at one engine, or renews it.
-func (held *Held) reserve(ctx context.Context, want Want) error {
+// reserve sets memory aside at one engine, or renews it. It returns nil when that is done.
+func (held *Held) reserve(ctx context.Context, want Want) *NotFreeError {
 	book := held.book
 	request := book.codec.Reserve(want.Instance, held.ticket, want.Tokens, book.settings.Hold)
 	reply, answered, err := held.order(ctx, want, request)
@@ -197,10 +220,10 @@
 		held.noteUnanswered(want)
 	}
 	if err != nil {
-		return &NotFreeError{Instance: want.Instance, Err: err}
+		return &NotFreeError{Want: want, Err: err}
 	}
-	if reply != ReplyDone {
-		return &NotFreeError{Instance: want.Instance, Reply: reply}
+	if reply.Kind != ReplyDone {
+		return &NotFreeError{Want: want, Reply: reply}
 	}
 	return nil
 }
@@ -236,12 +259,12 @@
 	response, err := book.sender.Send(bounded, want.Address, request, func(http.Header) bool { return true })
 	if err != nil {
 		var notSent *upstream.NotSentError
-		return "", errors.As(err, &notSent), err //nolint:wrapcheck // says what was not sent
+		return Reply{}, errors.As(err, &notSent), err //nolint:wrapcheck // says what was not sent
 	}
 	defer response.Close(0)
 	body, err := io.ReadAll(io.LimitReader(response, maxReplyBytes))
 	if err != nil {
-		return "", false, errors.Wrap(err, "order")
+		return Reply{}, false, errors.Wrap(err, "order")
 	}
 	reply, err := book.codec.Reply(response.Status, body)
 	return reply, err == nil, err //nolint:wrapcheck // names the reply
