placement: what counts as near, and the least part, are passes of the engine

Cause: 50 ms (servers count as equally busy) and 20 ms (the least part of a prompt read by several) fitted passes of 44 to 70 ms.

Hypothesis: both are about passes: what is sent waits for the next one. One pass, and 0.4 of one, are what the figures were on the first fleets.

--- a/internal/placement/lengthaware.go
+++ b/internal/placement/lengthaware.go
@@ -105,7 +105,7 @@
 // bestLong returns the plan with the most gain among those over servers.
 func (lengthaware LengthAware) bestLong(servers []Server, request Request) (Plan, float64, bool) {
 	work := request.Engine.ReadTime(request.Tokens)
-	most := min(lengthaware.settings.MaxParts, len(servers), max(1, int(work/lengthaware.settings.MinPart)))
+	most := min(lengthaware.settings.MaxParts, len(servers), max(1, int(work/passes(request.Engine, lengthaware.settings.PartPasses))))
 	best, bestGain, found := Plan{}, 0.0, false
 	buffer := make([]harmed, 0, len(servers))
 	for parts := 1; parts <= most; parts++ {
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -18,18 +18,21 @@
 	// requests, and LeaveLong how many are never kept.
 	KeepSpare int `yaml:"keep_spare" validate:"min=0"`
 	LeaveLong int `yaml:"leave_long" validate:"min=0"`
-	// NearBacklog is the reading up to which servers count as equally busy.
-	NearBacklog time.Duration `yaml:"near_backlog" validate:"min=1ms"`
+	// NearPasses is the reading up to which servers count as equally busy, in passes
+	// without reading.
+	NearPasses float64 `yaml:"near_passes" validate:"min=0.01"`
 	// NearRunning is how many requests more a server may have to count as equally
 	// busy.
 	NearRunning int `yaml:"near_running" validate:"min=0"`
-	// PassSpare is what a pass takes beside reading, steps and context: what was sent
-	// within one pass is read together.
+	// PassSpare is what a pass takes beside reading, steps and context: what other VMs send
+	// meanwhile, which is not known yet. Half and three quarters of a pass in place of it
+	// lost 0.005 of worth (30 plays, small fleets).
 	PassSpare time.Duration `yaml:"pass_spare" validate:"min=0"`
 	// MaxParts is the most servers that read one prompt.
 	MaxParts int `yaml:"max_parts" validate:"min=1,max=17"`
-	// MinPart is the least that a server reads of a prompt read by several.
-	MinPart time.Duration `yaml:"min_part" validate:"min=1ms"`
+	// PartPasses is the least that a server reads of a prompt read by several, in passes
+	// without reading: less shortens no pass, since what is sent waits for the next one.
+	PartPasses float64 `yaml:"part_passes" validate:"min=0.01"`
 	// Room is the most that a server may have to read to get a part of another
 	// long prompt.
 	Room time.Duration `yaml:"room" validate:"min=0"`
@@ -79,11 +82,11 @@
 		LongTime:    time.Second,
 		KeepSpare:   1,
 		LeaveLong:   1,
-		NearBacklog: 50 * time.Millisecond,
+		NearPasses:  1,
 		NearRunning: 3,
 		PassSpare:   30 * time.Millisecond,
 		MaxParts:    MaxParts,
-		MinPart:     20 * time.Millisecond,
+		PartPasses:  0.4,
 		Room:        100 * time.Millisecond,
 		LongRoom:    20 * time.Millisecond,
 		TightLife:   1800 * time.Millisecond,
--- a/internal/placement/tight.go
+++ b/internal/placement/tight.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/mastwinch/mastwinch/internal/catalog"
 )
 
 // placeTight chooses among the servers that are kept for tight requests, the
@@ -55,8 +57,9 @@
 	if len(able) == 0 {
 		return Server{}, false, false
 	}
-	least := slices.MinFunc(able, lengthaware.compareBusy)
-	able = slices.DeleteFunc(able, func(server *Server) bool { return !lengthaware.alike(server, least) })
+	near := passes(request.Engine, lengthaware.settings.NearPasses)
+	least := slices.MinFunc(able, compareBusy(near))
+	able = slices.DeleteFunc(able, func(server *Server) bool { return !lengthaware.alike(server, least, near) })
 	return *anyOf(preferConnected(able), request.Seed), bestFits, true
 }
 
@@ -89,16 +92,16 @@
 }
 
 // alike reports whether a server is as good for a tight request as the least busy.
-func (lengthaware LengthAware) alike(server, least *Server) bool {
-	near := lengthaware.settings.NearBacklog
+func (lengthaware LengthAware) alike(server, least *Server, near time.Duration) bool {
 	return server.Backlog/near == least.Backlog/near && server.Running <= least.Running+lengthaware.settings.NearRunning
 }
 
 // compareBusy compares servers by what they read and, where that is near, by how
 // many requests they have.
-func (lengthaware LengthAware) compareBusy(a, b *Server) int {
-	near := lengthaware.settings.NearBacklog
-	return cmp.Or(cmp.Compare(a.Backlog/near, b.Backlog/near), cmp.Compare(a.Running, b.Running))
+func compareBusy(near time.Duration) func(a, b *Server) int {
+	return func(a, b *Server) int {
+		return cmp.Or(cmp.Compare(a.Backlog/near, b.Backlog/near), cmp.Compare(a.Running, b.Running))
+	}
 }
 
 // keep returns how many of the servers, in their order, are kept for tight
@@ -137,6 +140,11 @@
 	return work
 }
 
+// passes is so many passes of an engine that reads nothing and writes for one.
+func passes(engine *catalog.Engine, count float64) time.Duration {
+	return max(time.Millisecond, time.Duration(count*float64(engine.PassTime(1, 0))))
+}
+
 // pass is how long the next pass of a server takes with more to read.
 func (lengthaware LengthAware) pass(server *Server, request Request, part time.Duration) time.Duration {
 	engine := request.Engine
