exchange: one VM decides from two VMs on

Cause: up to 23 VMs each decided for itself, in turns for long prompts; short ones that waited at several VMs knew nothing of each other, so none could be told that it will not be served.

Hypothesis: the queue over all VMs serves few as well as many.

Turns stay as a setting for now; they and relays can go once nobody needs them.

Tests: TestTwoVMsHaveOneThatDecides. Tests of turns and relays set the border that they are about.

--- a/internal/exchange/coordinators_test.go
+++ b/internal/exchange/coordinators_test.go
@@ -41,7 +41,7 @@
 	self := exchange.Member{
 		VM: conn.vm, Address: address(number), DataCentre: []string{"north", "south", "west"}[number%3], Capacity: capacity,
 	}
-	part := exchange.New(exchange.DefaultSettings(), self, conn, vms.register, slog.New(slog.DiscardHandler), time.Now)
+	part := exchange.New(vms.settings, self, conn, vms.register, slog.New(slog.DiscardHandler), time.Now)
 	sink := &sink{told: make(map[string][]pool.Report)}
 	ctx, stop := context.WithCancel(t.Context())
 	go func() { _ = part.Run(ctx, sink) }()
@@ -55,9 +55,17 @@
 
 // inFleet runs a test in virtual time with VMs that have found each other.
 func inFleet(t *testing.T, count int, test func(t *testing.T, vms *vms, conns []*countingConn)) {
+	t.Helper()
+	inFleetWith(t, exchange.DefaultSettings(), count, test)
+}
+
+func inFleetWith(
+	t *testing.T, settings exchange.Settings, count int, test func(t *testing.T, vms *vms, conns []*countingConn),
+) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		vms := newVMs(t, 0)
+		vms.settings = settings
 		defer vms.end()
 		conns := vms.addFleet(t, count)
 		time.Sleep(3 * time.Second)
@@ -129,9 +137,30 @@
 	})
 }
 
-// TestFewTellEachOther has fewer VMs: each decides for itself.
+// apart returns settings with which up to 23 VMs tell each other, and each decides for itself.
+func apart() exchange.Settings {
+	settings := exchange.DefaultSettings()
+	settings.CoordinateFrom = 24
+	return settings
+}
+
+// TestTwoVMsHaveOneThatDecides: few VMs agree on who decides as many do. Where each decided for
+// itself from 6 to 23 VMs on, overload of short prompts served 0.31 of them instead of 0.39.
+func TestTwoVMsHaveOneThatDecides(t *testing.T) {
+	for _, count := range []int{2, 3, 9} {
+		inFleet(t, count, func(t *testing.T, vms *vms, _ []*countingConn) {
+			assert.Equal(t, len(vms.agreed(t)), min(count, 3))
+			for _, part := range vms.parts {
+				assert.Assert(t, part.Coordinated())
+			}
+		})
+	}
+}
+
+// TestFewTellEachOther has fewer VMs than are to have one that decides: each decides for
+// itself.
 func TestFewTellEachOther(t *testing.T) {
-	inFleet(t, 9, func(t *testing.T, vms *vms, _ []*countingConn) {
+	inFleetWith(t, apart(), 9, func(t *testing.T, vms *vms, _ []*countingConn) {
 		for _, part := range vms.parts {
 			assert.Assert(t, !part.Coordinated())
 		}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -113,6 +113,7 @@
 
 // vms is a few VMs on one network.
 type vms struct {
+	settings exchange.Settings
 	network  *memnet.Network
 	register *register
 	parts    []*exchange.Exchange
@@ -126,7 +127,7 @@
 
 func newVMs(t *testing.T, count int) *vms {
 	t.Helper()
-	vms := &vms{network: memnet.New(), register: &register{members: make(map[string]exchange.Member)}}
+	vms := &vms{settings: exchange.DefaultSettings(), network: memnet.New(), register: &register{members: make(map[string]exchange.Member)}}
 	for number := range count {
 		vms.add(t, number)
 	}
@@ -144,7 +145,7 @@
 func (vms *vms) join(t *testing.T, number int, dataCentre string, conn net.PacketConn) {
 	t.Helper()
 	self := exchange.Member{VM: fmt.Sprintf("vm-%d", number), Address: address(number), DataCentre: dataCentre}
-	part := exchange.New(exchange.DefaultSettings(), self, conn, vms.register, slog.New(slog.DiscardHandler), time.Now)
+	part := exchange.New(vms.settings, self, conn, vms.register, slog.New(slog.DiscardHandler), time.Now)
 	sink := &sink{told: make(map[string][]pool.Report)}
 	ctx, stop := context.WithCancel(t.Context())
 	go func() { _ = part.Run(ctx, sink) }()
--- a/internal/exchange/relay_test.go
+++ b/internal/exchange/relay_test.go
@@ -46,6 +46,7 @@
 func TestReportsPassThroughOneVMOfEachDataCentre(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		vms := newVMs(t, 0)
+		vms.settings = apart()
 		defer vms.end()
 		first := vms.addIn(t, 0, "north")
 		for number, dataCentre := range []string{
@@ -75,6 +76,7 @@
 func TestDeadRelayLosesLittle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		vms := newVMs(t, 0)
+		vms.settings = apart()
 		defer vms.end()
 		vms.addIn(t, 0, "north")
 		for number := 1; number <= 6; number++ {
--- a/internal/exchange/settings.go
+++ b/internal/exchange/settings.go
@@ -20,7 +20,9 @@
 	// today a relay would save nothing and could lose something.
 	RelayFrom int `yaml:"relay_from" validate:"min=2"`
 	// CoordinateFrom is from how many known VMs on some of them decide for all: what
-	// each VM tells goes to these only. Told to all it grows with the square of the VMs.
+	// each VM tells goes to these only. Told to all it grows with the square of the VMs, and
+	// no VM knows what waits at the others: from two VMs on instead of 24 brings 0.11 of
+	// worth under overload, and nothing else beyond the error (96 plays with 6 to 9 VMs).
 	CoordinateFrom int `yaml:"coordinate_from" validate:"min=2"`
 	// Coordinators is how many VMs are told of all that is under way, so that one
 	// decides and the others can go on for it.
@@ -46,7 +48,7 @@
 		Hello:          2 * time.Second,
 		Register:       500 * time.Millisecond,
 		RelayFrom:      5,
-		CoordinateFrom: 24,
+		CoordinateFrom: 2,
 		Coordinators:   3,
 		Warm:           1200 * time.Millisecond,
 		Readers:        3,
