dispatch: what was learnt of overload ends with those that waited

Cause, found on reading the change: since when late requests wait was forgotten only in a look at the queue. Where all that waited left without one, as callers that leave or VMs that fall silent do, late ones that came seconds later were refused as if they had waited since then.

Change: a second without late ones is a break. What waits is noted before a look.

--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -24,8 +24,10 @@
 // drawn fleets (three days each); to hold all until their callers leave brings 0.091 and
 // 0.130, to refuse all once one was late 0.136 and 0.131.
 type latePlaces struct {
-	// since is since when late requests have waited without a break, or zero.
+	// since is since when late requests have waited without a break, or zero, and seen is when
+	// some last did.
 	since time.Time
+	seen  time.Time
 	// placed has when late ones got places within watchTime, the oldest first.
 	placed []time.Time
 }
@@ -35,16 +37,19 @@
 	lateplaces.placed = append(lateplaces.placed, now)
 }
 
-// note takes over whether late requests wait.
+// note takes over whether late requests wait. What waited can leave without a look at the
+// others, so a time without one is a break too.
 func (lateplaces *latePlaces) note(now time.Time, waiting bool) {
 	oldest := now.Add(-watchTime)
 	lateplaces.placed = slices.DeleteFunc(lateplaces.placed, func(at time.Time) bool { return at.Before(oldest) })
-	switch {
-	case !waiting:
+	if !waiting {
 		lateplaces.since = time.Time{}
-	case lateplaces.since.IsZero():
+		return
+	}
+	if lateplaces.since.IsZero() || now.Sub(lateplaces.seen) > watchTime {
 		lateplaces.since = now
 	}
+	lateplaces.seen = now
 }
 
 // serves reports whether a late request with so many others of them before it is expected
@@ -53,7 +58,7 @@
 	if within <= 0 {
 		return false
 	}
-	if ahead == 0 || lateplaces.since.IsZero() || now.Sub(lateplaces.since) < watchTime {
+	if ahead == 0 || now.Sub(lateplaces.since) < watchTime {
 		return true
 	}
 	return float64(ahead+1) <= float64(len(lateplaces.placed))*within.Seconds()/watchTime.Seconds()
@@ -76,10 +81,21 @@
 		refused = append(refused, request.Key)
 		return true
 	})
+	return refused
+}
+
+// watch notes for which services late tight requests wait.
+func (queue *Queue) watch(now time.Time) {
+	waiting := make(map[string]bool)
+	for _, request := range queue.waiting {
+		if request.Tight && request.late(now) {
+			waiting[request.Service] = true
+			queue.latePlaces(request.Service) // it may be the first of its service
+		}
+	}
 	for service, places := range queue.late {
-		places.note(now, ahead[service] > 0)
+		places.note(now, waiting[service])
 	}
-	return refused
 }
 
 // overloaded reports whether more tight requests come to a service than are served in time.
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -11,7 +11,7 @@
 )
 
 // crowd is a queue before one server without room, with late tight requests that waited for
-// a while and whose callers stay for two seconds more.
+// a while, looked at again and again, and whose callers stay for two seconds more.
 func crowd(t *testing.T, waited time.Duration, late int) (*dispatch.Queue, *believed, time.Time) {
 	t.Helper()
 	start := time.Unix(1000, 0)
@@ -23,8 +23,10 @@
 		_, placed := queue.Offer(request, servers, start)
 		assert.Assert(t, !placed)
 	}
-	_, refused := queue.Pass(servers, start)
-	assert.Equal(t, len(refused), 0)
+	for at := time.Duration(0); at < waited && late > 0; at += 100 * time.Millisecond {
+		_, refused := queue.Pass(servers, start.Add(min(at, 900*time.Millisecond)))
+		assert.Equal(t, len(refused), 0)
+	}
 	return queue, servers, start.Add(waited)
 }
 
@@ -59,6 +61,20 @@
 	}
 }
 
+// TestOverloadEndsWithThoseThatWait has all that wait leave, and others come seconds later: they
+// are not refused by what was learnt of the first ones.
+func TestOverloadEndsWithThoseThatWait(t *testing.T) {
+	queue, servers, now := crowd(t, 1100*time.Millisecond, 3)
+	queue.DropWhere(func(*dispatch.Request) bool { return true })
+	now = now.Add(5 * time.Second)
+	for id := range uint64(3) {
+		_, placed := queue.Offer(newRequest(100+id, 1000, now.Add(-time.Second), true), servers, now)
+		assert.Assert(t, !placed)
+	}
+	_, refused := queue.Pass(servers, now)
+	assert.Equal(t, len(refused), 0)
+}
+
 // TestLongPromptsAreNotRefusedHere: they are held by what their VMs reckon.
 func TestLongPromptsAreNotRefusedHere(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -62,6 +62,7 @@
 // request that fits nowhere lets others go before it. Of those that still wait then it
 // drops the ones that are not expected to be served, and returns them too.
 func (queue *Queue) Pass(servers Servers, now time.Time) ([]Verdict, []Key) {
+	queue.watch(now)
 	slices.SortFunc(queue.waiting, compareAt(now, queue.overloaded))
 	views := make(map[string][]placement.Server)
 	var verdicts []Verdict
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -25,8 +25,8 @@
 	// for it.
 	Due    time.Time
 	Leaves time.Time
-	// Tight says that its pauses are tight, so that it fits beside others quickly or
-	// not at all.
+	// Tight says that it fits beside others quickly or not at all, as one of a plain
+	// service or by placement.Request.Tight.
 	Tight bool
 	// Work is the reading of its prompt, and Least the shortest time from its placing to
 	// its first event.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -14,7 +14,7 @@
 	Slots int
 	// Running is how many requests of all VMs are there.
 	Running int
-	// Tight is how many of them have tight pauses, TightWeight what they are worth
+	// Tight is how many of them are tight, TightWeight what they are worth
 	// together, and TightGap the shortest pause that is in time among them, or zero when
 	// there is none.
 	Tight       int
