--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -25,7 +25,7 @@
 			AgeMs:        uint32(report.Age.Milliseconds()), //nolint:gosec // minutes at most
 			DueMs:        int32(report.Due.Milliseconds()),  //nolint:gosec // minutes at most
 			PacePercent:  uint32(percent * report.Pace),
-			Health:       wire.Health(report.Health), //nolint:gosec // four values
+			Health:       wire.Health(report.Health), //nolint:gosec // five values
 		})
 	}
 	return sendings
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -28,7 +28,8 @@
 	// lastRead is when a prompt was last known to be read.
 	lastRead time.Time
 	// hidden is the KV memory that the server has in use for what is not known here, in
-	// tokens, until hiddenUntil. hiddenFor is how long that was at first.
+	// tokens, until hiddenUntil. hiddenFor is for how long it was to count when it was last
+	// told.
 	hidden      int
 	hiddenFor   time.Duration
 	hiddenUntil time.Time
