--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"maps"
@@ -28,6 +29,8 @@
 	path   string
 	header map[string]string
 	body   string
+	// vm is the address that the caller asks, or empty for that of the first VM.
+	vm string
 	// give is after how long the caller leaves, or zero for never.
 	give time.Duration
 }
@@ -75,13 +78,17 @@
 		fmt.Fprintf(raw, "Content-Length: %d\r\n", len(caller.body))
 	}
 	raw.WriteString("\r\n" + caller.body)
-	return world.raw(raw.String(), caller.give)
+	return world.rawAt(cmp.Or(caller.vm, vmAddress), raw.String(), caller.give)
 }
 
-// raw sends bytes on a connection of its own and reads one answer.
+// raw sends bytes to the first VM on a connection of its own and reads one answer.
 func (world *world) raw(bytes string, give time.Duration) answer {
+	return world.rawAt(vmAddress, bytes, give)
+}
+
+func (world *world) rawAt(address, bytes string, give time.Duration) answer {
 	started := time.Now()
-	conn, err := world.network.Dial(world.t.Context(), vmAddress)
+	conn, err := world.network.Dial(world.t.Context(), address)
 	if err != nil {
 		return answer{}
 	}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -184,22 +184,26 @@
 
 // start starts the VM and waits until it is ready.
 func (world *world) start() {
+	world.served, world.stop = world.startAt(newSite(), world.stopped)
+	time.Sleep(100 * time.Millisecond)
+}
+
+// startAt starts a VM at a place. Its end is told to stopped.
+func (world *world) startAt(site gateway.Site, stopped chan<- error) (*gateway.Gateway, context.CancelFunc) {
 	logger := slog.New(slog.DiscardHandler)
 	transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 		return world.network.Dial(ctx, address)
 	}, DisableKeepAlives: true}
 	store := platform.NewStore(storeAddress, transport)
-	served, err := gateway.New(gateway.DefaultSettings(), newSite(), platform.Codec{}, platform.Orders{}, gateway.Sources{
+	served, err := gateway.New(gateway.DefaultSettings(), site, platform.Codec{}, platform.Orders{}, gateway.Sources{
 		Configuration: platform.NewConfigurationSource(store),
 		Servers:       platform.NewServersSource(store),
 		Register:      platform.NewMembers(store),
 	}, world.network, logger)
 	assert.NilError(world.t, err)
-	world.served = served
 	ctx, stop := context.WithCancel(context.Background())
-	world.stop = stop
-	go func() { world.stopped <- served.Run(ctx) }()
-	time.Sleep(100 * time.Millisecond)
+	go func() { stopped <- served.Run(ctx) }()
+	return served, stop
 }
 
 // askStop asks the VM to stop.
