quarantine: a request under which servers crash is kept from servers, on all VMs

Cause: what a VM knows of a request ended with each try. Its callers ask again under new IDs at other VMs, so it was new each time, and got one more server or two. Servers were judged by what they did (ejection), requests never. Class: a fault that travels with the work and not with the server; each retry and each failover spreads it. Change: VMs tell those that decide which request (by fingerprint) was on a server when that was lost, and whether events of it had come. These judge: three servers lost under one, where no wave of other losses and no other request there explains it as well; five whatever explains it. Entries go to all VMs at once and with each pong, to the store against the loss of all VMs, last two minutes at first, then double; those under way end; a good answer ends an entry.

--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -76,6 +76,7 @@
 		Configuration: platform.NewConfigurationSource(store),
 		Servers:       platform.NewServersSource(store),
 		Register:      platform.NewMembers(store),
+		Quarantine:    platform.NewQuarantine(store),
 	}, system, logger)
 	if err != nil {
 		return err
--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mastwinch/mastwinch/internal/fingerprint"
 	"github.com/mastwinch/mastwinch/internal/pool"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
@@ -25,7 +26,8 @@
 			AgeMs:        uint32(report.Age.Milliseconds()), //nolint:gosec // minutes at most
 			DueMs:        int32(report.Due.Milliseconds()),  //nolint:gosec // minutes at most
 			PacePercent:  uint32(percent * report.Pace),
-			Health:       wire.Health(report.Health), //nolint:gosec // five values
+			Health:       wire.Health(report.Health), //nolint:gosec // six values
+			Fingerprint:  uint64(report.Fingerprint),
 		})
 	}
 	return sendings
@@ -47,6 +49,8 @@
 			Due:    time.Duration(sending.GetDueMs()) * time.Millisecond,
 			Pace:   float64(sending.GetPacePercent()) / percent,
 			Health: pool.Health(sending.GetHealth()),
+
+			Fingerprint: fingerprint.Fingerprint(sending.GetFingerprint()),
 		})
 	}
 	return reports
--- a/internal/exchange/coordinators.go
+++ b/internal/exchange/coordinators.go
@@ -25,6 +25,14 @@
 	return exchange.known() >= exchange.settings.CoordinateFrom
 }
 
+// Judges reports whether this VM is told what all others see of servers: it is one of those that
+// decide, or hears of none.
+func (exchange *Exchange) Judges() bool {
+	exchange.mu.Lock()
+	defer exchange.mu.Unlock()
+	return !exchange.coordinated() || exchange.decides(exchange.self.VM)
+}
+
 // Coordinators returns the VMs that may be asked for servers, the best one first. This
 // one may be among them. Those that did not answer are left out until they are heard
 // again, and those that started just now go last, since they know of little.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -14,6 +14,7 @@
 
 	"github.com/mastwinch/mastwinch/internal/dispatch"
 	"github.com/mastwinch/mastwinch/internal/pool"
+	"github.com/mastwinch/mastwinch/internal/quarantine"
 	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
@@ -32,6 +33,10 @@
 	Asked(vm string, asks []dispatch.Ask)
 	// Answered takes what another VM decided for requests of this one.
 	Answered(vm string, answers []dispatch.Answer)
+	// Quarantined returns the requests that this VM keeps from servers, the last ones first.
+	Quarantined() []quarantine.Entry
+	// ToldQuarantined takes those of another VM.
+	ToldQuarantined(entries []quarantine.Entry)
 	// Blind reports whether the platform's store does not answer this VM.
 	Blind() bool
 }
@@ -203,7 +208,7 @@
 		}
 		reports := sink.Own()
 		if watched, coordinated := exchange.watched(); coordinated {
-			exchange.sendAll(watched, reports)
+			exchange.sendAll(watched, reports, sink.Quarantined())
 			continue
 		}
 		exchange.send(exchange.route(), reports, false)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -18,6 +18,7 @@
 	"github.com/mastwinch/mastwinch/internal/exchange"
 	"github.com/mastwinch/mastwinch/internal/memnet"
 	"github.com/mastwinch/mastwinch/internal/pool"
+	"github.com/mastwinch/mastwinch/internal/quarantine"
 )
 
 var errAway = errors.New("register is away")
@@ -93,6 +94,10 @@
 
 func (*sink) Answered(string, []dispatch.Answer) {}
 
+func (*sink) Quarantined() []quarantine.Entry { return nil }
+
+func (*sink) ToldQuarantined([]quarantine.Entry) {}
+
 func (sink *sink) Blind() bool {
 	sink.mu.Lock()
 	defer sink.mu.Unlock()
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -56,6 +56,9 @@
 	if len(update.GetSendings()) > 0 {
 		sink.Told(update.GetVm(), decode(update.GetSendings()))
 	}
+	if len(update.GetQuarantined()) > 0 {
+		sink.ToldQuarantined(decodeQuarantined(update.GetQuarantined(), exchange.now()))
+	}
 	if len(update.GetAsks()) > 0 {
 		sink.Asked(update.GetVm(), decodeAsks(update.GetAsks()))
 	}
@@ -127,11 +130,11 @@
 	exchange.mu.Unlock()
 	switch {
 	case update.GetPing(), coordinated && update.GetHello():
-		exchange.pong(address, sink.Blind())
+		exchange.pong(address, sink)
 	case !coordinated && (returned || update.GetHello()):
 		exchange.send(targets{direct: []net.Addr{address}}, sink.Own(), false)
 	}
 	if decides {
-		exchange.sendAll([]net.Addr{address}, sink.Own())
+		exchange.sendAll([]net.Addr{address}, sink.Own(), sink.Quarantined())
 	}
 }
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -8,6 +8,7 @@
 
 	"github.com/mastwinch/mastwinch/internal/dispatch"
 	"github.com/mastwinch/mastwinch/internal/pool"
+	"github.com/mastwinch/mastwinch/internal/quarantine"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
 
@@ -45,10 +46,14 @@
 	}
 }
 
-// sendAll tells of all that is under way, and asks whether it is heard.
-func (exchange *Exchange) sendAll(addresses []net.Addr, reports []pool.Report) {
+// sendAll tells of all that is under way and of what is kept from servers, and asks whether it is
+// heard.
+func (exchange *Exchange) sendAll(addresses []net.Addr, reports []pool.Report, entries []quarantine.Entry) {
 	for number, update := range exchange.updates(reports) {
 		update.Ping = number == 0
+		if update.GetPing() {
+			update.Quarantined = encodeQuarantined(entries, exchange.now())
+		}
 		exchange.sendTo(addresses, update)
 	}
 }
@@ -81,11 +86,13 @@
 	exchange.sendTo(exchange.addressOf(vm), update)
 }
 
-// pong tells a VM that it is heard, and who decides.
-func (exchange *Exchange) pong(address net.Addr, blind bool) {
+// pong tells a VM that it is heard, who decides, and what is kept from servers: so all VMs learn that
+// from those that judge within one Repeat, and again after a loss.
+func (exchange *Exchange) pong(address net.Addr, sink Sink) {
 	update := exchange.update()
 	update.UpMs = uint32(exchange.now().Sub(exchange.started).Milliseconds()) //nolint:gosec // weeks at most
-	update.Blind = blind
+	update.Blind = sink.Blind()
+	update.Quarantined = encodeQuarantined(sink.Quarantined(), exchange.now())
 	update.Peers, update.Known = exchange.deciders()
 	exchange.sendTo([]net.Addr{address}, update)
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -59,3 +61,39 @@
 		})
 	}
 }
+
+// TestOthersAreServedWhileServersCrash has requests of other bodies on the servers that crash, and
+// callers who ask again at once: they are not taken for the cause, however often they were there.
+func TestOthersAreServedWhileServersCrash(t *testing.T) {
+	const reason = `"error":"crashes_servers"`
+	inFleet(t, 5, 9, func(fleet *fleet) {
+		harmful := stream("chat")
+		harmful.body = crashing
+		harmless := []caller{stream("bill"), stream("chat"), plain(http.MethodGet, "look")}
+		var callers sync.WaitGroup
+		var atFault []answer
+		others := make([][]answer, len(harmless))
+		callers.Go(func() { atFault = fleet.repeat(harmful, 300*time.Millisecond, 4*time.Second) })
+		for number, caller := range harmless {
+			callers.Go(func() { others[number] = fleet.repeat(caller, 60*time.Millisecond, 4*time.Second) })
+		}
+		callers.Wait()
+		last := atFault[len(atFault)-1]
+		assert.Equal(fleet.t, last.status, http.StatusServiceUnavailable)
+		assert.Assert(fleet.t, strings.Contains(last.body, reason), last.body)
+		assert.Assert(fleet.t, strings.Contains(last.body, `"not_run":true`), last.body)
+		assert.Assert(fleet.t, last.header.Get("Retry-After") > "10", last.header.Get("Retry-After"))
+		assert.Assert(fleet.t, last.took < 20*time.Millisecond, "%s", last.took)
+		for _, answers := range others {
+			for _, got := range answers {
+				assert.Assert(fleet.t, !strings.Contains(got.body, reason), got.body)
+			}
+		}
+		time.Sleep(entryTime)
+		for _, caller := range harmless {
+			for _, got := range fleet.repeat(caller, 100*time.Millisecond, time.Second) {
+				assert.Equal(fleet.t, got.status, http.StatusOK, got.body)
+			}
+		}
+	})
+}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -127,7 +127,7 @@
 	defer server.mu.Unlock()
 	server.starts++
 	id := fmt.Sprintf("%s-%s-%d", server.service, server.address, server.starts)
-	server.running = server.fleet.listen(server.address, server.fleet.scripted(id, server.serve))
+	server.running = server.fleet.listen(server.address, server.fleet.scripted(id, server.onlyAs(id)))
 	server.fleet.list(id, server.service, server.address, "ready")
 }
 
@@ -137,6 +137,17 @@
 	_ = server.running.Close()
 }
 
+// onlyAs turns requests away that are meant for an earlier start.
+func (server *fleetServer) onlyAs(id string) backend {
+	return func(world *world, nth int, writer http.ResponseWriter, request *http.Request) {
+		if request.Header.Get("Expect-Instance") != id {
+			refuses(http.StatusMisdirectedRequest)(world, nth, writer, request)
+			return
+		}
+		server.serve(world, nth, writer, request)
+	}
+}
+
 // serve crashes under a request whose body says so, and answers the others.
 func (server *fleetServer) serve(world *world, nth int, writer http.ResponseWriter, request *http.Request) {
 	body := server.fleet.lastBodyOf(request.Header.Get("Request-Id"))
@@ -201,16 +212,22 @@
 	return count
 }
 
-// repeat lets callers ask for the same at VMs in turn, one each pause for so long. Each
-// asks once more at the next VM after a failure.
-func (fleet *fleet) repeat(caller caller, pause, long time.Duration) {
+// repeat lets callers ask for the same at VMs in turn, one each pause for so long, and returns what
+// they got. Each asks once more at the next VM after a failure.
+func (fleet *fleet) repeat(caller caller, pause, long time.Duration) []answer {
+	var mu sync.Mutex
+	var answers []answer
 	var asking sync.WaitGroup
 	for number := range int(long / pause) {
 		asking.Go(func() {
 			for try := range 2 {
 				again := caller
 				again.vm = fleet.vms[(number+try)%len(fleet.vms)].address()
-				if got := fleet.ask(again); got.status == http.StatusOK && got.whole {
+				got := fleet.ask(again)
+				mu.Lock()
+				answers = append(answers, got)
+				mu.Unlock()
+				if got.status == http.StatusOK && got.whole {
 					return
 				}
 			}
@@ -218,4 +235,5 @@
 		time.Sleep(pause)
 	}
 	asking.Wait()
+	return answers
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/placement"
 	"github.com/mastwinch/mastwinch/internal/pool"
+	"github.com/mastwinch/mastwinch/internal/quarantine"
 	"github.com/mastwinch/mastwinch/internal/reservation"
 	"github.com/mastwinch/mastwinch/internal/retrybudget"
 	"github.com/mastwinch/mastwinch/internal/upstream"
@@ -52,6 +53,7 @@
 	Configuration follower.Source[*catalog.Catalog]
 	Servers       follower.Source[directory.Entry]
 	Register      exchange.Register
+	Quarantine    quarantine.Store
 }
 
 // Gateway is one gateway process.
@@ -82,6 +84,7 @@
 	metrics      *metrics
 	idle         *idleConnections
 	returns      *returns
+	quarantine   *quarantine.Book
 
 	// running counts requests in progress.
 	running atomic.Int64
@@ -103,6 +106,9 @@
 // errStopping ends what is in progress when the process must stop.
 var errStopping = errors.New("process stops")
 
+// errHarmful ends a request once it is known that servers crash under it.
+var errHarmful = errors.New("servers crash under the request")
+
 // New returns a gateway. It takes datagrams from now on.
 func New(
 	settings Settings, site Site, codec Codec, orders reservation.Codec, sources Sources,
@@ -134,9 +140,12 @@
 		upstream: upstream.New(settings.Upstream, system, now),
 		idle:     newIdleConnections(now),
 		returns:  newReturns(now),
-		life:     life,
-		end:      end,
-		budgets:  make(map[string]*retrybudget.Budget),
+
+		quarantine: quarantine.New(settings.Quarantine, sources.Quarantine, exchange, logger, now),
+
+		life:    life,
+		end:     end,
+		budgets: make(map[string]*retrybudget.Budget),
 	}
 	gateway.coordinator = coordinator.New(settings.Coordinator, site.VM, gateway.policy, gateway.pool, gateway.service, exchange, now)
 	gateway.reservations = reservation.New(life, settings.Reservation.WithHoldAtMost(site.Bounds.HoldMax), orders, gateway.upstream, logger, now)
@@ -168,26 +177,6 @@
 	return gateway, nil
 }
 
-// told takes what other VMs tell.
-type told struct {
-	*pool.Pool
-	*coordinator.Coordinator
-
-	tails map[string]*follower.Tail
-}
-
-var _ exchange.Sink = told{}
-
-// Blind implements exchange.Sink.
-func (told told) Blind() bool {
-	for _, tail := range told.tails {
-		if tail.Lost() {
-			return true
-		}
-	}
-	return false
-}
-
 // service finds a service in the configuration in force.
 func (gateway *Gateway) service(name string) (*catalog.Service, bool) {
 	current := gateway.belief.current.Load()
@@ -215,8 +204,12 @@
 	group.Go(func() error { return gateway.listenAndServe(working, ready, gateway.site.ReadyAddress) })
 	group.Go(func() error { return gateway.listenAndServe(working, peers, gateway.site.PeerAddress) })
 	group.Go(func() error {
-		return gateway.exchange.Run(working, told{Pool: gateway.pool, Coordinator: gateway.coordinator, tails: gateway.tails})
+		return gateway.exchange.Run(working, told{
+			Pool: gateway.pool, Coordinator: gateway.coordinator, quarantine: gateway.quarantine, tails: gateway.tails,
+			now: gateway.now,
+		})
 	})
+	group.Go(func() error { gateway.quarantine.Run(working, gateway.site.First); return nil })
 	group.Go(func() error { gateway.coordinator.Run(working); return nil })
 	group.Go(func() error { gateway.configuration.Run(working); return nil })
 	group.Go(func() error { gateway.directory.Run(working); return nil })
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -65,6 +65,9 @@
 			members, _ := gateway.exchange.Members()
 			return float64(members)
 		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "mastwinch_quarantined_requests", Help: "Requests kept from servers, since they crash under them.",
+		}, func() float64 { return float64(len(gateway.quarantine.Entries())) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "mastwinch_connections_opened_total", Help: "Connections opened to servers.",
 		}, func() float64 { return float64(gateway.upstream.Opened()) }),
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -30,9 +30,18 @@
 	ReasonRefused         Reason = "servers_refused"
 	ReasonBusy            Reason = "servers_busy"
 	ReasonStopping        Reason = "stopping"
+	ReasonCrashesServers  Reason = "crashes_servers"
 	ReasonCallerGone      Reason = "caller_gone"
 )
 
+// detail says what a caller can do beyond what the status says, or is empty.
+func (reason Reason) detail() string {
+	if reason == ReasonCrashesServers {
+		return "servers crash under this request; another try does not help until the time to return"
+	}
+	return ""
+}
+
 // outcome is how a request ended.
 type outcome struct {
 	// status is what the caller got, or zero when it got none.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -23,10 +23,11 @@
 			return run.relayed(attempted)
 		}
 		if err != nil {
-			return run.cut(ctx, err)
+			return run.cut(ctx, err, !first)
 		}
 		if first {
 			first = false
+			run.hasEvents.Store(true)
 			attempted.use.Read()
 			run.observeFirst(attempted)
 		}
@@ -52,13 +53,15 @@
 		"took", took, "predicted", attempted.plan.Predicted)
 }
 
-// cut returns the result of a stream that broke off.
-func (run *run) cut(ctx context.Context, err error) result {
+// cut returns the result of a stream that broke off, after an event or before.
+func (run *run) cut(ctx context.Context, err error, ran bool) result {
 	cause := context.Cause(ctx)
 	if cause != nil {
 		err = errors.CombineErrors(cause, err)
 	}
-	return result{kind: resultUncertain, status: http.StatusOK, lost: cause == nil, err: errors.Wrap(err, "stream")}
+	return result{
+		kind: resultUncertain, status: http.StatusOK, lost: cause == nil, ran: ran, err: errors.Wrap(err, "stream"),
+	}
 }
 
 // relayed ends the answer.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +12,7 @@
 	"github.com/mastwinch/mastwinch/internal/call"
 	"github.com/mastwinch/mastwinch/internal/fingerprint"
 	"github.com/mastwinch/mastwinch/internal/placement"
+	"github.com/mastwinch/mastwinch/internal/quarantine"
 	"github.com/mastwinch/mastwinch/internal/reservation"
 	"github.com/mastwinch/mastwinch/internal/wait"
 )
@@ -36,8 +38,9 @@
 	last result
 	// refused says that the VM that decides expects no place before the caller leaves.
 	refused bool
-	// begun says that the head of an answer was written.
-	begun bool
+	// begun says that the head of an answer was written, and hasEvents that events of it came.
+	begun     bool
+	hasEvents atomic.Bool
 	// lastEvent is the last event that the caller has, or empty.
 	lastEvent string
 	account   account
@@ -59,16 +62,13 @@
 
 // fingerprint returns that of the request with its body.
 func (admitted *admitted) fingerprint(body []byte) fingerprint.Fingerprint {
-	request := fingerprint.Request{
-		Method: admitted.incoming.Method,
-		Host:   admitted.incoming.Host,
-		Target: admitted.incoming.RequestURI,
-		Body:   body,
-	}
-	if admitted.organisation != nil {
-		request.Organisation = admitted.organisation.Name
-	}
-	return fingerprint.New(request)
+	return fingerprint.New(fingerprint.Request{
+		Organisation: admitted.organisationName(),
+		Method:       admitted.incoming.Method,
+		Host:         admitted.incoming.Host,
+		Target:       admitted.incoming.RequestURI,
+		Body:         body,
+	})
 }
 
 // randomFraction returns a number from zero up to one.
@@ -104,6 +104,8 @@
 	// lost says that the connection broke while the server had the request, as it does for
 	// all that is there when a server crashes.
 	lost bool
+	// ran says that an event came from the server.
+	ran bool
 	// answer is an answer of the server that may be passed on when no other
 	// attempt does better.
 	answer *plainAnswer
@@ -111,9 +113,15 @@
 
 // execute sends the request to servers until it has an outcome.
 func (run *run) execute(ctx context.Context) outcome {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer run.gateway.quarantine.Watch(run.fingerprint, func() { run.endHarmful(cancel) })()
 	budget := run.gateway.budget(run.service.Name)
 	budget.Earn()
 	for {
+		if run.gateway.quarantine.Kept(run.fingerprint) > 0 {
+			return run.fail(ReasonCrashesServers)
+		}
 		plan, use, ok := run.place(ctx)
 		if !ok && ctx.Err() == nil {
 			return run.fail(ReasonBusy) // held for long enough
@@ -139,16 +147,22 @@
 	}
 }
 
+// endHarmful ends the request once servers crash under it. One that has events goes on, and tells by
+// its end whether that was a mistake.
+func (run *run) endHarmful(cancel context.CancelCauseFunc) {
+	if !run.hasEvents.Load() {
+		cancel(errHarmful)
+	}
+}
+
 // dispatch is what the server of a plan is told.
 func (run *run) dispatch(plan placement.Plan, held *reservation.Held) call.Dispatch {
 	dispatch := call.Dispatch{
-		Instance:  plan.Server.ID,
-		Time:      run.callerDeadline.Sub(run.gateway.now()),
-		LastEvent: run.lastEvent,
-		Urgency:   run.urgency(),
-	}
-	if run.organisation != nil {
-		dispatch.Organisation = run.organisation.Name
+		Instance:     plan.Server.ID,
+		Time:         run.callerDeadline.Sub(run.gateway.now()),
+		Organisation: run.organisationName(),
+		LastEvent:    run.lastEvent,
+		Urgency:      run.urgency(),
 	}
 	if held != nil {
 		dispatch.Helpers = append(dispatch.Helpers, call.Helper{Address: plan.Server.Address, Ticket: held.Ticket()})
@@ -189,7 +203,8 @@
 	gateway.metrics.attempts.WithLabelValues(string(result.kind)).Inc()
 	run.last = result
 	if result.kind == resultAnswered {
-		gateway.pool.Succeeded(plan.Server.ID)
+		gateway.pool.Succeeded(plan.Server.ID, run.fingerprint)
+		gateway.quarantine.Served(run.fingerprint, plan.Server.ID)
 		return outcome{status: result.status, answered: true, server: plan.Server.ID}, true
 	}
 	if ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
@@ -216,12 +231,16 @@
 	switch {
 	case result.closed:
 		run.gateway.pool.Closed(atFault)
+	case result.lost:
+		strike := quarantine.Strike{Fingerprint: run.fingerprint, Server: atFault, Ran: result.ran}
+		suspect = run.gateway.pool.FailedUnder(atFault, run.fingerprint, phaseOf(strike))
+		run.gateway.quarantine.Lost(strike)
 	default:
 		suspect = run.gateway.pool.Failed(atFault)
 	}
 	run.gateway.logger.Warn("attempt failed", "request_id", run.head.ID, "send", run.sends-1,
 		"server", plan.Server.ID, "at_fault", atFault, "result", result.kind, "status", result.status,
-		"lost", result.lost, "fingerprint", run.fingerprint, "suspect", suspect, "error", result.err)
+		"lost", result.lost, "ran", result.ran, "fingerprint", run.fingerprint, "suspect", suspect, "error", result.err)
 }
 
 // interrupted returns the outcome of a request whose context ended.
@@ -231,6 +250,8 @@
 		return run.fail(ReasonTime)
 	case errors.Is(cause, errStopping):
 		return run.fail(ReasonStopping)
+	case errors.Is(cause, errHarmful):
+		return run.fail(ReasonCrashesServers)
 	default:
 		return outcome{reason: ReasonCallerGone, mayHaveRun: run.runs > 0, broken: run.begun, answered: run.begun}
 	}
@@ -246,5 +267,13 @@
 		run.writePlain(answer)
 		return outcome{status: answer.status, reason: reason, mayHaveRun: true, answered: true}
 	}
-	return failure(reason, run.runs > 0, run.gateway.retryAfter())
+	return failure(reason, run.runs > 0, run.returnAfter(reason))
+}
+
+// returnAfter is when a caller may return that was refused for a reason.
+func (run *run) returnAfter(reason Reason) time.Duration {
+	if reason == ReasonCrashesServers {
+		return run.gateway.quarantine.Kept(run.fingerprint)
+	}
+	return run.gateway.retryAfter()
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -39,7 +39,7 @@
 	run := newRun(gateway, admitted, body, writer)
 	outcome := run.execute(ctx)
 	if !outcome.answered && outcome.reason != ReasonCallerGone {
-		gateway.writeOutcome(writer, admitted.head.ID, outcome, "")
+		gateway.writeOutcome(writer, admitted.head.ID, outcome, outcome.reason.detail())
 	}
 	gateway.ended(admitted, outcome, run)
 	if outcome.broken {
@@ -144,6 +144,14 @@
 	return outcome{}
 }
 
+// organisationName returns whose key the caller used, or nothing.
+func (admitted *admitted) organisationName() string {
+	if admitted.organisation == nil {
+		return ""
+	}
+	return admitted.organisation.Name
+}
+
 // setDeadlines reckons until when the request may take.
 func (admitted *admitted) setDeadlines(margin time.Duration) {
 	limit := admitted.route.Timeout
@@ -213,6 +221,7 @@
 	age, _ := gateway.configuration.Age()
 	gateway.metrics.ended(route.Name, string(route.Kind), outcome, took)
 	gateway.logger.Info("ended", "request_id", admitted.head.ID, "route", route.Name, "kind", route.Kind,
+		"organisation", admitted.organisationName(),
 		"fingerprint", run.fingerprint, "status", outcome.status, "reason", outcome.reason, "may_have_run", outcome.mayHaveRun,
 		"server", outcome.server, "broken", outcome.broken, "took", took,
 		"tokens", admitted.tokens(), "objective", route.Objective, "gap", route.Gap, "sends", run.sends,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -10,6 +10,7 @@
 	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/placement"
 	"github.com/mastwinch/mastwinch/internal/pool"
+	"github.com/mastwinch/mastwinch/internal/quarantine"
 	"github.com/mastwinch/mastwinch/internal/reservation"
 	"github.com/mastwinch/mastwinch/internal/upstream"
 )
@@ -35,6 +36,7 @@
 	Configuration follower.Settings    `yaml:"configuration"`
 	Directory     follower.Settings    `yaml:"directory"`
 	Reservation   reservation.Settings `yaml:"reservation"`
+	Quarantine    quarantine.Settings  `yaml:"quarantine"`
 	Request       RequestSettings      `yaml:"request"`
 	Drain         DrainSettings        `yaml:"drain"`
 	Logging       LoggingSettings      `yaml:"logging"`
@@ -148,6 +150,7 @@
 			RetryMin: 100 * time.Millisecond, RetryMax: 800 * time.Millisecond,
 		},
 		Reservation: reservation.DefaultSettings(),
+		Quarantine:  quarantine.DefaultSettings(),
 		Request: RequestSettings{
 			RevokeMargin:   500 * time.Millisecond,
 			Margin:         20 * time.Millisecond,
--- /dev/null
+++ b/internal/gateway/told.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/mastwinch/mastwinch/internal/coordinator"
+	"github.com/mastwinch/mastwinch/internal/exchange"
+	"github.com/mastwinch/mastwinch/internal/fingerprint"
+	"github.com/mastwinch/mastwinch/internal/follower"
+	"github.com/mastwinch/mastwinch/internal/pool"
+	"github.com/mastwinch/mastwinch/internal/quarantine"
+)
+
+// told takes what other VMs tell, and says what they are told.
+type told struct {
+	*pool.Pool
+	*coordinator.Coordinator
+
+	quarantine *quarantine.Book
+	tails      map[string]*follower.Tail
+	now        func() time.Time
+}
+
+var _ exchange.Sink = told{}
+
+// Blind implements exchange.Sink.
+func (told told) Blind() bool {
+	for _, tail := range told.tails {
+		if tail.Lost() {
+			return true
+		}
+	}
+	return false
+}
+
+// Own implements exchange.Sink: requests at servers, and those on servers lost a moment ago.
+func (told told) Own() []pool.Report {
+	reports := told.Pool.Own()
+	for _, strike := range told.quarantine.Own() {
+		reports = append(reports, pool.Report{
+			Server: strike.Server, Phase: phaseOf(strike), Health: pool.HealthLost,
+			Fingerprint: strike.Fingerprint, Age: told.now().Sub(strike.At),
+		})
+	}
+	return reports
+}
+
+// Told implements exchange.Sink.
+func (told told) Told(vm string, reports []pool.Report) {
+	told.Pool.Told(vm, reports)
+	for _, report := range reports {
+		if report.Fingerprint != fingerprint.None {
+			told.noteRequest(report)
+		}
+	}
+}
+
+// noteRequest takes over how a request of another VM came out.
+func (told told) noteRequest(report pool.Report) {
+	switch report.Health {
+	case pool.HealthGood:
+		told.quarantine.Served(report.Fingerprint, report.Server)
+	case pool.HealthLost:
+		told.quarantine.LostElsewhere(quarantine.Strike{
+			Fingerprint: report.Fingerprint, Server: report.Server, Ran: report.Phase == pool.PhaseWriting,
+		}, report.Age)
+	case pool.HealthUntold, pool.HealthFailed, pool.HealthClosed, pool.HealthNotFree:
+	}
+}
+
+// phaseOf is how far a request was on a server when that was lost.
+func phaseOf(strike quarantine.Strike) pool.Phase {
+	if strike.Ran {
+		return pool.PhaseWriting
+	}
+	return pool.PhaseReading
+}
+
+// Quarantined implements exchange.Sink.
+func (told told) Quarantined() []quarantine.Entry {
+	return told.quarantine.Tell()
+}
+
+// ToldQuarantined implements exchange.Sink.
+func (told told) ToldQuarantined(entries []quarantine.Entry) {
+	told.quarantine.Told(entries)
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -199,6 +199,7 @@
 		Configuration: platform.NewConfigurationSource(store),
 		Servers:       platform.NewServersSource(store),
 		Register:      platform.NewMembers(store),
+		Quarantine:    platform.NewQuarantine(store),
 	}, world.network, logger)
 	assert.NilError(world.t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -1,13 +1,16 @@
 package pool
 
-import "github.com/mastwinch/mastwinch/internal/catalog"
+import (
+	"github.com/mastwinch/mastwinch/internal/catalog"
+	"github.com/mastwinch/mastwinch/internal/fingerprint"
+)
 
-// Succeeded notes a good answer of a server.
-func (pool *Pool) Succeeded(id string) {
+// Succeeded notes a good answer of a server to a request.
+func (pool *Pool) Succeeded(id string, request fingerprint.Fingerprint) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	pool.succeeded(id)
-	pool.publisher.Publish(Report{Server: id, Phase: PhaseOver, Health: HealthGood})
+	pool.publisher.Publish(Report{Server: id, Phase: PhaseOver, Health: HealthGood, Fingerprint: request})
 }
 
 func (pool *Pool) succeeded(id string) {
@@ -24,6 +27,15 @@
 	return pool.failed(id)
 }
 
+// FailedUnder notes that the connection to a server broke while it had a request, which counts as a failure,
+// and reports whether it is suspect now. The phase is how far the request was.
+func (pool *Pool) FailedUnder(id string, request fingerprint.Fingerprint, phase Phase) bool {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	pool.publisher.Publish(Report{Server: id, Phase: phase, Health: HealthLost, Fingerprint: request})
+	return pool.failed(id)
+}
+
 func (pool *Pool) failed(id string) bool {
 	server := pool.servers[id]
 	if server == nil {
@@ -85,7 +97,7 @@
 	switch report.Health {
 	case HealthGood:
 		pool.succeeded(report.Server)
-	case HealthFailed:
+	case HealthFailed, HealthLost:
 		pool.failed(report.Server)
 	case HealthClosed:
 		pool.closed(report.Server)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/mastwinch/mastwinch/internal/catalog"
 	"github.com/mastwinch/mastwinch/internal/directory"
+	"github.com/mastwinch/mastwinch/internal/fingerprint"
 	"github.com/mastwinch/mastwinch/internal/follower"
 	"github.com/mastwinch/mastwinch/internal/placement"
 	"github.com/mastwinch/mastwinch/internal/pool"
@@ -322,7 +323,7 @@
 	assert.Assert(t, world.Failed("s1"))
 	world.pass(1100 * time.Millisecond)
 	assert.Assert(t, world.server(t, "s1").Suspect, "each further failure doubles the time")
-	world.Succeeded("s1")
+	world.Succeeded("s1", fingerprint.None)
 	assert.Assert(t, !world.server(t, "s1").Suspect)
 }
 
--- a/internal/pool/sending.go
+++ b/internal/pool/sending.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mastwinch/mastwinch/internal/fingerprint"
 	"github.com/mastwinch/mastwinch/internal/placement"
 )
 
@@ -49,6 +50,8 @@
 	Pace float64
 	// Health is how the server did for a request that is over, when that is told.
 	Health Health
+	// Fingerprint is that of the request that Health is told of, or none.
+	Fingerprint fingerprint.Fingerprint
 }
 
 // Health is how a server did for one request.
@@ -66,6 +69,8 @@
 	HealthClosed
 	// HealthNotFree: it has KV memory in use that no VM told of, as much as the report says.
 	HealthNotFree
+	// HealthLost: the connection broke while it had the request.
+	HealthLost
 )
 
 // sending is a request at a server.
