entry: a test for requests that crash their engines, which fails

Ruled out: the idempotency key: it keeps one request from being run twice, and a caller who asks anew has a new one or none.

--- a/internal/entry/streams_test.go
+++ b/internal/entry/streams_test.go
@@ -6,7 +6,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/mastwinch/mastwinch/internal/request"
 )
 
 // streamCommand is one thing that happens to the world.
@@ -52,11 +55,19 @@
 
 func playStreams(t *testing.T, commands []streamCommand) (broken error) {
 	t.Helper()
-	synctest.Test(t, func(*testing.T) {
-		world := newStreamWorld()
+	return inStreamWorld(t, func(world *streamWorld) {
 		for _, command := range commands {
 			world.do(command)
 		}
+	})
+}
+
+// inStreamWorld plays before engines and entries until all callers have an outcome, and returns what is wrong.
+func inStreamWorld(t *testing.T, play func(world *streamWorld)) (broken error) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		world := newStreamWorld()
+		play(world)
 		world.calling.Wait()
 		time.Sleep(time.Minute) // until what nobody reads has been dropped
 		for i, caller := range world.callers {
@@ -94,3 +105,35 @@
 		}
 	})
 }
+
+// TestRequestThatCrashesEnginesIsSentNoMore has callers ask again and again, under new IDs, for what crashes each
+// engine that runs it, beside others. What an entry knew of a request ended with each of them, so that each got
+// up to four more engines: 40 of 40 sends crashed one. After three it is to be sent no more, and the others go on.
+func TestRequestThatCrashesEnginesIsSentNoMore(t *testing.T) {
+	var crashes, sends []time.Time
+	var outcomes []Status
+	broken := inStreamWorld(t, func(world *streamWorld) {
+		for range 10 {
+			world.submit(0, crashingTokens, 20, 0)
+			world.submit(0, 1000, 20, 0)
+			time.Sleep(time.Second)
+		}
+		world.calling.Wait()
+		crashes, sends = world.crashes, world.sends
+		for _, caller := range world.callers {
+			outcomes = append(outcomes, caller.outcome)
+		}
+	})
+	assert.NilError(t, broken)
+	assert.Assert(t, len(crashes) >= 3, "%d crashed", len(crashes))
+	late := 0
+	for _, sent := range sends {
+		if sent.After(crashes[2].Add(3 * time.Second)) {
+			late++
+		}
+	}
+	assert.Assert(t, late <= 3, "sent %d times more, %d crashed", late, len(crashes))
+	last := outcomes[len(outcomes)-2]
+	assert.Equal(t, last.Outcome, request.KindFailedNotRun)
+	assert.Equal(t, outcomes[len(outcomes)-1].Outcome, request.KindCompleted)
+}
--- a/internal/entry/streamworld_test.go
+++ b/internal/entry/streamworld_test.go
@@ -30,7 +30,10 @@
 	testMemory  = 100_000
 	testModel   = "clerk"
 	streamTime  = 20 * time.Second
-	callerPause = 20 * time.Millisecond
+	// crashingTokens is the length of the prompt under which each engine crashes after crashTime.
+	crashingTokens = 777
+	crashTime      = 100 * time.Millisecond
+	callerPause    = 20 * time.Millisecond
 )
 
 // streamWorld is entries before stand-in engines, in virtual time.
@@ -40,11 +43,14 @@
 	// cutAfter is after how many frames connections to engines break, or
 	// zero for never.
 	cutAfter int
-	entries  []*Entry
-	callers  []*caller
-	calling  sync.WaitGroup
-	running  sync.WaitGroup
-	ends     []context.CancelFunc
+	// crashes has when engines crashed under a prompt of crashingTokens, and sends when it was sent.
+	crashes []time.Time
+	sends   []time.Time
+	entries []*Entry
+	callers []*caller
+	calling sync.WaitGroup
+	running sync.WaitGroup
+	ends    []context.CancelFunc
 }
 
 func newStreamWorld() *streamWorld {
@@ -135,10 +141,15 @@
 	took time.Duration
 }
 
+// promptOf returns a prompt of so many tokens.
+func promptOf(tokens int) string {
+	return strings.Repeat("abc ", tokens)
+}
+
 // submit starts a caller who is cut off after so many tokens each time, or
 // never if that is zero.
 func (world *streamWorld) submit(node, promptTokens, maxTokens, cutEvery int) {
-	prompt := strings.Repeat("abc ", promptTokens)
+	prompt := promptOf(promptTokens)
 	caller := &caller{digest: xxhash.Sum64String(prompt), tokens: maxTokens}
 	world.callers = append(world.callers, caller)
 	repeatable := true
@@ -279,6 +290,9 @@
 func (streambackends *streamBackends) Generate(
 	ctx context.Context, address string, dispatch backend.Dispatch,
 ) (backend.Stream, error) {
+	if len(dispatch.Body) == len(promptOf(crashingTokens)) {
+		return nil, streambackends.world.crash(address)
+	}
 	one := streambackends.world.engine(address)
 	err := one.Submit(engine.Submission{
 		Attempt: dispatch.Attempt, Request: dispatch.Request, Organisation: dispatch.Organisation, Owner: dispatch.Owner,
@@ -291,6 +305,23 @@
 	return streambackends.open(ctx, one, dispatch.Attempt, dispatch.From)
 }
 
+// crash lets an engine crash, with all that it has.
+func (world *streamWorld) crash(address string) error {
+	world.mu.Lock()
+	world.sends = append(world.sends, time.Now())
+	world.mu.Unlock()
+	time.Sleep(crashTime)
+	for i := range engineCount {
+		if engineID(i) == address {
+			world.startEngine(i)
+		}
+	}
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	world.crashes = append(world.crashes, time.Now())
+	return errors.New("connection reset")
+}
+
 // Resume implements backend.Engine.
 func (streambackends *streamBackends) Resume(
 	ctx context.Context, address, attempt string, from int,
