entry: a request under which engines crash is kept from them

Cause: as on the platform, what an entry knew of a request ended with it; the next one of its callers was new. Change: the same code judges (quarantine.Book), by what the entry itself saw; entries do not tell each other yet, so each learns by three engines of its own. A failure that an engine answered is told from a lost engine by type (backend.StatusError).

--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -89,6 +89,18 @@
 	return fmt.Sprintf("backend server %s did not run it: %s", e.Address, e.Reason)
 }
 
+// StatusError says that a backend server answered with a failure, so that it lives.
+type StatusError struct {
+	Address string
+	Status  int
+	Body    string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("backend server %s: status %d: %s", e.Address, e.Status, e.Body)
+}
+
 // NotFoundError says that an engine does not hold a stream.
 type NotFoundError struct {
 	Address string
--- a/internal/backend/httpbackend.go
+++ b/internal/backend/httpbackend.go
@@ -146,7 +146,7 @@
 	if err == nil && refusal.NotRun {
 		return &NotRunError{Address: address, Reason: refusal.Reason, Leaving: refusal.Leaving}
 	}
-	return errors.Newf("backend server %s: status %d: %s", address, response.StatusCode, bytes.TrimSpace(body))
+	return &StatusError{Address: address, Status: response.StatusCode, Body: string(bytes.TrimSpace(body))}
 }
 
 // Resume implements Engine.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -50,7 +50,7 @@
 		return run.dispatchFailed(ctx, server, err)
 	}
 	run.mayHaveRun = true
-	return run.relay(ctx, stream, source{attempt: attempt, id: dispatch.Attempt, server: server})
+	return run.relay(ctx, stream, source{attempt: attempt, id: dispatch.Attempt, server: server, from: dispatch.From})
 }
 
 func (run *run) dispatch(attempt int, group string) backend.Dispatch {
@@ -103,7 +103,11 @@
 	if ctx.Err() != nil {
 		return result{kind: resultInterrupted, server: server.ID, err: err}
 	}
-	return result{kind: resultUncertain, reason: request.ReasonEngineFailed, server: server.ID, err: err}
+	var status *backend.StatusError
+	return result{
+		kind: resultUncertain, reason: request.ReasonEngineFailed, server: server.ID,
+		lost: !errors.As(err, &status), err: err,
+	}
 }
 
 // call sends a call to a plain service.
@@ -124,6 +128,8 @@
 	attempt int
 	id      string
 	server  routing.Server
+	// from is the first token that was asked for.
+	from int
 }
 
 // relay passes on the frames of a stream until it ends.
@@ -217,7 +223,10 @@
 		entry.cancelAt(source.server.Address, source.id)
 		return nil, &result{kind: resultInterrupted, server: source.server.ID}
 	}
-	return nil, &result{kind: resultUncertain, reason: request.ReasonEngineFailed, server: source.server.ID, err: cut}
+	return nil, &result{
+		kind: resultUncertain, reason: request.ReasonEngineFailed, server: source.server.ID,
+		lost: true, ran: run.buffer.Next() > source.from, err: cut,
+	}
 }
 
 // cancelAt cancels a stream without waiting for it. Engines end what they are
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/mastwinch/mastwinch/internal/fold"
 	"github.com/mastwinch/mastwinch/internal/keeperclient"
 	"github.com/mastwinch/mastwinch/internal/link"
+	"github.com/mastwinch/mastwinch/internal/quarantine"
 	"github.com/mastwinch/mastwinch/internal/replica"
 	"github.com/mastwinch/mastwinch/internal/retrybudget"
 	"github.com/mastwinch/mastwinch/internal/routing"
@@ -67,6 +68,7 @@
 	admission   *admission
 	retries     *retrybudget.Budget
 	registry    *registry
+	quarantine  *quarantine.Book
 	metrics     *metrics
 	prometheus  *prometheus.Registry
 	logger      *slog.Logger
@@ -116,6 +118,7 @@
 		admission:   newAdmission(settings.Admission),
 		retries:     retrybudget.New(retrybudget.Limits{Ratio: settings.Retry.Ratio, Burst: settings.Retry.Burst}, time.Now),
 		registry:    registry,
+		quarantine:  quarantine.New(settings.Quarantine, quarantine.Alone{}, quarantine.Alone{}, logger, time.Now),
 		metrics:     newMetrics(prometheus, registry.len, replica.Next),
 		prometheus:  prometheus,
 		logger:      logger,
@@ -146,6 +149,10 @@
 		entry.clean(entry.life)
 		return nil
 	})
+	group.Go(func() error {
+		entry.quarantine.Run(entry.life, true)
+		return nil
+	})
 	group.Go(func() error {
 		err := server.ListenAndServe()
 		entry.end()
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -6,8 +6,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastwinch/mastwinch/internal/fingerprint"
 	"github.com/mastwinch/mastwinch/internal/fleet"
 	"github.com/mastwinch/mastwinch/internal/infra"
+	"github.com/mastwinch/mastwinch/internal/quarantine"
 	"github.com/mastwinch/mastwinch/internal/relay"
 	"github.com/mastwinch/mastwinch/internal/request"
 	"github.com/mastwinch/mastwinch/internal/routing"
@@ -41,6 +43,8 @@
 	sending fleet.Sending
 	// tried has the servers that failed since there was last any choice.
 	tried []string
+	// fingerprint is that of what the caller asked.
+	fingerprint fingerprint.Fingerprint
 	// mayHaveRun says that a server may have run the request, in part or
 	// whole. It never goes back to false.
 	mayHaveRun bool
@@ -69,12 +73,19 @@
 		defer cancel(nil)
 		defer stop()
 		defer release()
-		run := &run{active: started, entry: entry}
+		run := &run{active: started, entry: entry, fingerprint: fingerprintOf(admitted)}
 		entry.settle(started, run.execute(ctx))
 	})
 	return started
 }
 
+// fingerprintOf returns that of a request: its session, key and time differ between tries.
+func fingerprintOf(admitted request.Request) fingerprint.Fingerprint {
+	return fingerprint.New(fingerprint.Request{
+		Organisation: admitted.Organisation, Target: admitted.Model, Body: admitted.Body,
+	})
+}
+
 // settle tells the outcome to the callers and keeps the answer.
 func (entry *Entry) settle(ended *active, outcome request.Outcome) {
 	ended.buffer.End(outcome, entry.now())
@@ -99,6 +110,9 @@
 		if ctx.Err() != nil {
 			return run.interrupted(ctx)
 		}
+		if left := run.entry.quarantine.Kept(run.fingerprint); left > 0 {
+			return run.failed(request.ReasonCrashesServers, left)
+		}
 		decision := run.decide()
 		if decision.Refusal != routing.RefusalNone {
 			if outcome, final := run.refused(decision.Refusal); final {
@@ -221,7 +235,10 @@
 	reason request.Reason
 	// server is the one that answered or failed.
 	server string
-	err    error
+	// lost says that the connection to the server broke and it did not answer again, and ran that
+	// tokens of this attempt had come.
+	lost, ran bool
+	err       error
 }
 
 // conclude returns the outcome after an attempt, unless another one follows.
@@ -231,15 +248,20 @@
 	switch result.kind {
 	case resultCompleted:
 		entry.fleet.Succeeded(result.server)
+		entry.quarantine.Served(run.fingerprint, result.server)
 		return request.Completed(result.server), true
 	case resultInterrupted:
 		return run.interrupted(ctx), true
 	case resultEnded:
 		return run.failed(result.reason, entry.settings.Admission.RetryAfter), true
 	}
+	if result.lost {
+		entry.quarantine.Lost(quarantine.Strike{Fingerprint: run.fingerprint, Server: result.server, Ran: result.ran})
+	}
 	ejected := entry.fleet.Failed(result.server)
 	entry.logger.Warn("attempt failed", "request_id", run.request.ID, "attempt", run.attempts-1,
-		"server", result.server, "result", result.kind, "ejected", ejected, "error", result.err)
+		"server", result.server, "result", result.kind, "lost", result.lost,
+		"fingerprint", run.fingerprint, "ejected", ejected, "error", result.err)
 	run.tried = append(run.tried, result.server)
 	retryAfter := entry.settings.Admission.RetryAfter
 	switch {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mastwinch/mastwinch/internal/fleet"
+	"github.com/mastwinch/mastwinch/internal/quarantine"
 	"github.com/mastwinch/mastwinch/internal/request"
 	"github.com/mastwinch/mastwinch/internal/routing"
 )
@@ -35,8 +36,10 @@
 	Retry     RetrySettings     `yaml:"retry"`
 	Group     GroupSettings     `yaml:"group"`
 	Fleet     fleet.Settings    `yaml:"fleet"`
-	Relay     RelaySettings     `yaml:"relay"`
-	Logging   map[string]string `yaml:"logging" validate:"dive,keys,oneof=level,endkeys,oneof=debug info warn error"`
+	// Quarantine says when a request is kept from servers since they crash under it.
+	Quarantine quarantine.Settings `yaml:"quarantine"`
+	Relay      RelaySettings       `yaml:"relay"`
+	Logging    map[string]string   `yaml:"logging" validate:"dive,keys,oneof=level,endkeys,oneof=debug info warn error"`
 }
 
 // AdmissionSettings bound what one entry takes on.
@@ -125,7 +128,8 @@
 			Lease: 3 * time.Second,
 			Poll:  50 * time.Millisecond,
 		},
-		Fleet: fleet.DefaultSettings(),
+		Fleet:      fleet.DefaultSettings(),
+		Quarantine: quarantine.DefaultSettings(),
 		Relay: RelaySettings{
 			Heartbeat:   2 * time.Second,
 			DetachGrace: 10 * time.Second,
--- a/internal/entry/streamworld_test.go
+++ b/internal/entry/streamworld_test.go
@@ -121,7 +121,9 @@
 	if old := world.entries[i]; old != nil {
 		old.end()
 	}
-	world.entries[i] = NewWith(settings, &streamBackends{world: world}, state, servers, nil, slog.New(slog.DiscardHandler))
+	started := NewWith(settings, &streamBackends{world: world}, state, servers, nil, slog.New(slog.DiscardHandler))
+	world.entries[i] = started
+	world.running.Go(func() { started.quarantine.Run(started.life, true) })
 }
 
 func (world *streamWorld) entry(i int) *Entry {
--- a/internal/quarantine/mistakes_internal_test.go
+++ b/internal/quarantine/mistakes_internal_test.go
@@ -73,20 +73,11 @@
 	under, sends []time.Time
 }
 
-// onlyVM is a VM without others.
-type onlyVM struct{}
-
-var _ Publisher = onlyVM{}
-
-func (onlyVM) Judges() bool { return true }
-
-func (onlyVM) Announce([]Entry) {}
-
 func newPlay(mix mix, seed uint64) *play {
 	play := &play{
 		mix: mix, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(0, 0), next: firstOfOthers,
 	}
-	play.book = New(DefaultSettings(), nil, onlyVM{}, slog.New(slog.DiscardHandler), func() time.Time { return play.now })
+	play.book = New(DefaultSettings(), Alone{}, Alone{}, slog.New(slog.DiscardHandler), func() time.Time { return play.now })
 	for range mix.servers {
 		play.servers = append(play.servers, &playServer{})
 	}
--- a/internal/request/outcome.go
+++ b/internal/request/outcome.go
@@ -24,6 +24,7 @@
 	ReasonNone           Reason = ""
 	ReasonCancelled      Reason = "cancelled"
 	ReasonCallerGone     Reason = "caller_gone"
+	ReasonCrashesServers Reason = "crashes_servers"
 	ReasonDeadline       Reason = "deadline"
 	ReasonEngineFailed   Reason = "backend_server_failed"
 	ReasonEngineRefused  Reason = "backend_server_refused"
