gateway: requests that wait for the first configuration wait for its proof too

The follower tells its listener first and notes the proof after; who waited for the first configuration was woken between the two and found a configuration without an age. To note the proof first: for a moment it would cover content from before, in which a revoked key still stands.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -75,6 +75,8 @@
 	// proven is when the question was asked that last proved the belief. It is
 	// nil before the first answer, and never goes back.
 	proven atomic.Pointer[time.Time]
+	// first is closed once there is a proof.
+	first chan struct{}
 }
 
 // New returns a follower of source.
@@ -83,6 +85,7 @@
 ) *Follower[T] {
 	return &Follower[T]{
 		source: source, listener: listener, settings: settings, logger: logger, now: now, tail: NewTail(now),
+		first: make(chan struct{}),
 	}
 }
 
@@ -96,6 +99,12 @@
 	return follower.now().Sub(*proven), true
 }
 
+// Proven returns a channel that is closed once there is a proof. The listener was told before: a proof that came
+// first would cover content that is not believed any more.
+func (follower *Follower[T]) Proven() <-chan struct{} {
+	return follower.first
+}
+
 // Tail returns what was read, for others to read.
 func (follower *Follower[T]) Tail() *Tail {
 	return follower.tail
@@ -160,9 +169,13 @@
 	}
 	proven := asked.Add(-page.Age)
 	follower.tail.Add(page, proven)
-	if last := follower.proven.Load(); last == nil || proven.After(*last) {
+	last := follower.proven.Load()
+	if last == nil || proven.After(*last) {
 		follower.proven.Store(&proven)
 	}
+	if last == nil {
+		close(follower.first)
+	}
 	return page.Next, nil
 }
 
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -254,3 +254,50 @@
 		assert.Assert(t, age > 8*time.Second)
 	})
 }
+
+// orderListener notes whether there was a proof when it was told.
+type orderListener struct {
+	followed *follower.Follower[string]
+	early    bool
+}
+
+var _ follower.Listener[string] = (*orderListener)(nil)
+
+func (orderlistener *orderListener) Replace([]follower.Change[string]) {
+	select {
+	case <-orderlistener.followed.Proven():
+		orderlistener.early = true
+	default:
+	}
+}
+
+func (orderlistener *orderListener) Apply(changes []follower.Change[string]) {
+	orderlistener.Replace(changes)
+}
+
+func (*orderListener) Lost() {}
+
+func (*orderListener) Regained() {}
+
+// TestProofComesAfterTheContent has who waits for a proof find both the content and its age.
+func TestProofComesAfterTheContent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		listener := &orderListener{}
+		decode := func(key string, _ []byte) (string, error) { return key, nil }
+		followed := follower.New(
+			follower.Source[string]{Name: "test", Log: &source{values: []string{"a"}}, Decode: decode}, listener,
+			follower.Settings{Wait: time.Second, RetryMin: time.Millisecond, RetryMax: time.Millisecond},
+			slog.New(slog.DiscardHandler), time.Now)
+		listener.followed = followed
+		go followed.Run(ctx)
+		<-followed.Proven()
+		_, proven := followed.Age()
+		assert.Assert(t, proven)
+		assert.Assert(t, !listener.early)
+		time.Sleep(3 * time.Second)
+		stop()
+		synctest.Wait()
+	})
+}
--- a/internal/gateway/belief.go
+++ b/internal/gateway/belief.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"sync/atomic"
-	"time"
 
 	"github.com/mastwinch/mastwinch/internal/catalog"
 	"github.com/mastwinch/mastwinch/internal/follower"
@@ -23,16 +22,12 @@
 	return &belief{known: make(chan struct{}), logger: logger}
 }
 
-// await returns the configuration in force, for which it waits that long when there is
-// none yet. It returns nil without one.
-func (belief *belief) await(ctx context.Context, most time.Duration) *catalog.Catalog {
-	if belief.current.Load() == nil && most > 0 {
-		bounded, cancel := context.WithTimeout(ctx, most)
-		defer cancel()
-		select {
-		case <-belief.known:
-		case <-bounded.Done():
-		}
+// await returns the configuration in force, for which it waits until ctx is done when there
+// is none yet. It returns nil without one.
+func (belief *belief) await(ctx context.Context) *catalog.Catalog {
+	select {
+	case <-belief.known:
+	case <-ctx.Done():
 	}
 	return belief.current.Load()
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -87,7 +87,7 @@
 		return result, failure(ReasonStopping, false, gateway.retryAfter()), ""
 	}
 	untilStarted := gateway.started.Add(gateway.settings.Request.StartHold).Sub(arrived)
-	current := gateway.belief.await(incoming.Context(), untilStarted)
+	current := gateway.awaitConfiguration(incoming.Context(), untilStarted)
 	if current == nil {
 		return result, failure(ReasonNoConfiguration, false, gateway.storeRetryAfter()), ""
 	}
@@ -121,6 +121,26 @@
 	return result, outcome{}, ""
 }
 
+// awaitConfiguration returns the configuration in force, for which it waits that long when there is none
+// yet, and for its proof. Without one it returns nil. The proof comes a moment after the first configuration:
+// requests that waited for this one alone were refused as if it were too old, 5 of 300 plays.
+func (gateway *Gateway) awaitConfiguration(ctx context.Context, most time.Duration) *catalog.Catalog {
+	if most <= 0 {
+		return gateway.belief.current.Load()
+	}
+	bounded, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	current := gateway.belief.await(bounded)
+	if current == nil {
+		return nil
+	}
+	select {
+	case <-gateway.configuration.Proven():
+	case <-bounded.Done():
+	}
+	return current
+}
+
 // admitKey finds the organisation of a request by its key.
 func (gateway *Gateway) admitKey(result *admitted) outcome {
 	if !result.catalog.HasOrganisations() {
