platform, pool: each start of a server is a server of its own

Cause: a server may start again under its name. All that is known is kept under the server's ID, which was the name: streams and memory of the earlier start, its failures, its pace, its planned end counted for the later one, and reports of other VMs that speak of the earlier one too. Change: the ID has the start that the entry tells, so that everything kept under it is of one start; the boundary takes it off again. The later start replaces the earlier one, an earlier one never the later, an entry that tells none is of the one that is there. Ruled out: to go through each thing that is kept and clear it: ten places, and reports under way would still count for the wrong start. Datagrams have 26 sendings at most instead of 30, since the IDs are nine characters longer.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,10 +1,15 @@
 // Package directory has the backend servers as the platform lists them.
 package directory
 
+import "time"
+
 // Entry is one backend server in the list. It is immutable.
 type Entry struct {
-	// ID is unique to one start of the server.
-	ID      string
+	// ID is unique to one start of the server: what is known under it is known of that start.
+	ID string
+	// Started is when it started, or zero where that is not told. Of two starts under one key of the list
+	// the later one is there.
+	Started time.Time
 	Service string
 	// Address is an IP number and a port.
 	Address    string
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -18,9 +18,9 @@
 	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
-// maxSendings bounds a datagram: a sending takes about 35 bytes, and 1,200
+// maxSendings bounds a datagram: a sending takes about 45 bytes, and 1,200
 // bytes fit any path.
-const maxSendings = 30
+const maxSendings = 26
 
 // maxDatagram is the largest datagram that is read.
 const maxDatagram = 8 << 10
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -32,6 +33,8 @@
 	// servers has the listed servers, those that are leaving, and those that
 	// are missing but may come back.
 	servers map[string]*server
+	// listed has the ID of the start that is there, by the key of the list.
+	listed map[string]string
 	// byService has the servers of each service in the order of packOrder.
 	byService map[string][]*server
 	// sourceLost says that the list's source does not answer, and returned is
@@ -64,6 +67,7 @@
 		logger:    logger,
 		now:       now,
 		servers:   make(map[string]*server),
+		listed:    make(map[string]string),
 		byService: make(map[string][]*server),
 		own:       make(map[uint64]*sending),
 		nextID:    rand.Uint64(), //nolint:gosec // no secret
@@ -81,9 +85,9 @@
 		listed[value.Key] = value.Value != nil
 		pool.apply(value)
 	}
-	for id := range pool.servers {
-		if !listed[id] {
-			pool.miss(id)
+	for key := range pool.listed {
+		if !listed[key] {
+			pool.miss(key)
 		}
 	}
 	pool.arrange()
@@ -120,6 +124,18 @@
 		return
 	}
 	entry := *change.Value
+	if before := pool.servers[pool.listed[change.Key]]; before != nil {
+		switch {
+		case entry.Started.IsZero(): // of the start that is there, as far as it tells
+			entry.ID, entry.Started = before.entry.ID, before.entry.Started
+		case entry.Started.Before(before.entry.Started):
+			return // told late, of an earlier start
+		case entry.ID != before.entry.ID:
+			before.replaced = true
+			pool.logger.Info("server started again", "server", before.entry.ID, "as", entry.ID)
+		}
+	}
+	pool.listed[change.Key] = entry.ID
 	known := pool.servers[entry.ID]
 	if known == nil {
 		pool.servers[entry.ID] = &server{entry: entry}
@@ -138,7 +154,8 @@
 
 // miss notes that a server is not listed any more. While the source is away,
 // and shortly after, entries lapse although their servers live.
-func (pool *Pool) miss(id string) {
+func (pool *Pool) miss(key string) {
+	id := pool.listed[key]
 	known := pool.servers[id]
 	if known == nil || !known.missingSince.IsZero() {
 		return
@@ -159,9 +176,10 @@
 // arrange drops servers that are gone, and orders the others.
 func (pool *Pool) arrange() {
 	now := pool.now()
+	maps.DeleteFunc(pool.listed, func(_, id string) bool { return pool.servers[id] == nil })
 	byService := make(map[string][]*server)
 	for id, server := range pool.servers {
-		if pool.gone(server, now) && len(server.sendings) == 0 {
+		if (server.replaced || pool.gone(server, now)) && len(server.sendings) == 0 {
 			delete(pool.servers, id)
 			continue
 		}
@@ -241,7 +259,7 @@
 
 // takes reports whether a server may get requests.
 func (pool *Pool) takes(server *server, now time.Time) bool {
-	return !server.entry.Leaving && !server.closed && !pool.gone(server, now)
+	return !server.entry.Leaving && !server.closed && !server.replaced && !pool.gone(server, now)
 }
 
 // usualPace is the middle one of the paces of a service's servers, at least one.
