platform, pool: entries of other writers name no server

Cause: the decoder took what it found; a value that it could not read left the one before in force, and a record of another writer in the register of VMs made the whole list fail. A bad configuration still never replaces a good one. Records in the register that are no VM's are left out, with a line.

--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -75,8 +75,8 @@
 	served, err := gateway.New(tuning, site, platform.Codec{}, platform.Orders{}, gateway.Sources{
 		Configuration: platform.NewConfigurationSource(store),
 		Servers:       platform.NewServersSource(store),
-		Register:      platform.NewMembers(store),
-		Quarantine:    platform.NewQuarantine(store),
+		Register:      platform.NewMembers(store, logger),
+		Quarantine:    platform.NewQuarantine(store, logger),
 	}, system, logger)
 	if err != nil {
 		return err
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -22,6 +22,8 @@
 	Key string
 	// Value is nil when the key was dropped.
 	Value *T
+	// Bad says that the key has a value that cannot be decoded.
+	Bad bool
 }
 
 // Source is a log and how its values are decoded.
@@ -31,6 +33,9 @@
 	Log  Log
 	// Decode returns ErrOtherKey for keys that are not its matter.
 	Decode func(key string, value []byte) (T, error)
+	// TellBad says that the listener is told of values that cannot be decoded. Otherwise the value before
+	// stays.
+	TellBad bool
 }
 
 // WithLog returns the source with another log.
@@ -75,6 +80,8 @@
 	// proven is when the question was asked that last proved the belief. It is
 	// nil before the first answer, and never goes back.
 	proven atomic.Pointer[time.Time]
+	// bad counts values that could not be decoded.
+	bad atomic.Int64
 	// first is closed once there is a proof.
 	first chan struct{}
 }
@@ -105,6 +112,11 @@
 	return follower.first
 }
 
+// Bad returns how many values could not be decoded.
+func (follower *Follower[T]) Bad() int64 {
+	return follower.bad.Load()
+}
+
 // Tail returns what was read, for others to read.
 func (follower *Follower[T]) Tail() *Tail {
 	return follower.tail
@@ -179,8 +191,7 @@
 	return page.Next, nil
 }
 
-// decode decodes records. One that cannot be decoded is logged and left out, so
-// that the value before it stays.
+// decode decodes records. One that cannot be decoded is logged and counted.
 func (follower *Follower[T]) decode(records []Record) []Change[T] {
 	changes := make([]Change[T], 0, len(records))
 	for _, record := range records {
@@ -193,9 +204,14 @@
 			if err != nil {
 				follower.logger.Error("record not understood",
 					"source", follower.source.Name, "key", record.Key, "error", err)
-				continue
+				follower.bad.Add(1)
+				if !follower.source.TellBad {
+					continue
+				}
+				change.Bad = true
+			} else {
+				change.Value = &value
 			}
-			change.Value = &value
 		}
 		changes = append(changes, change)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -65,6 +65,9 @@
 			members, _ := gateway.exchange.Members()
 			return float64(members)
 		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "mastwinch_bad_entries_total", Help: "Entries of the platform's store that could not be read.",
+		}, func() float64 { return float64(gateway.directory.Bad() + gateway.configuration.Bad()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "mastwinch_quarantined_requests", Help: "Requests kept from servers, since they crash under them.",
 		}, func() float64 { return float64(len(gateway.quarantine.Entries())) }),
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -198,8 +198,8 @@
 	served, err := gateway.New(gateway.DefaultSettings(), site, platform.Codec{}, platform.Orders{}, gateway.Sources{
 		Configuration: platform.NewConfigurationSource(store),
 		Servers:       platform.NewServersSource(store),
-		Register:      platform.NewMembers(store),
-		Quarantine:    platform.NewQuarantine(store),
+		Register:      platform.NewMembers(store, logger),
+		Quarantine:    platform.NewQuarantine(store, logger),
 	}, world.network, logger)
 	assert.NilError(world.t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -82,7 +82,7 @@
 	defer pool.mu.Unlock()
 	listed := make(map[string]bool, len(values))
 	for _, value := range values {
-		listed[value.Key] = value.Value != nil
+		listed[value.Key] = value.Value != nil || value.Bad
 		pool.apply(value)
 	}
 	for key := range pool.listed {
@@ -119,6 +119,10 @@
 }
 
 func (pool *Pool) apply(change follower.Change[directory.Entry]) {
+	if change.Bad {
+		pool.spoil(change.Key)
+		return
+	}
 	if change.Value == nil {
 		pool.miss(change.Key)
 		return
@@ -150,6 +154,16 @@
 	entry.Leaving = entry.Leaving || known.entry.Leaving
 	known.entry = entry
 	known.missingSince = time.Time{}
+	known.spoilt = false
+}
+
+// spoil notes that a server's entry cannot be read. Who wrote it is not known, nor whether the server is still
+// there: it gets nothing until its entry is good again.
+func (pool *Pool) spoil(key string) {
+	if known := pool.servers[pool.listed[key]]; known != nil {
+		known.spoilt = true
+		pool.logger.Warn("server not used, its entry is bad", "server", known.entry.ID)
+	}
 }
 
 // miss notes that a server is not listed any more. While the source is away,
@@ -259,7 +273,8 @@
 
 // takes reports whether a server may get requests.
 func (pool *Pool) takes(server *server, now time.Time) bool {
-	return !server.entry.Leaving && !server.closed && !server.replaced && !pool.gone(server, now)
+	out := server.entry.Leaving || server.closed || server.replaced || server.spoilt
+	return !out && !pool.gone(server, now)
 }
 
 // usualPace is the middle one of the paces of a service's servers, at least one.
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -16,6 +16,8 @@
 	entry directory.Entry
 	// missingSince is when it was found not to be listed, or zero.
 	missingSince time.Time
+	// spoilt says that its entry cannot be read now.
+	spoilt bool
 	// replaced says that a later start of the server is listed.
 	replaced bool
 	// closed says that the address belongs to another server by now.
