--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/mastwinch/mastwinch/internal/clock"
 	"github.com/mastwinch/mastwinch/internal/gateway"
 	"github.com/mastwinch/mastwinch/internal/logging"
 	"github.com/mastwinch/mastwinch/internal/network"
@@ -71,13 +72,17 @@
 	defer lines.Close()
 	logger := newJSONLogger(lines, tuning.Logging.Level).With("vm", site.VM)
 	system := network.New(tuning.Network)
+	time, err := clock.New(clock.Boottime)
+	if err != nil {
+		return err //nolint:wrapcheck // names the clock
+	}
 	store := platform.NewStore(site.Store, network.NewTransport(system))
 	served, err := gateway.New(tuning, site, platform.Codec{}, platform.Orders{}, gateway.Sources{
 		Configuration: platform.NewConfigurationSource(store),
 		Servers:       platform.NewServersSource(store),
 		Register:      platform.NewMembers(store, logger),
 		Quarantine:    platform.NewQuarantine(store, logger),
-	}, system, logger)
+	}, system, time, logger)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mastwinch/mastwinch/internal/catalog"
+	"github.com/mastwinch/mastwinch/internal/clock"
 	"github.com/mastwinch/mastwinch/internal/coordinator"
 	"github.com/mastwinch/mastwinch/internal/directory"
 	"github.com/mastwinch/mastwinch/internal/exchange"
@@ -65,6 +66,7 @@
 	codec   Codec
 	network network.Network
 	logger  *slog.Logger
+	clock   *clock.Clock
 	now     func() time.Time
 
 	// started is when the process did.
@@ -112,7 +114,7 @@
 // New returns a gateway. It takes datagrams from now on.
 func New(
 	settings Settings, site Site, codec Codec, orders reservation.Codec, sources Sources,
-	system network.Network, logger *slog.Logger,
+	system network.Network, clock *clock.Clock, logger *slog.Logger,
 ) (*Gateway, error) {
 	now := time.Now
 	packets, err := system.ListenPacket(context.Background(), site.PeerAddress)
@@ -131,6 +133,7 @@
 		codec:    codec,
 		network:  system,
 		logger:   logger,
+		clock:    clock,
 		now:      now,
 		belief:   newBelief(logger),
 		started:  now(),
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -11,12 +11,14 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mastwinch/mastwinch/internal/clock"
 	"github.com/mastwinch/mastwinch/internal/gateway"
 	"github.com/mastwinch/mastwinch/internal/memnet"
 	"github.com/mastwinch/mastwinch/internal/standin/metastore"
@@ -40,6 +42,8 @@
 	stop    context.CancelFunc
 	stopped chan error
 	stopAt  time.Time
+	// asleep is for how long the VM was suspended, in nanoseconds.
+	asleep atomic.Int64
 
 	mu sync.Mutex
 	// seen has the requests that reached each server.
@@ -200,13 +204,28 @@
 		Servers:       platform.NewServersSource(store),
 		Register:      platform.NewMembers(store, logger),
 		Quarantine:    platform.NewQuarantine(store, logger),
-	}, world.network, logger)
+	}, world.network, world.newClock(), logger)
 	assert.NilError(world.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	go func() { stopped <- served.Run(ctx) }()
 	return served, stop
 }
 
+// newClock returns the clock of a VM that can be suspended.
+func (world *world) newClock() *clock.Clock {
+	started := time.Now()
+	made, err := clock.New(func() (time.Duration, error) {
+		return time.Since(started) + time.Duration(world.asleep.Load()), nil
+	})
+	assert.NilError(world.t, err)
+	return made
+}
+
+// suspend lets the VM wake up after so long a time in which its steady clock stood still.
+func (world *world) suspend(duration time.Duration) {
+	world.asleep.Add(int64(duration))
+}
+
 // askStop asks the VM to stop.
 func (world *world) askStop() {
 	world.stopAt = time.Now()
