gateway: ages are measured by a clock that goes on while the machine is suspended

Cause: the runtime's steady clock stands still while a machine is suspended, so that what was old looked young after it: the proof of the configuration, deadlines, what other VMs told, memory set aside, kept connections, the retry budget. Contexts of requests end at their deadlines whatever was slept; questions to the store that were under way are asked again at once. Ruled out: timers on CLOCK_BOOTTIME, which the runtime does not have; the time of day, which jumps. Left: a VM that wakes up decides by itself until it hears the others, up to half a second.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -82,6 +82,8 @@
 	proven atomic.Pointer[time.Time]
 	// bad counts values that could not be decoded.
 	bad atomic.Int64
+	// giveUp ends the question or pause under way.
+	giveUp atomic.Pointer[context.CancelCauseFunc]
 	// first is closed once there is a proof.
 	first chan struct{}
 }
@@ -117,52 +119,78 @@
 	return follower.bad.Load()
 }
 
+// Renew gives up the question or pause under way and asks again at once: after a suspension the answer proves little, and the
+// time for it would run on as if there had been none, 2.2 s without a proof.
+func (follower *Follower[T]) Renew() {
+	if giveUp := follower.giveUp.Load(); giveUp != nil {
+		(*giveUp)(errRenewed)
+	}
+}
+
 // Tail returns what was read, for others to read.
 func (follower *Follower[T]) Tail() *Tail {
 	return follower.tail
 }
 
+// errRenewed ends a question that is asked anew.
+var errRenewed = errors.New("asked anew")
+
 // Run follows the source until ctx is done.
 func (follower *Follower[T]) Run(ctx context.Context) {
-	offset := Everything
-	pause := follower.settings.RetryMin
-	lost := false
+	state := progress{offset: Everything, pause: follower.settings.RetryMin}
 	for ctx.Err() == nil {
-		waiting := follower.settings.Wait
-		if lost {
-			waiting = 0 // the answer proves the belief; a change may take long to come
-		}
-		asked := follower.now()
-		next, err := follower.ask(ctx, offset, waiting)
-		if err == nil {
-			if lost {
-				lost = false
-				follower.logger.Info("source regained", "source", follower.source.Name, "offset", next)
-				follower.listener.Regained()
-			}
-			offset = next
-			pause = follower.settings.RetryMin
-			wait.For(ctx, follower.settings.Pause-follower.now().Sub(asked))
-			continue
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		if errors.Is(err, ErrTrimmed) {
-			follower.logger.Warn("source trimmed, reading the newest values",
-				"source", follower.source.Name, "offset", offset)
-			offset = Everything
-			continue
-		}
-		if !lost {
-			lost = true
-			follower.logger.Warn("source lost", "source", follower.source.Name, "offset", offset, "error", err)
-			follower.listener.Lost()
-			follower.tail.Lose()
+		round, giveUp := context.WithCancelCause(ctx)
+		follower.giveUp.Store(&giveUp)
+		state = follower.round(round, state)
+		state.hurry = errors.Is(context.Cause(round), errRenewed)
+		giveUp(nil)
+	}
+}
+
+// progress is how far a follower is.
+type progress struct {
+	offset int64
+	// pause is how long it waits after the next failure.
+	pause time.Duration
+	// lost says that the source did not answer the last question.
+	lost bool
+	// hurry says that a proof is wanted at once.
+	hurry bool
+}
+
+// round asks once, waits until the next question is due, and returns how far it is then.
+func (follower *Follower[T]) round(ctx context.Context, state progress) progress {
+	waiting := follower.settings.Wait
+	if state.lost || state.hurry {
+		waiting = 0 // the answer proves the belief; a change may take long to come
+	}
+	asked := follower.now()
+	next, err := follower.ask(ctx, state.offset, waiting)
+	switch {
+	case err == nil:
+		if state.lost {
+			follower.logger.Info("source regained", "source", follower.source.Name, "offset", next)
+			follower.listener.Regained()
 		}
-		wait.For(ctx, pause)
-		pause = min(2*pause, follower.settings.RetryMax)
+		wait.For(ctx, follower.settings.Pause-follower.now().Sub(asked))
+		return progress{offset: next, pause: follower.settings.RetryMin}
+	case ctx.Err() != nil:
+		return state
+	case errors.Is(err, ErrTrimmed):
+		follower.logger.Warn("source trimmed, reading the newest values",
+			"source", follower.source.Name, "offset", state.offset)
+		state.offset = Everything
+		return state
+	}
+	if !state.lost {
+		state.lost = true
+		follower.logger.Warn("source lost", "source", follower.source.Name, "offset", state.offset, "error", err)
+		follower.listener.Lost()
+		follower.tail.Lose()
 	}
+	wait.For(ctx, state.pause)
+	state.pause = min(2*state.pause, follower.settings.RetryMax)
+	return state
 }
 
 // ask asks for everything or for changes, for which it waits that long.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -183,7 +183,7 @@
 // boundWrite bounds how long the caller may take to read what comes next.
 func (run *run) boundWrite() {
 	deadline := run.gateway.now().Add(run.gateway.settings.Request.WriteTime)
-	_ = http.NewResponseController(run.writer).SetWriteDeadline(deadline) // a connection that is gone fails the write
+	_ = http.NewResponseController(run.writer).SetWriteDeadline(run.gateway.clock.ForTimers(deadline)) // a connection that is gone fails the write
 }
 
 // attempted is an attempt whose server answers with a stream.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,7 +116,7 @@
 	settings Settings, site Site, codec Codec, orders reservation.Codec, sources Sources,
 	system network.Network, clock *clock.Clock, logger *slog.Logger,
 ) (*Gateway, error) {
-	now := time.Now
+	now := clock.Now
 	packets, err := system.ListenPacket(context.Background(), site.PeerAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "gateway")
@@ -217,6 +217,8 @@
 	group.Go(func() error { gateway.configuration.Run(working); return nil })
 	group.Go(func() error { gateway.directory.Run(working); return nil })
 	group.Go(func() error { gateway.keepHouse(working); return nil })
+	defer gateway.clock.AfterWake(gateway.wokeUp)()
+	group.Go(func() error { gateway.clock.Run(working); return nil })
 	drained := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(drained)
@@ -244,6 +246,14 @@
 	return errors.Wrap(err, "gateway")
 }
 
+// wokeUp takes all that is kept for old after a suspension. Ages are by then, since they are measured by its
+// clock; questions to the store and to other VMs that were under way are asked again.
+func (gateway *Gateway) wokeUp() {
+	gateway.logger.Warn("machine was suspended")
+	gateway.configuration.Renew()
+	gateway.directory.Renew()
+}
+
 // keepHouse closes connections that were idle for too long, and brings limits
 // up to date.
 func (gateway *Gateway) keepHouse(ctx context.Context) {
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -31,6 +31,7 @@
 func (gateway *Gateway) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", func(writer http.ResponseWriter, _ *http.Request) {
+		gateway.clock.Sync()
 		if !gateway.ready() {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -15,6 +15,7 @@
 
 // serve answers one request of a caller.
 func (gateway *Gateway) serve(writer http.ResponseWriter, incoming *http.Request) {
+	gateway.clock.Sync() // else what is old would look young right after a suspension
 	arrived := gateway.now()
 	gateway.running.Add(1)
 	defer gateway.running.Add(-1)
@@ -52,7 +53,7 @@
 func (gateway *Gateway) bound(parent context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
 	cancellable, cancel := context.WithCancelCause(parent)
 	stop := context.AfterFunc(gateway.life, func() { cancel(errStopping) })
-	ctx, end := context.WithDeadline(cancellable, deadline)
+	ctx, end := gateway.clock.WithDeadline(cancellable, deadline)
 	return ctx, func() {
 		stop()
 		end()
@@ -212,7 +213,7 @@
 		return nil, failure(ReasonNoMemory, false, gateway.retryAfter())
 	}
 	controller := http.NewResponseController(writer)
-	_ = controller.SetReadDeadline(admitted.deadline) // a connection that is gone fails the read
+	_ = controller.SetReadDeadline(gateway.clock.ForTimers(admitted.deadline)) // a connection that is gone fails the read
 	body, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, limit))
 	_ = controller.SetReadDeadline(time.Time{}) // as above
 	var tooLong *http.MaxBytesError
