--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -256,7 +256,7 @@
 		return run.failed(result.reason, entry.settings.Admission.RetryAfter), true
 	}
 	if result.lost {
-		entry.quarantine.Lost(quarantine.Strike{Fingerprint: run.fingerprint, Server: result.server, Ran: result.ran})
+		entry.quarantine.Lost(quarantine.Loss{Fingerprint: run.fingerprint, Server: result.server, Ran: result.ran})
 	}
 	ejected := entry.fleet.Failed(result.server)
 	entry.logger.Warn("attempt failed", "request_id", run.request.ID, "attempt", run.attempts-1,
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -232,9 +232,9 @@
 	case result.closed:
 		run.gateway.pool.Closed(atFault)
 	case result.lost:
-		strike := quarantine.Strike{Fingerprint: run.fingerprint, Server: atFault, Ran: result.ran}
-		suspect = run.gateway.pool.FailedUnder(atFault, run.fingerprint, phaseOf(strike))
-		run.gateway.quarantine.Lost(strike)
+		loss := quarantine.Loss{Fingerprint: run.fingerprint, Server: atFault, Ran: result.ran}
+		suspect = run.gateway.pool.FailedUnder(atFault, run.fingerprint, phaseOf(loss))
+		run.gateway.quarantine.Lost(loss)
 	default:
 		suspect = run.gateway.pool.Failed(atFault)
 	}
--- a/internal/gateway/told.go
+++ b/internal/gateway/told.go
@@ -36,10 +36,10 @@
 // Own implements exchange.Sink: requests at servers, and those on servers lost a moment ago.
 func (told told) Own() []pool.Report {
 	reports := told.Pool.Own()
-	for _, strike := range told.quarantine.Own() {
+	for _, loss := range told.quarantine.Own() {
 		reports = append(reports, pool.Report{
-			Server: strike.Server, Phase: phaseOf(strike), Health: pool.HealthLost,
-			Fingerprint: strike.Fingerprint, Age: told.now().Sub(strike.At),
+			Server: loss.Server, Phase: phaseOf(loss), Health: pool.HealthLost,
+			Fingerprint: loss.Fingerprint, Age: told.now().Sub(loss.At),
 		})
 	}
 	return reports
@@ -61,7 +61,7 @@
 	case pool.HealthGood:
 		told.quarantine.Served(report.Fingerprint, report.Server)
 	case pool.HealthLost:
-		told.quarantine.LostElsewhere(quarantine.Strike{
+		told.quarantine.LostElsewhere(quarantine.Loss{
 			Fingerprint: report.Fingerprint, Server: report.Server, Ran: report.Phase == pool.PhaseWriting,
 		}, report.Age)
 	case pool.HealthUntold, pool.HealthFailed, pool.HealthClosed, pool.HealthNotFree:
@@ -69,8 +69,8 @@
 }
 
 // phaseOf is how far a request was on a server when that was lost.
-func phaseOf(strike quarantine.Strike) pool.Phase {
-	if strike.Ran {
+func phaseOf(loss quarantine.Loss) pool.Phase {
+	if loss.Ran {
 		return pool.PhaseWriting
 	}
 	return pool.PhaseReading
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -8,8 +8,8 @@
 	"github.com/mastwinch/mastwinch/internal/fingerprint"
 )
 
-// Why a server was lost is not told. All that was there at that moment is suspect, ten or
-// more requests on a busy engine, and one of them or none is the cause. These decide:
+// Why a server was lost is not told. All requests that were there are suspect, ten or more on a
+// busy engine, and one of them or none is the cause. It is found so:
 //
 //   - A request that crashes servers does so each time. One that ended well elsewhere is not the
 //     cause, unless more servers are lost under it than answer.
@@ -21,12 +21,12 @@
 //
 // Nothing here has a clock, a lock or I/O.
 
-// loss is a server that was lost.
-type loss struct {
+// crash is a server that was lost, under a request or for a reason of its own.
+type crash struct {
 	server string
 	at     time.Time
-	// aboard has the requests that were there, each once.
-	aboard []*suspect
+	// requests has the requests that were there, each once.
+	requests []*suspect
 	// void says that the server answered soon after, so it was not lost.
 	void bool
 }
@@ -34,8 +34,8 @@
 // suspect is a request that was on servers that were lost.
 type suspect struct {
 	fingerprint fingerprint.Fingerprint
-	// losses has these servers, each start once, in the order of time.
-	losses []*loss
+	// crashes has these servers, each start once, in the order of time.
+	crashes []*crash
 	// ran says that an event of its answer came before one of them was lost.
 	ran bool
 	// answered counts good answers, and is nil for none.
@@ -62,8 +62,8 @@
 }
 
 // on reports whether the request was on a server when that was lost.
-func (suspect *suspect) on(loss *loss) bool {
-	return slices.Contains(loss.aboard, suspect)
+func (suspect *suspect) on(crash *crash) bool {
+	return slices.Contains(crash.requests, suspect)
 }
 
 // asLikely reports whether the request may as well be the cause as another one. One that ever ended well may
@@ -75,23 +75,23 @@
 }
 
 // hasKnownCause reports whether another request was on the server that is kept from servers.
-func (loss *loss) hasKnownCause(accused *suspect) bool {
-	return slices.ContainsFunc(loss.aboard, func(other *suspect) bool {
-		return other != accused && other.entry != nil
+func (crash *crash) hasKnownCause(request *suspect) bool {
+	return slices.ContainsFunc(crash.requests, func(other *suspect) bool {
+		return other != request && other.entry != nil
 	})
 }
 
 // evidence is what a decision goes by.
 type evidence struct {
-	// losses has all lost servers in the order of time.
-	losses   []*loss
+	// crashes has all lost servers in the order of time.
+	crashes  []*crash
 	now      time.Time
 	settings Settings
 }
 
-// harmful reports whether a request counts as the cause of the losses under it.
+// harmful reports whether a request counts as the cause of the crashes under it.
 func (evidence evidence) harmful(request *suspect) bool {
-	if request.entry == nil && len(request.losses) < evidence.settings.Strikes {
+	if request.entry == nil && len(request.crashes) < evidence.settings.Limit {
 		return false // as almost all are when many servers are lost at once
 	}
 	if evidence.cleared(request) {
@@ -104,8 +104,8 @@
 		return blamed > 0
 	default:
 		// No wave of crashes hides it for good.
-		return blamed >= evidence.settings.Strikes ||
-			evidence.blamed(request, allLosses) >= evidence.settings.Certain
+		return blamed >= evidence.settings.Limit ||
+			evidence.blamed(request, allCrashes) >= evidence.settings.Certain
 	}
 }
 
@@ -115,73 +115,73 @@
 		return false
 	}
 	answers := request.answered.current(evidence.now, evidence.settings.GoodHalf)
-	return answers >= float64(evidence.count(request.losses))
+	return answers >= float64(evidence.count(request.crashes))
 }
 
-// blamed counts the losses under a request since it was last kept from servers, among those that
+// blamed counts the crashes under a request since it was last kept from servers, among those that
 // counted returns, for which no other request on the server is as likely and has as many of these.
-func (evidence evidence) blamed(request *suspect, counted func(request *suspect) []*loss) int {
+func (evidence evidence) blamed(request *suspect, counted func(request *suspect) []*crash) int {
 	own := counted(request)
 	most := evidence.count(own)
-	return evidence.count(without(own, func(loss *loss) bool {
-		if loss.hasKnownCause(request) || (request.entry != nil && !loss.at.After(request.entry.Until)) {
+	return evidence.count(without(own, func(crash *crash) bool {
+		if crash.hasKnownCause(request) || (request.entry != nil && !crash.at.After(request.entry.Until)) {
 			return true
 		}
-		return slices.ContainsFunc(loss.aboard, func(rival *suspect) bool {
-			return rival != request && rival.asLikely(request) && evidence.count(counted(rival)) >= most
+		return slices.ContainsFunc(crash.requests, func(other *suspect) bool {
+			return other != request && other.asLikely(request) && evidence.count(counted(other)) >= most
 		})
 	}))
 }
 
-func allLosses(request *suspect) []*loss {
-	return request.losses
+func allCrashes(request *suspect) []*crash {
+	return request.crashes
 }
 
-// unexplained returns the losses under a request that no wave explains.
-func (evidence evidence) unexplained(request *suspect) []*loss {
-	return without(request.losses, func(loss *loss) bool { return evidence.inWave(request, loss) })
+// unexplained returns the crashes under a request that no wave explains.
+func (evidence evidence) unexplained(request *suspect) []*crash {
+	return without(request.crashes, func(crash *crash) bool { return evidence.inWave(request, crash) })
 }
 
 // inWave reports whether another server was lost at the same moment that did not have the
 // request.
-func (evidence evidence) inWave(request *suspect, lost *loss) bool {
+func (evidence evidence) inWave(request *suspect, lost *crash) bool {
 	moment := evidence.settings.Moment
-	return slices.ContainsFunc(between(evidence.losses, lost.at.Add(-moment), lost.at.Add(moment)), func(other *loss) bool {
+	return slices.ContainsFunc(between(evidence.crashes, lost.at.Add(-moment), lost.at.Add(moment)), func(other *crash) bool {
 		return !other.void && !request.on(other)
 	})
 }
 
 // count returns at how many moments servers were lost. Those of one moment count once, and those
 // that are not settled not yet.
-func (evidence evidence) count(losses []*loss) int {
+func (evidence evidence) count(crashes []*crash) int {
 	settled := evidence.now.Add(-evidence.settings.Settle)
 	moments := 0
 	var last time.Time
-	for _, loss := range losses {
-		if loss.at.After(settled) {
+	for _, crash := range crashes {
+		if crash.at.After(settled) {
 			break
 		}
-		if loss.void || (moments > 0 && loss.at.Sub(last) <= evidence.settings.Moment) {
+		if crash.void || (moments > 0 && crash.at.Sub(last) <= evidence.settings.Moment) {
 			continue
 		}
 		moments++
-		last = loss.at
+		last = crash.at
 	}
 	return moments
 }
 
-func compareTime(loss *loss, at time.Time) int {
-	return loss.at.Compare(at)
+func compareTime(crash *crash, at time.Time) int {
+	return crash.at.Compare(at)
 }
 
-// between returns the losses of a span of time. They are in the order of time.
-func between(losses []*loss, from, until time.Time) []*loss {
-	first, _ := slices.BinarySearchFunc(losses, from, compareTime)
-	last, _ := slices.BinarySearchFunc(losses, until.Add(1), compareTime)
-	return losses[first:last]
+// between returns the crashes of a span of time. They are in the order of time.
+func between(crashes []*crash, from, until time.Time) []*crash {
+	first, _ := slices.BinarySearchFunc(crashes, from, compareTime)
+	last, _ := slices.BinarySearchFunc(crashes, until.Add(1), compareTime)
+	return crashes[first:last]
 }
 
-// without returns the losses that do not match.
-func without(losses []*loss, match func(loss *loss) bool) []*loss {
-	return slices.DeleteFunc(slices.Clone(losses), match)
+// without returns the crashes that do not match.
+func without(crashes []*crash, match func(crash *crash) bool) []*crash {
+	return slices.DeleteFunc(slices.Clone(crashes), match)
 }
--- a/internal/quarantine/mistakes_internal_test.go
+++ b/internal/quarantine/mistakes_internal_test.go
@@ -189,7 +189,7 @@
 	for _, run := range lost {
 		// A harmless one has its first event after a tenth of its time.
 		ran := run.request != harmfulRequest && run.ends.Sub(play.now) < runTime*9/10
-		play.book.Lost(Strike{Fingerprint: run.request, Server: play.name(number), Ran: ran})
+		play.book.Lost(Loss{Fingerprint: run.request, Server: play.name(number), Ran: ran})
 		if run.request != harmfulRequest {
 			play.struck++
 		}
@@ -232,13 +232,13 @@
 // sentAfter counts sends of the harmful request after the third server under it was lost and all VMs had
 // to know of it.
 func (play *play) sentAfter() int {
-	const strikes, known = 3, 3 * time.Second
-	if len(play.under) < strikes {
+	const limit, known = 3, 3 * time.Second
+	if len(play.under) < limit {
 		return 0
 	}
 	count := 0
 	for _, sent := range play.sends {
-		if sent.After(play.under[strikes-1].Add(known)) {
+		if sent.After(play.under[limit-1].Add(known)) {
 			count++
 		}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -122,7 +122,7 @@
 // lose loses a server under requests, and waits for longer than a moment.
 func (world *world) lose(server int, requests ...fingerprint.Fingerprint) {
 	for _, request := range requests {
-		world.Lost(quarantine.Strike{Fingerprint: request, Server: fmt.Sprintf("s%d", server)})
+		world.Lost(quarantine.Loss{Fingerprint: request, Server: fmt.Sprintf("s%d", server)})
 	}
 	time.Sleep(step)
 }
@@ -140,7 +140,7 @@
 func (world *world) loseInWaves(count int) {
 	for range count {
 		world.next += 2
-		world.Lost(quarantine.Strike{Fingerprint: cause, Server: fmt.Sprintf("s%d", world.next)})
+		world.Lost(quarantine.Loss{Fingerprint: cause, Server: fmt.Sprintf("s%d", world.next)})
 		world.lose(world.next+1, bystander+fingerprint.Fingerprint(world.next))
 	}
 }
@@ -154,14 +154,14 @@
 		"three are":                     {want: true, play: func(world *world) { world.loseEach(3, cause) }},
 		"another VM tells of some": {want: true, play: func(world *world) {
 			world.lose(1, cause)
-			world.LostElsewhere(quarantine.Strike{Fingerprint: cause, Server: "s2"}, 20*time.Millisecond)
+			world.LostElsewhere(quarantine.Loss{Fingerprint: cause, Server: "s2"}, 20*time.Millisecond)
 			time.Sleep(step)
-			world.LostElsewhere(quarantine.Strike{Fingerprint: cause, Server: "s3"}, 20*time.Millisecond)
+			world.LostElsewhere(quarantine.Loss{Fingerprint: cause, Server: "s3"}, 20*time.Millisecond)
 			time.Sleep(step)
 		}},
 		"one loss is told three times": {play: func(world *world) {
 			for range 3 {
-				world.LostElsewhere(quarantine.Strike{Fingerprint: cause, Server: "s1"}, 0)
+				world.LostElsewhere(quarantine.Loss{Fingerprint: cause, Server: "s1"}, 0)
 				time.Sleep(step)
 			}
 		}},
@@ -173,7 +173,7 @@
 		}},
 		"a VM loses all its connections at once": {play: func(world *world) {
 			for server := range 8 {
-				world.Lost(quarantine.Strike{Fingerprint: cause, Server: fmt.Sprintf("s%d", server)})
+				world.Lost(quarantine.Loss{Fingerprint: cause, Server: fmt.Sprintf("s%d", server)})
 			}
 			time.Sleep(step)
 		}},
@@ -246,8 +246,8 @@
 	inWorld(t, &store{}, func(t *testing.T, world *world) {
 		for server := range 3 {
 			name := fmt.Sprintf("s%d", server)
-			world.Lost(quarantine.Strike{Fingerprint: bystander, Server: name, Ran: true})
-			world.Lost(quarantine.Strike{Fingerprint: cause, Server: name})
+			world.Lost(quarantine.Loss{Fingerprint: bystander, Server: name, Ran: true})
+			world.Lost(quarantine.Loss{Fingerprint: cause, Server: name})
 			time.Sleep(step)
 		}
 		assert.Assert(t, world.Kept(cause) > 0)
@@ -347,7 +347,7 @@
 	number := uint64(0)
 	for b.Loop() {
 		number++
-		book.LostElsewhere(quarantine.Strike{
+		book.LostElsewhere(quarantine.Loss{
 			Fingerprint: fingerprint.Fingerprint(number), Server: fmt.Sprintf("s%d", number/16),
 		}, 0)
 	}
--- a/internal/quarantine/settings.go
+++ b/internal/quarantine/settings.go
@@ -4,13 +4,13 @@
 
 // Settings say when a request counts as the cause of lost servers, and for how long.
 type Settings struct {
-	// Strikes is how many servers must be lost under a request that nothing else explains. The
+	// Limit is how many servers must be lost under a request that nothing else explains. The
 	// users allow three.
-	Strikes int `yaml:"strikes" validate:"min=1"`
+	Limit int `yaml:"limit" validate:"min=1"`
 	// Certain is how many are enough whatever else may explain them, so that other crashes
 	// cannot hide a request that crashes servers. It leaves two sends of the three that the
 	// users allow after the third crash.
-	Certain int `yaml:"certain" validate:"gtefield=Strikes"`
+	Certain int `yaml:"certain" validate:"gtefield=Limit"`
 	// Moment is how close losses are that may be one event: a server's connections break within some
 	// milliseconds, and those of all that are lost in a wave. Of one that crashes under a request to the next
 	// it takes longer, since each reads it first. With 150 ms it was sent six times more where three
@@ -33,10 +33,10 @@
 	// losses it is not their cause: one body that is much of the traffic is on each server that
 	// is lost, and ends well on all others.
 	GoodHalf time.Duration `yaml:"good_half" validate:"min=100ms"`
-	// Suspects, Losses, Answered and Entries bound what is remembered: requests on servers that were
+	// Suspects, Crashes, Answered and Entries bound what is remembered: requests on servers that were
 	// lost, those servers, requests that ended well, and requests kept from servers.
 	Suspects int `yaml:"suspects" validate:"min=16"`
-	Losses   int `yaml:"losses" validate:"min=16"`
+	Crashes  int `yaml:"crashes" validate:"min=16"`
 	Answered int `yaml:"answered" validate:"min=16"`
 	Entries  int `yaml:"entries" validate:"min=1"`
 	// Repeat is for how long the losses that this VM saw are told again, since datagrams get lost.
@@ -48,7 +48,7 @@
 // DefaultSettings returns settings for the users' bounds.
 func DefaultSettings() Settings {
 	return Settings{
-		Strikes:  3,
+		Limit:    3,
 		Certain:  5,
 		Moment:   50 * time.Millisecond,
 		Settle:   120 * time.Millisecond,
@@ -58,7 +58,7 @@
 		Memory:   10 * time.Minute,
 		GoodHalf: 5 * time.Second,
 		Suspects: 4096,
-		Losses:   1024,
+		Crashes:  1024,
 		Answered: 4096,
 		Entries:  256,
 		Repeat:   2 * time.Second,
