soak: callers who ask for what crashes each server that runs it; servers start again under their names

Cause: no run had a server that crashes because of what it is asked, nor one that starts again under its name. Left: writers of bad entries and VMs that wake up are not in the soak.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -149,6 +149,9 @@
 
 // target is the path and query of a request, which servers must see unchanged.
 func target(outcome Outcome) string {
+	if strings.HasPrefix(outcome.ID, harmfulID) {
+		return "/" + outcome.Route + "/" + harmfulID
+	}
 	return "/" + outcome.Route + "/x%2Fy?id=" + outcome.ID
 }
 
@@ -157,6 +160,14 @@
 	return "payload of " + id
 }
 
+// bodyOf returns the body of the request with that ID.
+func bodyOf(id string) string {
+	if strings.HasPrefix(id, harmfulID) {
+		return harmfulBody
+	}
+	return payload(id)
+}
+
 // ask sends one request and reads the answer.
 func (caller *caller) ask(request request) Outcome {
 	outcome := request.outcome
@@ -164,7 +175,7 @@
 	defer cancel()
 	var body io.Reader
 	if request.method == http.MethodPost {
-		body = strings.NewReader(payload(outcome.ID))
+		body = strings.NewReader(bodyOf(outcome.ID))
 	}
 	sent, err := http.NewRequestWithContext(ctx, request.method, "http://"+request.address+target(outcome), body)
 	if err != nil {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -26,6 +26,7 @@
 	PromiseLeaving   Promise = "a server that leaves gets nothing new"
 	PromiseForward   Promise = "a VM does not go back to an older configuration"
 	PromiseMemory    Promise = "memory of engines is given back"
+	PromiseCrashes   Promise = "what crashes servers is kept from them"
 	PromiseRecovered Promise = "the system serves again when faults are over"
 )
 
@@ -50,6 +51,8 @@
 // evidence is all that was seen in a run.
 type evidence struct {
 	outcomes []Outcome
+	// harmful has those of callers who asked for what crashes servers.
+	harmful  []Outcome
 	runs     map[string][]platformserver.Run
 	log      *faultLog
 	operator *operator
@@ -73,6 +76,9 @@
 		evidence.checkOutcome(outcome, add)
 		evidence.checkRuns(outcome, add)
 	}
+	for _, outcome := range evidence.harmful {
+		known[outcome.ID] = true
+	}
 	for id := range evidence.runs {
 		if !known[id] {
 			add(PromiseUnaltered, "a server ran %q, which nobody sent", id)
@@ -80,6 +86,7 @@
 	}
 	evidence.checkLeaving(add)
 	evidence.checkForward(add)
+	evidence.checkHarmful(add)
 	evidence.checkRecovered(add)
 	return violations
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -108,6 +108,8 @@
 		world.operator.revoke()
 	case KindServerKill, KindServerLeave:
 		world.replace(ctx, event, backend)
+	case KindRequestCrash:
+		world.askHarmful(ctx, event)
 	default:
 		world.playBackend(ctx, event, backend)
 	}
@@ -163,7 +165,7 @@
 	wait.For(ctx, entryTime)
 	world.operator.drop(identity)
 	// Until the run ends the address is reused, as a server's may be.
-	if err := world.startBackend(ctx, backend); err != nil {
+	if err := world.startBackend(ctx, backend, backend.newName()); err != nil {
 		world.record.Violate(err.Error())
 	}
 }
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -180,6 +180,7 @@
 	}
 	value, err := json.Marshal(map[string]any{
 		"service": identity.Service, "address": identity.Address, "zone": "north", "slots": slots, "state": state,
+		"version": "v1", "cold_left_ms": 0, "call_seq": 0, "born": identity.Born.UnixMilli(),
 	})
 	if err != nil {
 		panic(err) // names and numbers only
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -42,9 +42,11 @@
 	KindServerLeave  Kind = "server_leave"  // says that it leaves, and does; a new one comes
 	KindConfigure    Kind = "configure"     // a new version of the configuration
 	KindRevoke       Kind = "revoke"        // a key is taken away
+	KindRequestCrash Kind = "request_crash" // callers ask for what crashes each server that runs it
 )
 
-// Kinds returns all kinds in order.
+// Kinds returns all kinds in order, but for KindRequestCrash, which has runs of its own: a drawn plan stays what it was
+// for the seeds that failed once.
 func Kinds() []Kind {
 	return []Kind{
 		KindVMKill, KindVMPause, KindVMStop, KindVMReload, KindAllKill, KindFrontReset, KindFrontDelay,
@@ -107,6 +109,8 @@
 	// store are well: bounds that count only then are checked there.
 	oftenPerSecond  = 1.3
 	seldomPerSecond = 0.35
+	// crashSeeds is of how many runs one has callers who ask for what crashes servers.
+	crashSeeds = 5
 	// followPart is the part of the faults of the store that last as long as they may
 	// and during which a key is taken away: who cannot know must not serve it.
 	followPart  = 0.5
@@ -150,6 +154,12 @@
 		}
 		events = append(events, event)
 	}
+	if seed%crashSeeds == 1 {
+		random = rand.New(rand.NewPCG(seed, 1)) //nolint:gosec // no secret
+		crash := draw(KindRequestCrash, longestFault)
+		crash.For = longestFault
+		events = append(events, crash)
+	}
 	slices.SortStableFunc(events, func(a, b Event) int { return int(a.At - b.At) })
 	return events
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -52,7 +52,7 @@
 	outcomes := world.load(ctx, plan)
 	wait.For(ctx, boundFree)
 	evidence := &evidence{
-		outcomes: outcomes, runs: make(map[string][]platformserver.Run), log: world.log, operator: world.operator,
+		outcomes: outcomes, harmful: world.harmful.all(), runs: make(map[string][]platformserver.Run), log: world.log, operator: world.operator,
 		calm: start.Add(settings.Length - quietEnd + calmBefore), life: world.life, down: world.down,
 	}
 	for _, run := range world.record.Runs() {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -85,6 +85,7 @@
 	http.Handler
 	Identity() platformserver.Identity
 	SetFaults(faults platformserver.Faults)
+	SetCrash(crash platformserver.Crash)
 }
 
 var (
@@ -102,6 +103,7 @@
 	vms      []*vm
 	backends []*backend
 	log      *faultLog
+	harmful  *harmfulLog
 	closers  []func()
 }
 
@@ -113,7 +115,7 @@
 func newWorld(ctx context.Context, settings Settings) (*world, error) {
 	world := &world{
 		settings: settings, store: metastore.New(), record: &platformserver.Record{},
-		fleet: platformserver.NewFleet(), log: &faultLog{},
+		fleet: platformserver.NewFleet(), log: &faultLog{}, harmful: &harmfulLog{},
 	}
 	world.operator = newOperator(world.store)
 	storeAddress := net.JoinHostPort(world.ip(0, 0), fmt.Sprint(portStore))
@@ -174,16 +176,23 @@
 	world.closers = append(world.closers, link.close)
 	added := &backend{service: service, address: link.address(), own: own, link: link}
 	world.backends = append(world.backends, added)
-	return world.startBackend(ctx, added)
+	return world.startBackend(ctx, added, added.newName())
 }
 
-// startBackend starts a new server at the address of a backend, and lists it.
-func (world *world) startBackend(ctx context.Context, backend *backend) error {
+// newName returns a name that no server at the address had.
+func (backend *backend) newName() string {
+	backend.mu.Lock()
+	defer backend.mu.Unlock()
+	return fmt.Sprintf("i-%s-%d", backend.address, backend.life+1)
+}
+
+// startBackend starts a server at the address of a backend under a name, which it may have had before, and lists it.
+func (world *world) startBackend(ctx context.Context, backend *backend, name string) error {
 	backend.mu.Lock()
 	defer backend.mu.Unlock()
 	backend.life++
 	identity := platformserver.Identity{
-		Instance: fmt.Sprintf("i-%s-%d", backend.address, backend.life), Service: backend.service, Address: backend.address,
+		Instance: name, Service: backend.service, Address: backend.address, Born: time.Now(),
 	}
 	seed := world.settings.Seed + uint64(backend.life) //nolint:gosec // a small count
 	if backend.service == serviceEngines {
@@ -192,6 +201,7 @@
 	} else {
 		backend.standIn = platformserver.NewPlain(identity, plainSlots, plainWork, world.record, seed)
 	}
+	backend.standIn.SetCrash(platformserver.Crash{Body: harmfulBody, End: func() { go world.crash(ctx, backend) }})
 	listener, err := net.Listen("tcp4", backend.own) //nolint:noctx // closed by stop
 	if err != nil {
 		return errors.Wrap(err, "server")
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -53,6 +53,16 @@
 	Instance string
 	Service  string
 	Address  string
+	// Born is when it started.
+	Born time.Time
+}
+
+// Crash is a request under which a server ends.
+type Crash struct {
+	// Body is that of the request.
+	Body string
+	// End ends the server. It must not block.
+	End func()
 }
 
 // front is what engines and plain services have in common: identity, faults and
@@ -63,6 +73,7 @@
 
 	mu     sync.Mutex
 	faults Faults
+	crash  Crash
 	random *rand.Rand
 }
 
@@ -77,6 +88,13 @@
 	front.faults = faults
 }
 
+// SetCrash makes the server crash under a request from now on.
+func (front *front) SetCrash(crash Crash) {
+	front.mu.Lock()
+	defer front.mu.Unlock()
+	front.crash = crash
+}
+
 // Identity returns which server this is.
 func (front *front) Identity() Identity {
 	return front.identity
@@ -142,13 +160,20 @@
 	return drawn, true
 }
 
-// begin notes that the request runs from now on.
+// begin notes that the request runs from now on. It does not return under one that crashes the server.
 func (front *front) begin(request *http.Request, body string) {
 	front.record.begin(Run{
 		ID: request.Header.Get(headerID), Service: front.identity.Service, Instance: front.identity.Instance,
 		Organisation: request.Header.Get(headerOrganisation), KeySeen: request.Header.Get(headerKey) != "",
 		Target: request.RequestURI, Body: body, At: time.Now(),
 	})
+	front.mu.Lock()
+	crash := front.crash
+	front.mu.Unlock()
+	if crash.End != nil && body == crash.Body {
+		crash.End()
+		panic(http.ErrAbortHandler) // net/http's way of an answer that does not come
+	}
 }
 
 // readBody reads the whole body, without which net/http does not notice a caller
