--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -74,6 +74,8 @@
 	told map[string][]pool.Report
 	// blind says that the store does not answer the VM.
 	blind bool
+	// entries has the requests that the VM keeps from servers.
+	entries []quarantine.Entry
 }
 
 var _ exchange.Sink = (*sink)(nil)
@@ -94,9 +96,22 @@
 
 func (*sink) Answered(string, []dispatch.Answer) {}
 
-func (*sink) Quarantined() []quarantine.Entry { return nil }
+func (sink *sink) Quarantined() []quarantine.Entry {
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	return slices.Clone(sink.entries)
+}
 
-func (*sink) ToldQuarantined([]quarantine.Entry) {}
+func (sink *sink) ToldQuarantined(entries []quarantine.Entry) {
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	for _, entry := range entries {
+		same := func(known quarantine.Entry) bool { return known.Fingerprint == entry.Fingerprint }
+		if !slices.ContainsFunc(sink.entries, same) {
+			sink.entries = append(sink.entries, entry)
+		}
+	}
+}
 
 func (sink *sink) Blind() bool {
 	sink.mu.Lock()
@@ -127,7 +142,8 @@
 }
 
 func address(number int) string {
-	return fmt.Sprintf("10.0.0.%d:7340", number+1)
+	const perNet = 250 // an IP number has 255 at most in a place
+	return fmt.Sprintf("10.0.%d.%d:7340", number/perNet, number%perNet+1)
 }
 
 func newVMs(t *testing.T, count int) *vms {
