quarantine: a request is kept from servers for ten minutes, then on trial at one server

Cause: after two minutes several of its callers' tries could be on their way before the first loss is known: up to two in each try, though three are allowed in all. Change: ten minutes at first, doubling; on trial a try gets one server, and one more loss that no wave explains brings it back, whoever else was there. A VM that wakes up greets the others at once, instead of deciding by itself until the next half second. Ruled out: one VM alone that may try, by rendezvous: a request that few ask for would wait long for it.

--- a/internal/exchange/register.go
+++ b/internal/exchange/register.go
@@ -81,6 +81,12 @@
 	exchange.send(targets{direct: exchange.greeted()}, nil, true)
 }
 
+// Greet tells the VMs that this one keeps in touch with that it is there: after a suspension it hears of none, and would decide
+// by itself until the next Repeat.
+func (exchange *Exchange) Greet() {
+	exchange.send(targets{direct: exchange.greeted()}, nil, true)
+}
+
 // know takes a VM into the peers.
 func (exchange *Exchange) know(member Member) {
 	if member.VM == exchange.self.VM {
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/gateway"
 )
 
 // Bounds on a request under which servers crash.
@@ -38,6 +40,9 @@
 		"stream that runs once":      {caller: stream("bill")},
 		"call that may be repeated":  {caller: plain(http.MethodPost, "look")},
 		"call that runs once":        {caller: plain(http.MethodPost, "pay")},
+		"its time is over": {caller: stream("chat"), between: func(*fleet) {
+			time.Sleep(gateway.DefaultSettings().Quarantine.Time)
+		}},
 		"all VMs start again": {caller: stream("chat"), between: func(fleet *fleet) {
 			fleet.stopAll()
 			fleet.startAll()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -252,6 +252,7 @@
 	gateway.logger.Warn("machine was suspended")
 	gateway.configuration.Renew()
 	gateway.directory.Renew()
+	gateway.exchange.Greet()
 }
 
 // keepHouse closes connections that were idle for too long, and brings limits
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -217,7 +217,7 @@
 	case ctx.Err() != nil:
 		return run.interrupted(ctx), true
 	case result.kind == resultBroken, result.kind == resultUncertain && !run.route.Repeatable(),
-		run.runs >= run.route.MaxAttempts:
+		run.runs >= run.route.MaxAttempts, result.lost && gateway.quarantine.OnTrial(run.fingerprint):
 		return run.fail(ReasonServerFailed), true
 	}
 	return outcome{}, false
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -107,3 +107,12 @@
 	}
 	return max(0, entry.Until.Sub(book.now()))
 }
+
+// OnTrial reports whether a request was kept from servers and may be tried again: at one server, since the next one would be
+// lost before the first loss is known.
+func (book *Book) OnTrial(request fingerprint.Fingerprint) bool {
+	book.mu.Lock()
+	defer book.mu.Unlock()
+	entry, found := book.entries.Peek(request)
+	return found && !entry.Until.After(book.now()) && !book.answered.Contains(request)
+}
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -97,18 +97,26 @@
 	if evidence.cleared(request) {
 		return false
 	}
-	switch blamed := evidence.blamed(request, evidence.unexplained); {
+	switch {
 	case request.answered != nil:
-		return blamed >= evidence.settings.Certain
+		return evidence.blamed(request, evidence.unexplained) >= evidence.settings.Certain
 	case request.entry != nil:
-		return blamed > 0
+		return evidence.count(evidence.onTrial(request)) > 0
 	default:
 		// No wave of crashes hides it for good.
-		return blamed >= evidence.settings.Limit ||
+		return evidence.blamed(request, evidence.unexplained) >= evidence.settings.Limit ||
 			evidence.blamed(request, allCrashes) >= evidence.settings.Certain
 	}
 }
 
+// onTrial returns the crashes under a request that was kept from servers and may be tried again, which
+// no wave explains. Others on the server do not count: it was found before.
+func (evidence evidence) onTrial(request *suspect) []*crash {
+	return without(evidence.unexplained(request), func(crash *crash) bool {
+		return !crash.at.After(request.entry.Until) || crash.hasKnownCause(request)
+	})
+}
+
 // cleared reports whether a request ends well as often as servers are lost under it.
 func (evidence evidence) cleared(request *suspect) bool {
 	if request.answered == nil {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -259,9 +259,11 @@
 func TestTimeOver(t *testing.T) {
 	inWorld(t, &store{}, func(t *testing.T, world *world) {
 		world.loseEach(3, cause)
+		assert.Assert(t, !world.OnTrial(cause))
 		time.Sleep(world.settings.Time)
 		assert.Equal(t, world.Kept(cause), time.Duration(0))
 		assert.Equal(t, len(world.Entries()), 0)
+		assert.Assert(t, world.OnTrial(cause))
 		world.loseEach(1, cause, bystander)
 		assert.Assert(t, world.Kept(cause) > 2*world.settings.Time-step)
 		assert.Equal(t, world.Kept(bystander), time.Duration(0))
--- a/internal/quarantine/settings.go
+++ b/internal/quarantine/settings.go
@@ -22,9 +22,9 @@
 	// Alive is within what time after its loss an answer of a server says that it was not lost.
 	// A server that crashed takes a second and more to start again.
 	Alive time.Duration `yaml:"alive" validate:"min=0,max=10s"`
-	// Time is for how long a request is first kept from servers. Then one more loss is enough,
-	// and each time doubles up to TimeMax: so a mistake ends by itself, and a request that does crash
-	// servers takes one in two minutes, then fewer.
+	// Time is for how long a request is first kept from servers. Then it is on trial: one more loss is
+	// enough, and each time doubles up to TimeMax. So a mistake ends by itself, and a request that does crash servers
+	// takes one to three in ten minutes, then fewer; an engine of the users is away for some seconds each time.
 	Time    time.Duration `yaml:"time" validate:"min=1s"`
 	TimeMax time.Duration `yaml:"time_max" validate:"gtefield=Time"`
 	// Memory is for how long losses count, and good answers are remembered.
@@ -53,8 +53,8 @@
 		Moment:   50 * time.Millisecond,
 		Settle:   120 * time.Millisecond,
 		Alive:    time.Second,
-		Time:     2 * time.Minute,
-		TimeMax:  32 * time.Minute,
+		Time:     10 * time.Minute,
+		TimeMax:  160 * time.Minute,
 		Memory:   10 * time.Minute,
 		GoodHalf: 5 * time.Second,
 		Suspects: 4096,
