soak: one place makes a caller's request

Cause: the callers of the harmful request built their heads a second time. Change: newRequest, used by both. Ruled out: nothing.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -101,13 +101,7 @@
 func (caller *caller) draw() request {
 	vm := caller.world.vms[caller.random.IntN(len(caller.world.vms))]
 	id := fmt.Sprintf("%016x", caller.random.Uint64())
-	key := caller.world.operator.someKey(caller.random.IntN(1 << 16))
-	drawn := request{
-		outcome: Outcome{ID: id, VM: vm.name, Key: key}, method: http.MethodPost, address: vm.front.address(),
-		header: map[string]string{
-			"Request-Id": id, "Authorization": "Bearer " + key, "Deadline-Ms": fmt.Sprint(timeout.Milliseconds()),
-		},
-	}
+	drawn := newRequest(vm, id, caller.world.operator.someKey(caller.random.IntN(1<<16)))
 	switch route := caller.random.IntN(100); {
 	case route < 40:
 		drawn.stream(routeStream, shortTokens, shortOut)
@@ -129,6 +123,16 @@
 	return drawn
 }
 
+// newRequest returns a request to a VM, of which the route is to be said.
+func newRequest(vm *vm, id, key string) request {
+	return request{
+		outcome: Outcome{ID: id, VM: vm.name, Key: key}, method: http.MethodPost, address: vm.front.address(),
+		header: map[string]string{
+			"Request-Id": id, "Authorization": "Bearer " + key, "Deadline-Ms": fmt.Sprint(timeout.Milliseconds()),
+		},
+	}
+}
+
 func (request *request) stream(route string, in, out int) {
 	request.outcome.Route = route
 	request.header["Token-Counts"] = fmt.Sprintf("%d,%d", in, out)
--- a/internal/soak/harmful.go
+++ b/internal/soak/harmful.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -59,12 +58,7 @@
 			caller := newCaller(world, len(world.vms)+number)
 			defer caller.client.CloseIdleConnections()
 			vm := world.vms[(event.Target+number)%len(world.vms)]
-			asked := request{
-				outcome: Outcome{ID: fmt.Sprintf("%s%d", harmfulID, number), VM: vm.name, Key: permanentKey},
-				method:  http.MethodPost, address: vm.front.address(), header: map[string]string{"Authorization": "Bearer " + permanentKey},
-			}
-			asked.header["Request-Id"] = asked.outcome.ID
-			asked.header["Deadline-Ms"] = fmt.Sprint(timeout.Milliseconds())
+			asked := newRequest(vm, fmt.Sprintf("%s%d", harmfulID, number), permanentKey)
 			asked.stream(routeStream, shortTokens, shortOut)
 			world.harmful.add(caller.ask(asked))
 		})
