--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -72,7 +72,7 @@
 	defer lines.Close()
 	logger := newJSONLogger(lines, tuning.Logging.Level).With("vm", site.VM)
 	system := network.New(tuning.Network)
-	time, err := clock.New(clock.Boottime)
+	clock, err := clock.New(clock.Boottime)
 	if err != nil {
 		return err //nolint:wrapcheck // names the clock
 	}
@@ -82,7 +82,7 @@
 		Servers:       platform.NewServersSource(store),
 		Register:      platform.NewMembers(store, logger),
 		Quarantine:    platform.NewQuarantine(store, logger),
-	}, system, time, logger)
+	}, system, clock, logger)
 	if err != nil {
 		return err
 	}
