pool: a test for a loss that is told again, which fails

Cause: found by reading the change: losses are told again for 2 s, since datagrams get lost, and each report counts as a failure of the server where it is told. Ruled out: the quarantine counts each start of a server once, however often it is told. Figures: one loss told five times makes a server suspect, where two failures do.

--- a/internal/pool/start_test.go
+++ b/internal/pool/start_test.go
@@ -101,3 +101,16 @@
 	world.Apply([]follower.Change[directory.Entry]{startOf(2)})
 	assert.DeepEqual(t, world.open(), []string{startID(2)})
 }
+
+// TestLossThatIsToldAgainCountsOnce has a VM tell again, for as long as a datagram may have been lost, that a server was
+// lost under a request: one broken answer counted as a failure each time, and put a sound server out of use.
+func TestLossThatIsToldAgainCountsOnce(t *testing.T) {
+	world := newWorld()
+	world.Apply(listedUpTo(1))
+	for _, age := range []time.Duration{0, 400 * time.Millisecond, 900 * time.Millisecond, 1400 * time.Millisecond, 1900 * time.Millisecond} {
+		world.Told("vm-2", []pool.Report{{
+			Server: "s1", Phase: pool.PhaseReading, Health: pool.HealthLost, Fingerprint: 7, Age: age,
+		}})
+	}
+	assert.Assert(t, !world.server(t, "s1").Suspect)
+}
