pool: a loss that is told again counts once as a failure

Cause: losses are told again for 2 s, and each report counted as a failure of the server at the VMs that decide; two failures put it out of use, each further one doubles the time. Change: only what is told for the first time counts, as it was before losses were told again. Ruled out: to tell them again as another kind: the quarantine needs the same words. Figures: TestLossThatIsToldAgainCountsOnce fails before and holds now.

--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -97,8 +97,13 @@
 	switch report.Health {
 	case HealthGood:
 		pool.succeeded(report.Server)
-	case HealthFailed, HealthLost:
+	case HealthFailed:
 		pool.failed(report.Server)
+	case HealthLost:
+		// One that is told again counted before: else one broken answer made a server suspect for five failures.
+		if report.Age == 0 {
+			pool.failed(report.Server)
+		}
 	case HealthClosed:
 		pool.closed(report.Server)
 	case HealthNotFree:
--- a/internal/pool/sending.go
+++ b/internal/pool/sending.go
@@ -40,7 +40,8 @@
 	// Helps says that the server only reads a part of the prompt. Of a request
 	// that waits it says that it fits nowhere now, so that others may go first.
 	Helps bool
-	// Age is how long ago the request was sent.
+	// Age is how long ago the request was sent or, with HealthLost, the server was lost. It is zero where that
+	// is told for the first time.
 	Age time.Duration
 	// Due is when a request that waits must have its first event, from now. It
 	// is below zero when that time is over.
