upstream, platform: what servers say of themselves in their answers is decoded, counted and logged

Change: each head of an answer, to whatever was asked, is heard in one place (upstream.Listener); platform.Notice decodes it; a line and a counter. What is decided is as before. Ruled out: reading it in each caller of the client (requests and orders are two, and probes may follow).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -49,6 +49,7 @@
 	}
 	dispatch := run.dispatch(plan, held)
 	request := upstream.Request{
+		Server: plan.Server.ID,
 		Method: run.incoming.Method,
 		Target: run.incoming.RequestURI,
 		Host:   run.incoming.Host,
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -17,6 +17,8 @@
 	ServerHeader(header http.Header, dispatch call.Dispatch) http.Header
 	// Answer decodes what a server says in the head of its answer.
 	Answer(status int, header http.Header) call.Answer
+	// Notice decodes what the server that was meant says of itself in the head of an answer.
+	Notice(status int, header http.Header) call.Notice
 	// ClientHeader returns the header for the caller of a server's answer.
 	ClientHeader(header http.Header) http.Header
 	// Refusal adds to the header of an answer of the gateway's own.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,7 +140,6 @@
 		exchange: exchange,
 		pool:     pool.New(settings.Pool, site.VM, exchange, logger, now),
 		policy:   newPolicy(settings),
-		upstream: upstream.New(settings.Upstream, system, now),
 		idle:     newIdleConnections(now),
 		returns:  newReturns(now),
 
@@ -150,6 +149,7 @@
 		end:     end,
 		budgets: make(map[string]*retrybudget.Budget),
 	}
+	gateway.upstream = upstream.New(settings.Upstream, system, notices{gateway}, now)
 	gateway.coordinator = coordinator.New(settings.Coordinator, site.VM, gateway.policy, gateway.pool, gateway.service, exchange, now)
 	gateway.reservations = reservation.New(life, settings.Reservation.WithHoldAtMost(site.Bounds.HoldMax), orders, gateway.upstream, logger, now)
 	gateway.metrics = newMetrics(gateway)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	labelStatus = "status"
 	labelReason = "reason"
 	labelResult = "result"
+	labelNotice = "notice"
 )
 
 // metrics are the counters and histograms of a gateway.
@@ -23,6 +24,7 @@
 	registry   *prometheus.Registry
 	requests   *prometheus.CounterVec
 	attempts   *prometheus.CounterVec
+	notices    *prometheus.CounterVec
 	firstEvent *prometheus.HistogramVec
 	duration   *prometheus.HistogramVec
 	eventDelay prometheus.Histogram
@@ -38,6 +40,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "mastwinch_attempts_total", Help: "Requests sent to servers, by how it came out.",
 		}, []string{labelResult}),
+		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mastwinch_server_notices_total", Help: "Answers in which servers spoke of themselves, by what they said.",
+		}, []string{labelNotice}),
 		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "mastwinch_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: buckets,
 		}, []string{labelRoute}),
@@ -48,7 +53,7 @@
 			Name: "mastwinch_event_write_seconds", Help: "Time for passing on one event.", Buckets: buckets,
 		}),
 	}
-	metrics.registry.MustRegister(metrics.requests, metrics.attempts, metrics.firstEvent, metrics.duration,
+	metrics.registry.MustRegister(metrics.requests, metrics.attempts, metrics.notices, metrics.firstEvent, metrics.duration,
 		metrics.eventDelay,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "mastwinch_running_requests", Help: "Requests in progress.",
--- /dev/null
+++ b/internal/gateway/notice.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/mastwinch/mastwinch/internal/upstream"
+)
+
+// Values of labelNotice.
+const (
+	noticeLeaving    = "leaving"
+	noticeRest       = "rest"
+	noticeUnreadable = "unreadable"
+)
+
+// notices hears what servers say of themselves in their answers, whatever they answer.
+type notices struct {
+	gateway *Gateway
+}
+
+var _ upstream.Listener = notices{}
+
+// Heard implements upstream.Listener.
+func (notices notices) Heard(server string, status int, header http.Header) {
+	gateway := notices.gateway
+	notice := gateway.codec.Notice(status, header)
+	if notice.Leaving {
+		gateway.metrics.notices.WithLabelValues(noticeLeaving).Inc()
+		gateway.logger.Info("server says that it leaves", "server", server, "status", status)
+	}
+	if notice.Rest > 0 {
+		gateway.metrics.notices.WithLabelValues(noticeRest).Inc()
+		gateway.logger.Info("server asks for rest", "server", server, "status", status, "rest", notice.Rest)
+	}
+	if notice.Unreadable != "" {
+		gateway.metrics.notices.WithLabelValues(noticeUnreadable).Inc()
+		gateway.logger.Info("rest of a server not understood", "server", server, "status", status, "value", notice.Unreadable)
+	}
+}
--- a/internal/reservation/reservation_test.go
+++ b/internal/reservation/reservation_test.go
@@ -116,7 +116,7 @@
 		servers = append(servers, server)
 		go func() { _ = server.Serve(listener) }()
 	}
-	client := upstream.New(upstream.DefaultSettings(), network, time.Now)
+	client := upstream.New(upstream.DefaultSettings(), network, deaf{}, time.Now)
 	book := reservation.New(life, reservation.DefaultSettings(), platform.Orders{}, client, slog.New(slog.DiscardHandler), time.Now)
 	return book, engines, wants, func() {
 		end()
@@ -217,3 +217,10 @@
 		assert.DeepEqual(t, settings.WithHoldAtMost(most), want)
 	}
 }
+
+// deaf takes nothing from what engines say of themselves.
+type deaf struct{}
+
+var _ upstream.Listener = deaf{}
+
+func (deaf) Heard(string, int, http.Header) {}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -44,6 +44,8 @@
 
 // Request is a request as it goes to a server.
 type Request struct {
+	// Server is the ID of the server that is meant. It is for Listener and not sent.
+	Server string
 	Method string
 	// Target is the path and the query exactly as the caller sent them.
 	Target string
@@ -72,6 +74,7 @@
 type Client struct {
 	settings Settings
 	dialer   Dialer
+	listener Listener
 	now      func() time.Time
 
 	mu sync.Mutex
@@ -85,10 +88,17 @@
 	Dial(ctx context.Context, address string) (net.Conn, error)
 }
 
+// Listener hears the head of each answer before who asked does, so that what servers say beside the answer is heard
+// whatever was asked of them.
+type Listener interface {
+	Heard(server string, status int, header http.Header)
+}
+
 // New returns a client without connections.
-func New(settings Settings, dialer Dialer, now func() time.Time) *Client {
+func New(settings Settings, dialer Dialer, listener Listener, now func() time.Time) *Client {
 	return &Client{
 		settings: settings,
+		listener: listener,
 		now:      now,
 		dialer:   dialer,
 		idle:     make(map[string][]*connection),
@@ -124,6 +134,7 @@
 		}
 		return nil, err
 	}
+	client.listener.Heard(request.Server, response.Status, response.Header)
 	response.client = client
 	return response, nil
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -82,7 +82,7 @@
 }
 
 func newClient() *upstream.Client {
-	return upstream.New(upstream.DefaultSettings(), network.New(network.DefaultSettings()), time.Now)
+	return upstream.New(upstream.DefaultSettings(), network.New(network.DefaultSettings()), &heard{}, time.Now)
 }
 
 func TestSend(t *testing.T) {
