--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -20,6 +20,8 @@
 	whole bool
 	// last says that the connection takes no other request.
 	last bool
+	// at is when its head came, and took how long after the caller asked all of it had.
+	at   time.Time
 	took time.Duration
 }
 
@@ -102,8 +104,10 @@
 	if err != nil {
 		return answer{took: time.Since(started)}
 	}
+	at := time.Now()
 	body, err := io.ReadAll(response.Body)
 	return answer{
+		at:     at,
 		status: response.StatusCode, header: response.Header, body: string(body),
 		whole: err == nil, last: response.Close, took: time.Since(started),
 	}
