pool: what a server says of leaving in an answer holds at once

Cause: leaving was known from the list of servers alone, which was 13 s old while the store was away. Change: the head of each answer is heard; a server that says that it leaves gets nothing new from this VM, for that start of it, and the VMs that decide are told once. Ruled out: known and forgotten (no line 'server leaves' before the store was back; a table test has what may come after it); requests that waited (placed after 1.4 ms).

--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -26,7 +26,7 @@
 			AgeMs:        uint32(report.Age.Milliseconds()), //nolint:gosec // minutes at most
 			DueMs:        int32(report.Due.Milliseconds()),  //nolint:gosec // minutes at most
 			PacePercent:  uint32(percent * report.Pace),
-			Health:       wire.Health(report.Health), //nolint:gosec // six values
+			Health:       wire.Health(report.Health), //nolint:gosec // few values
 			Fingerprint:  uint64(report.Fingerprint),
 		})
 	}
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -26,7 +26,7 @@
 	notice := gateway.codec.Notice(status, header)
 	if notice.Leaving {
 		gateway.metrics.notices.WithLabelValues(noticeLeaving).Inc()
-		gateway.logger.Info("server says that it leaves", "server", server, "status", status)
+		gateway.pool.Leaves(server)
 	}
 	if notice.Rest > 0 {
 		gateway.metrics.notices.WithLabelValues(noticeRest).Inc()
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -59,6 +59,27 @@
 	}
 }
 
+// Leaves notes that a server said in an answer that it leaves. The list may be without that for as long as its source
+// is away: a server got 16 requests in the ten seconds after it had said so.
+func (pool *Pool) Leaves(id string) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	if pool.leaves(id, pool.vm) {
+		pool.publisher.Publish(Report{Server: id, Phase: PhaseOver, Health: HealthLeaving})
+	}
+}
+
+// leaves reports whether that is new. It holds for this start of the server, whatever its entry says later.
+func (pool *Pool) leaves(id, toldBy string) bool {
+	server := pool.servers[id]
+	if server == nil || server.entry.Leaving {
+		return false
+	}
+	server.entry.Leaving = true
+	pool.logger.Info("server leaves", "server", id, "told_by", toldBy)
+	return true
+}
+
 // NotFree notes that a server said how much KV memory it has left, which was too little for
 // wanted tokens of a request that is noted there already. What it has in use beyond what
 // is known here counts from now on, at all VMs: it mostly belongs to a VM that was killed,
@@ -93,7 +114,7 @@
 }
 
 // toldHealth takes over how a server did for a request of another VM.
-func (pool *Pool) toldHealth(report Report) {
+func (pool *Pool) toldHealth(vm string, report Report) {
 	switch report.Health {
 	case HealthGood:
 		pool.succeeded(report.Server)
@@ -110,6 +131,8 @@
 		if server := pool.servers[report.Server]; server != nil {
 			pool.hide(server, report.Memory)
 		}
+	case HealthLeaving:
+		pool.leaves(report.Server, vm)
 	case HealthUntold:
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -21,6 +21,9 @@
 // packOrder names the order in which tight requests fill servers.
 const packOrder = "pack"
 
+// toldByList says in log lines that something stands in the list of servers.
+const toldByList = "list"
+
 // Pool is the backend servers. It listens to the list of servers.
 type Pool struct {
 	settings  Settings
@@ -148,7 +151,7 @@
 		return
 	}
 	if entry.Leaving && !known.entry.Leaving {
-		pool.logger.Info("server leaves", "server", entry.ID)
+		pool.logger.Info("server leaves", "server", entry.ID, "told_by", toldByList)
 	}
 	// A server that was leaving once never takes new work again.
 	entry.Leaving = entry.Leaving || known.entry.Leaving
--- a/internal/pool/sending.go
+++ b/internal/pool/sending.go
@@ -72,6 +72,8 @@
 	HealthNotFree
 	// HealthLost: the connection broke while it had the request.
 	HealthLost
+	// HealthLeaving: it said in an answer that it leaves.
+	HealthLeaving
 )
 
 // sending is a request at a server.
--- a/internal/pool/start_test.go
+++ b/internal/pool/start_test.go
@@ -44,6 +44,7 @@
 		},
 		"memory in use": func(world *world) { world.NotFree(engines(), startID(1), 0, 100) },
 		"taken away":    func(world *world) { world.Closed(startID(1)) },
+		"said to leave": func(world *world) { world.Leaves(startID(1)) },
 		"planned end": func(world *world) {
 			change := startOf(1)
 			change.Value.Leaving = true
--- a/internal/pool/told.go
+++ b/internal/pool/told.go
@@ -23,7 +23,7 @@
 		return false
 	}
 	if report.Health != HealthUntold {
-		pool.toldHealth(report)
+		pool.toldHealth(vm, report)
 		return false
 	}
 	server := pool.servers[report.Server]
