pool, dispatch, gateway: a server that asks a VM for rest gets nothing of it until that is over

Cause: the time in a server's 503 was not read. The refusal counted as one failure, suspicion began at the second one, any good answer took it back, and where all servers were suspect they were used. Change: a rest is kept for one start of a server and one VM; the VM's own looks leave that server out, the VMs that decide are told and leave it out for requests of that VM, and what they name in vain is told again. A prompt for which memory was set aside is placed anew if a server left or asked for rest meanwhile. While all servers of a service rest until a request is late, its caller is refused at once and told when the first has rested. Ruled out: a longer suspicion (good answers end it, and it holds for all VMs though only one was asked); the rest in each question to the VM that decides (150 names in each of them where all servers rest).

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -31,6 +31,7 @@
 // Servers is what this VM believes of the servers.
 type Servers interface {
 	Open(service *catalog.Service, tried []string) []placement.Server
+	Resting(vm string) []string
 	Assign(vm string, id uint64, plan placement.Plan, request placement.Request)
 	Withdraw(vm string, id uint64)
 	Changed() <-chan struct{}
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -200,6 +200,11 @@
 	return view.servers.Open(known, nil)
 }
 
+// Resting implements dispatch.Servers.
+func (view *view) Resting(vm string) []string {
+	return view.servers.Resting(vm)
+}
+
 // Take implements dispatch.Servers.
 func (view *view) Take(request *dispatch.Request, plan placement.Plan) {
 	view.servers.Assign(request.VM, request.ID, plan, request.Placement)
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -21,6 +21,8 @@
 type Servers interface {
 	// Open returns the servers of a service that may get requests.
 	Open(service string) []placement.Server
+	// Resting returns the servers that want nothing from a VM now.
+	Resting(vm string) []string
 	// Take notes that a request got the servers of a plan.
 	Take(request *Request, plan placement.Plan)
 }
@@ -49,7 +51,7 @@
 func (queue *Queue) Offer(request *Request, servers Servers, now time.Time) (Verdict, bool) {
 	queue.Remove(request.Key)
 	queue.waiting = append(queue.waiting, request)
-	plan, placed := queue.look(request, servers.Open(request.Service), now)
+	plan, placed := queue.look(request, servers, servers.Open(request.Service), now)
 	if !placed {
 		return Verdict{}, false
 	}
@@ -72,7 +74,7 @@
 			view = servers.Open(request.Service)
 			views[request.Service] = view
 		}
-		plan, placed := queue.look(request, view, now)
+		plan, placed := queue.look(request, servers, view, now)
 		if !placed {
 			return false
 		}
@@ -106,8 +108,9 @@
 	queue.waiting = slices.DeleteFunc(queue.waiting, match)
 }
 
-// look asks the policy for one request.
-func (queue *Queue) look(request *Request, view []placement.Server, now time.Time) (placement.Plan, bool) {
+// look asks the policy for one request, by a view of the servers that its VM may use.
+func (queue *Queue) look(request *Request, servers Servers, view []placement.Server, now time.Time) (placement.Plan, bool) {
+	view = without(view, servers.Resting(request.VM))
 	open := without(view, request.Tried)
 	if len(open) == 0 {
 		open = view // all failed once: any may do better now
@@ -126,14 +129,14 @@
 	return work
 }
 
-// without returns the servers that were not tried.
-func without(view []placement.Server, tried []string) []placement.Server {
-	if len(tried) == 0 {
+// without returns the servers but for some.
+func without(view []placement.Server, some []string) []placement.Server {
+	if len(some) == 0 {
 		return view
 	}
 	open := make([]placement.Server, 0, len(view))
 	for i := range view {
-		if !slices.Contains(tried, view[i].ID) {
+		if !slices.Contains(some, view[i].ID) {
 			open = append(open, view[i])
 		}
 	}
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -33,10 +33,14 @@
 // believed is servers in memory.
 type believed struct {
 	servers []placement.Server
+	// resting has the servers that want nothing from a VM.
+	resting map[string][]string
 }
 
 var _ dispatch.Servers = (*believed)(nil)
 
+func (believed *believed) Resting(vm string) []string { return believed.resting[vm] }
+
 func (believed *believed) Open(string) []placement.Server {
 	return append([]placement.Server(nil), believed.servers...)
 }
--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -28,6 +28,7 @@
 			PacePercent:  uint32(percent * report.Pace),
 			Health:       wire.Health(report.Health), //nolint:gosec // few values
 			Fingerprint:  uint64(report.Fingerprint),
+			RestMs:       milliseconds(report.Rest),
 		})
 	}
 	return sendings
@@ -49,6 +50,7 @@
 			Due:    time.Duration(sending.GetDueMs()) * time.Millisecond,
 			Pace:   float64(sending.GetPacePercent()) / percent,
 			Health: pool.Health(sending.GetHealth()),
+			Rest:   time.Duration(sending.GetRestMs()) * time.Millisecond,
 
 			Fingerprint: fingerprint.Fingerprint(sending.GetFingerprint()),
 		})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,6 +38,9 @@
 	}
 	if held != nil {
 		defer held.Release()
+		if err := run.stillTaken(plan); err != nil {
+			return result{kind: resultMoved, err: err}
+		}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -89,6 +92,20 @@
 	return held, errors.Wrap(err, "reserve")
 }
 
+// stillTaken returns an error if a server of a plan takes nothing more from this VM, as it may have said while memory
+// was set aside, which takes up to an order's time.
+func (run *run) stillTaken(plan placement.Plan) error {
+	ids := make([]string, 0, 1+len(plan.Helpers))
+	ids = append(ids, plan.Server.ID)
+	for _, helper := range plan.Helpers {
+		ids = append(ids, helper.ID)
+	}
+	if _, missing := run.gateway.pool.Find(run.service.Name, ids); len(missing) > 0 {
+		return errors.Newf("%v take nothing more", missing)
+	}
+	return nil
+}
+
 // noteNotFree tells the pool which engines have less memory than was believed. One that gave
 // another answer, or none, is not asked again for this request. Otherwise the same plan
 // was made again each 20 ms: 122 times in a second after VMs had been killed, while eight
--- a/internal/gateway/elsewhere.go
+++ b/internal/gateway/elsewhere.go
@@ -19,7 +19,7 @@
 		defer cancel()
 		ctx = bounded
 	}
-	for {
+	for !run.restTooLong() {
 		changed := gateway.pool.Changed()
 		plan, use, placed := run.ask(ctx)
 		if !placed && !run.refused && ctx.Err() == nil {
@@ -28,13 +28,11 @@
 		if placed {
 			return plan, use, true
 		}
-		if run.refused {
-			return placement.Plan{}, nil, false
-		}
-		if !run.waitForRoom(ctx, changed) {
-			return placement.Plan{}, nil, false
+		if run.refused || !run.waitForRoom(ctx, changed) {
+			break
 		}
 	}
+	return placement.Plan{}, nil, false
 }
 
 // ask asks for servers until there are some that this VM knows too.
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -30,7 +30,7 @@
 	}
 	if notice.Rest > 0 {
 		gateway.metrics.notices.WithLabelValues(noticeRest).Inc()
-		gateway.logger.Info("server asks for rest", "server", server, "status", status, "rest", notice.Rest)
+		gateway.pool.Rests(server, notice.Rest)
 	}
 	if notice.Unreadable != "" {
 		gateway.metrics.notices.WithLabelValues(noticeUnreadable).Inc()
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -29,6 +29,7 @@
 	ReasonServerFailed    Reason = "server_failed"
 	ReasonRefused         Reason = "servers_refused"
 	ReasonBusy            Reason = "servers_busy"
+	ReasonResting         Reason = "servers_rest"
 	ReasonStopping        Reason = "stopping"
 	ReasonCrashesServers  Reason = "crashes_servers"
 	ReasonCallerGone      Reason = "caller_gone"
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/mastwinch/mastwinch/internal/catalog"
@@ -11,7 +12,7 @@
 )
 
 // place waits for servers with room, and takes them. It reports false when ctx
-// ended first, or when a request that takes turns was held for long enough.
+// ended first, or when the request is given up.
 func (run *run) place(ctx context.Context) (placement.Plan, *pool.Use, bool) {
 	asked := run.gateway.now()
 	var plan placement.Plan
@@ -43,7 +44,7 @@
 		defer turn.End()
 		wait.For(ctx, gateway.settle())
 	}
-	for {
+	for !run.restTooLong() {
 		changed := gateway.pool.Changed()
 		if run.comesNext(ctx, turn) {
 			plan, use, ok := run.look(ctx, turn)
@@ -54,9 +55,10 @@
 		// It had a look after its objective was over, when what harms nobody is taken:
 		// so a prompt that is too long ever to be in time is read on a calm day.
 		if run.heldEnough() || !run.waitForRoom(ctx, changed) {
-			return placement.Plan{}, nil, false
+			break
 		}
 	}
+	return placement.Plan{}, nil, false
 }
 
 // look asks the policy once, and takes the servers that it names.
@@ -134,9 +136,9 @@
 }
 
 // open returns the servers that may get a request, with what this VM itself has
-// there.
+// there. None of them is one that was tried, or that wants nothing from this VM now.
 func (gateway *Gateway) open(service *catalog.Service, tried []string) []placement.Server {
-	servers := gateway.pool.Open(service, tried)
+	servers := gateway.pool.Open(service, slices.Concat(tried, gateway.pool.Resting(gateway.site.VM)))
 	for i := range servers {
 		servers[i].Connected = gateway.upstream.Kept(servers[i].Address)
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -38,6 +38,8 @@
 	last result
 	// refused says that the VM that decides expects no place before the caller leaves.
 	refused bool
+	// rested is when the first server has rested, of a request that is given up since all rest, or zero.
+	rested time.Time
 	// begun says that the head of an answer was written, and hasEvents that events of it came.
 	begun     bool
 	hasEvents atomic.Bool
@@ -88,6 +90,8 @@
 	resultUncertain resultKind = "uncertain"
 	// resultNoMemory: nothing was sent, since memory could not be set aside.
 	resultNoMemory resultKind = "no_memory"
+	// resultMoved: nothing was sent, since a server took nothing more by then.
+	resultMoved resultKind = "moved"
 	// resultBroken: the answer to the caller was begun and cannot be ended.
 	resultBroken resultKind = "broken"
 )
@@ -124,7 +128,7 @@
 		}
 		plan, use, ok := run.place(ctx)
 		if !ok && ctx.Err() == nil {
-			return run.fail(ReasonBusy) // held for long enough
+			return run.fail(run.unplaced())
 		}
 		if !ok {
 			return run.interrupted(ctx)
@@ -135,10 +139,15 @@
 		}
 		run.looks++
 		result := run.attempt(ctx, plan, use)
-		if result.kind == resultNoMemory {
+		switch result.kind {
+		case resultNoMemory:
 			run.gateway.logger.Info("memory not set aside", "request_id", run.head.ID, "look", run.looks, "error", result.err)
 			wait.For(ctx, run.gateway.settings.Request.Look)
 			continue
+		case resultMoved:
+			run.gateway.logger.Info("placed anew", "request_id", run.head.ID, "look", run.looks, "error", result.err)
+			continue
+		case resultAnswered, resultNotRun, resultUncertain, resultBroken:
 		}
 		run.sends++
 		if final, done := run.conclude(ctx, plan, result); done {
@@ -272,8 +281,12 @@
 
 // returnAfter is when a caller may return that was refused for a reason.
 func (run *run) returnAfter(reason Reason) time.Duration {
-	if reason == ReasonCrashesServers {
+	switch reason {
+	case ReasonCrashesServers:
 		return run.gateway.quarantine.Kept(run.fingerprint)
+	case ReasonResting:
+		return run.rested.Sub(run.gateway.now()) + run.gateway.retryAfter()
+	default:
+		return run.gateway.retryAfter()
 	}
-	return run.gateway.retryAfter()
 }
--- a/internal/gateway/told.go
+++ b/internal/gateway/told.go
@@ -64,7 +64,7 @@
 		told.quarantine.LostElsewhere(quarantine.Loss{
 			Fingerprint: report.Fingerprint, Server: report.Server, Ran: report.Phase == pool.PhaseWriting,
 		}, report.Age)
-	case pool.HealthUntold, pool.HealthFailed, pool.HealthClosed, pool.HealthNotFree, pool.HealthLeaving:
+	case pool.HealthUntold, pool.HealthFailed, pool.HealthClosed, pool.HealthNotFree, pool.HealthLeaving, pool.HealthResting:
 	}
 }
 
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -42,6 +42,8 @@
 	stop    context.CancelFunc
 	stopped chan error
 	stopAt  time.Time
+	// addresses has those of the servers by their IDs.
+	addresses map[string]string
 	// asleep is for how long the VM was suspended, in nanoseconds.
 	asleep atomic.Int64
 
@@ -69,7 +71,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		world := &world{
 			t: t, network: memnet.New(), store: metastore.New(),
-			seen: make(map[string][]seenRequest), stopped: make(chan error, 1),
+			seen: make(map[string][]seenRequest), stopped: make(chan error, 1), addresses: make(map[string]string),
 		}
 		var closers []io.Closer
 		defer func() {
@@ -84,6 +86,7 @@
 				number++
 				id := service + "-" + name
 				address := fmt.Sprintf("10.0.2.%d:80", number)
+				world.addresses[id] = address
 				world.list(id, service, address, "ready")
 				closers = append(closers, world.listen(address, world.scripted(id, script)))
 			}
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -133,6 +133,10 @@
 		}
 	case HealthLeaving:
 		pool.leaves(report.Server, vm)
+	case HealthResting:
+		if pool.servers[report.Server] != nil {
+			pool.rests.add(vm, report.Server, pool.now().Add(report.Rest))
+		}
 	case HealthUntold:
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -45,6 +45,7 @@
 	sourceLost bool
 	returned   time.Time
 	own        map[uint64]*sending
+	rests      rests
 	// nextID starts anywhere, so that a VM that was started again is not taken
 	// for what it was before.
 	nextID uint64
@@ -73,6 +74,7 @@
 		listed:    make(map[string]string),
 		byService: make(map[string][]*server),
 		own:       make(map[uint64]*sending),
+		rests:     make(rests),
 		nextID:    rand.Uint64(), //nolint:gosec // no secret
 		changed:   make(chan struct{}),
 	}
@@ -203,6 +205,7 @@
 		service := server.entry.Service
 		byService[service] = append(byService[service], server)
 	}
+	pool.rests.forget(pool.servers)
 	for _, servers := range byService {
 		order(servers)
 	}
@@ -257,8 +260,8 @@
 	return open
 }
 
-// Find returns servers of a service by their IDs, and the IDs of those that are not known
-// here or take nothing more.
+// Find returns servers of a service by their IDs, and the IDs of those that are not known here or take nothing
+// from this VM. That a server rests is told again, since who named it has not heard.
 func (pool *Pool) Find(service string, ids []string) (found []placement.Server, missing []string) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
@@ -269,6 +272,11 @@
 			missing = append(missing, id)
 			continue
 		}
+		if until, rests := pool.rests.over(pool.vm, id, now); rests {
+			missing = append(missing, id)
+			pool.publisher.Publish(Report{Server: id, Phase: PhaseOver, Health: HealthResting, Rest: until.Sub(now)})
+			continue
+		}
 		found = append(found, server.view(now, pool.settings))
 	}
 	return found, missing
--- a/internal/pool/sending.go
+++ b/internal/pool/sending.go
@@ -49,6 +49,8 @@
 	// Pace is how long events took beside what was expected, or zero when none
 	// were seen.
 	Pace float64
+	// Rest is for how long a server that rests still does, from now.
+	Rest time.Duration
 	// Health is how the server did for a request that is over, when that is told.
 	Health Health
 	// Fingerprint is that of the request that Health is told of, or none.
@@ -74,6 +76,8 @@
 	HealthLost
 	// HealthLeaving: it said in an answer that it leaves.
 	HealthLeaving
+	// HealthResting: it wants nothing from the VM that tells for as long as the report says.
+	HealthResting
 )
 
 // sending is a request at a server.
