--- /dev/null
+++ b/internal/epoch/watch.go
@@ -0,0 +1,77 @@
+// Package epoch tells the histories of the platform's store apart. The store may come back from a copy that is some
+// seconds old: what was written since is gone, offsets are given out again, and its epoch is one higher from then on.
+// An offset counts in one epoch, and so does what is missing.
+package epoch
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Number counts how often the store came back older than it was. Zero is that of a store that does not say.
+type Number int64
+
+// ErrEarlier says that an answer is of an earlier epoch than the one in force, so that it counts for nothing: it came
+// late, or from who has not heard.
+var ErrEarlier = errors.New("answer of an earlier epoch of the store")
+
+// Watch is the epoch in force, as all parts of a process hear of it. It never falls.
+type Watch struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	current Number
+	// known says that an epoch was heard of.
+	known bool
+	// rose is when the epoch last rose while this process knew the one before, or zero.
+	rose time.Time
+	// changed is closed, and replaced, when it rises.
+	changed chan struct{}
+}
+
+// New returns a watch that has heard of no epoch.
+func New(now func() time.Time) *Watch {
+	return &Watch{now: now, changed: make(chan struct{})}
+}
+
+// Note takes over an epoch that was heard of, whoever told. It returns ErrEarlier if a later one is in force.
+func (watch *Watch) Note(number Number) error {
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	switch {
+	case watch.known && number < watch.current:
+		return errors.Wrapf(ErrEarlier, "%d, %d is in force", number, watch.current)
+	case watch.known && number == watch.current:
+		return nil
+	case watch.known:
+		watch.rose = watch.now()
+		close(watch.changed)
+		watch.changed = make(chan struct{})
+	}
+	watch.current = number
+	watch.known = true
+	return nil
+}
+
+// Current returns the epoch in force, and reports whether there is one.
+func (watch *Watch) Current() (Number, bool) {
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	return watch.current, watch.known
+}
+
+// Rose returns when the epoch last rose while this process knew the one before, or zero.
+func (watch *Watch) Rose() time.Time {
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	return watch.rose
+}
+
+// Changed returns a channel that is closed when the epoch rises.
+func (watch *Watch) Changed() <-chan struct{} {
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	return watch.changed
+}
--- /dev/null
+++ b/internal/epoch/watch_test.go
@@ -0,0 +1,53 @@
+package epoch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/epoch"
+)
+
+// TestWatch hears of epochs in any order: the latest one is in force.
+func TestWatch(t *testing.T) {
+	for name, test := range map[string]struct {
+		heard []epoch.Number
+		want  epoch.Number
+		// wantRises is how often it rose, and wantEarlier how many counted for nothing.
+		wantRises, wantEarlier int
+	}{
+		"nothing":              {},
+		"the first one":        {heard: []epoch.Number{7}, want: 7},
+		"the same again":       {heard: []epoch.Number{7, 7}, want: 7},
+		"a later one":          {heard: []epoch.Number{7, 8}, want: 8, wantRises: 1},
+		"an earlier one":       {heard: []epoch.Number{8, 7}, want: 8, wantEarlier: 1},
+		"twice, told in turns": {heard: []epoch.Number{0, 2, 1, 3, 2, 3}, want: 3, wantRises: 2, wantEarlier: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			watch := epoch.New(func() time.Time { return now })
+			rises, earlier := 0, 0
+			for _, number := range test.heard {
+				now = now.Add(time.Second)
+				changed := watch.Changed()
+				if errors.Is(watch.Note(number), epoch.ErrEarlier) {
+					earlier++
+				}
+				select {
+				case <-changed:
+					rises++
+					assert.Equal(t, watch.Rose(), now)
+				default:
+				}
+			}
+			current, known := watch.Current()
+			assert.Equal(t, current, test.want)
+			assert.Equal(t, known, len(test.heard) > 0)
+			assert.Equal(t, rises, test.wantRises)
+			assert.Equal(t, earlier, test.wantEarlier)
+			assert.Equal(t, watch.Rose().IsZero(), test.wantRises == 0)
+		})
+	}
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -42,6 +42,8 @@
 	stop    context.CancelFunc
 	stopped chan error
 	stopAt  time.Time
+	// beforeStart is what the store had before the VM started.
+	beforeStart metastore.Copy
 	// addresses has those of the servers by their IDs.
 	addresses map[string]string
 	// asleep is for how long the VM was suspended, in nanoseconds.
@@ -92,6 +94,7 @@
 			}
 		}
 		world.configure(1, nil)
+		world.beforeStart = world.store.Copy()
 		world.start()
 		defer world.finish()
 		test(world)
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -63,8 +63,10 @@
 type Store struct {
 	mu     sync.Mutex
 	topics map[string]*topic
-	fault  Fault
-	calls  int
+	// era is how often it came back older than it was, and one.
+	era   int64
+	fault Fault
+	calls int
 	// changed is closed, and replaced, when a record was added.
 	changed chan struct{}
 	// healed is closed when a silent store speaks again.
@@ -75,7 +77,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{topics: make(map[string]*topic), changed: make(chan struct{}), healed: make(chan struct{})}
+	return &Store{topics: make(map[string]*topic), era: 1, changed: make(chan struct{}), healed: make(chan struct{})}
 }
 
 // SetFault makes the store misbehave from now on.
@@ -159,6 +161,7 @@
 	store.calls++
 	fault, healed := store.fault, store.healed
 	store.mu.Unlock()
+	writer = &dated{ResponseWriter: writer, store: store}
 	switch fault {
 	case FaultBusy:
 		writer.WriteHeader(http.StatusServiceUnavailable)
