--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/mastwinch/mastwinch/internal/clock"
+	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/gateway"
 	"github.com/mastwinch/mastwinch/internal/logging"
 	"github.com/mastwinch/mastwinch/internal/network"
@@ -76,12 +77,14 @@
 	if err != nil {
 		return err //nolint:wrapcheck // names the clock
 	}
-	store := platform.NewStore(site.Store, network.NewTransport(system))
+	epochs := epoch.New(clock.Now)
+	store := platform.NewStore(site.Store, network.NewTransport(system), epochs)
 	served, err := gateway.New(tuning, site, platform.Codec{}, platform.Orders{}, gateway.Sources{
 		Configuration: platform.NewConfigurationSource(store),
 		Servers:       platform.NewServersSource(store),
 		Register:      platform.NewMembers(store, logger),
 		Quarantine:    platform.NewQuarantine(store, logger),
+		Epochs:        epochs,
 	}, system, clock, logger)
 	if err != nil {
 		return err
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -19,3 +19,15 @@
 	// Leaving says that nothing new may go there.
 	Leaving bool
 }
+
+// Newer reports whether an entry is of a later moment than another one of its key: of a later start, or of the same one
+// that leaves, which it never takes back. Of entries that tell no start none is newer.
+func (entry Entry) Newer(other Entry) bool {
+	if entry.Started.IsZero() || other.Started.IsZero() {
+		return false
+	}
+	if entry.Started.Equal(other.Started) {
+		return entry.Leaving && !other.Leaving
+	}
+	return entry.Started.After(other.Started)
+}
--- a/internal/epoch/watch.go
+++ b/internal/epoch/watch.go
@@ -29,11 +29,14 @@
 	rose time.Time
 	// changed is closed, and replaced, when it rises.
 	changed chan struct{}
+	// hint is the latest epoch that was hinted at, and hinted has an element when there is one to look into.
+	hint   Number
+	hinted chan struct{}
 }
 
 // New returns a watch that has heard of no epoch.
 func New(now func() time.Time) *Watch {
-	return &Watch{now: now, changed: make(chan struct{})}
+	return &Watch{now: now, changed: make(chan struct{}), hinted: make(chan struct{}, 1)}
 }
 
 // Note takes over an epoch that was heard of, whoever told. It returns ErrEarlier if a later one is in force.
@@ -75,3 +78,33 @@
 	defer watch.mu.Unlock()
 	return watch.changed
 }
+
+// Unsettle notes that the epoch rose a moment ago, as another process says that knew the one before. One that saw it
+// rise itself knows better.
+func (watch *Watch) Unsettle() {
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	if watch.rose.IsZero() {
+		watch.rose = watch.now()
+	}
+}
+
+// Hint notes that somebody names an epoch whose word alone is not enough: a spoilt datagram with a high number would
+// make all answers of the store earlier ones for good.
+func (watch *Watch) Hint(number Number) {
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	if !watch.known || number <= watch.current || number <= watch.hint {
+		return
+	}
+	watch.hint = number
+	select {
+	case watch.hinted <- struct{}{}:
+	default:
+	}
+}
+
+// Hinted returns a channel that has an element when the store is to be asked for its epoch.
+func (watch *Watch) Hinted() <-chan struct{} {
+	return watch.hinted
+}
--- a/internal/exchange/bench_internal_test.go
+++ b/internal/exchange/bench_internal_test.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"testing"
 	"time"
+
+	"github.com/mastwinch/mastwinch/internal/epoch"
 )
 
 // BenchmarkCoordinators tells who decides among VMs of five data centres that are all
@@ -14,7 +16,7 @@
 	for _, count := range []int{30, 90, 295} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			self := Member{VM: "vm-0", Address: "10.0.0.1:7340", DataCentre: "dc-0", Capacity: 20}
-			exchange := New(DefaultSettings(), self, nil, nil, slog.New(slog.DiscardHandler), time.Now)
+			exchange := New(DefaultSettings(), self, nil, nil, epoch.New(time.Now), slog.New(slog.DiscardHandler), time.Now)
 			for number := 1; number < count; number++ {
 				vm := fmt.Sprintf("vm-%d", number)
 				exchange.know(Member{
--- a/internal/exchange/coordinators_test.go
+++ b/internal/exchange/coordinators_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/exchange"
 	"github.com/mastwinch/mastwinch/internal/pool"
 )
@@ -41,7 +42,7 @@
 	self := exchange.Member{
 		VM: conn.vm, Address: address(number), DataCentre: []string{"north", "south", "west"}[number%3], Capacity: capacity,
 	}
-	part := exchange.New(vms.settings, self, conn, vms.register, slog.New(slog.DiscardHandler), time.Now)
+	part := exchange.New(vms.settings, self, conn, vms.register, epoch.New(time.Now), slog.New(slog.DiscardHandler), time.Now)
 	sink := &sink{told: make(map[string][]pool.Report)}
 	ctx, stop := context.WithCancel(t.Context())
 	go func() { _ = part.Run(ctx, sink) }()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mastwinch/mastwinch/internal/dispatch"
+	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/pool"
 	"github.com/mastwinch/mastwinch/internal/quarantine"
 	"github.com/mastwinch/mastwinch/internal/wait"
@@ -63,6 +64,7 @@
 	settings Settings
 	self     Member
 	register Register
+	epochs   *epoch.Watch
 	logger   *slog.Logger
 	now      func() time.Time
 	conn     net.PacketConn
@@ -97,12 +99,13 @@
 // New returns an exchange that takes datagrams on conn, the address of self.
 func New(
 	settings Settings, self Member, conn net.PacketConn, register Register,
-	logger *slog.Logger, now func() time.Time,
+	epochs *epoch.Watch, logger *slog.Logger, now func() time.Time,
 ) *Exchange {
 	return &Exchange{
 		settings: settings,
 		self:     self,
 		register: register,
+		epochs:   epochs,
 		logger:   logger,
 		now:      now,
 		conn:     conn,
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
 
@@ -48,6 +49,7 @@
 	if returned {
 		exchange.logger.Debug("VM heard", "peer", update.GetVm(), "address", update.GetAddress())
 	}
+	exchange.epochs.Hint(epoch.Number(update.GetEpoch()))
 	exchange.reply(update, address, returned, sink)
 	exchange.greetNamed(update.GetPeers())
 	if update.GetRelay() {
--- a/internal/exchange/register.go
+++ b/internal/exchange/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -114,3 +115,37 @@
 	known.Member = member
 	known.address = net.UDPAddrFromAddrPort(parsed)
 }
+
+// Reenter enters this VM again if the register, which came back older, does not have it any more. VMs look at moments
+// of their own: 300 of them make some 30 calls a second of it.
+func (exchange *Exchange) Reenter(ctx context.Context) {
+	pause := rand.N(exchange.settings.Reenter) //nolint:gosec // no secret
+	for wait.For(ctx, pause) {
+		err := exchange.enterAgain(ctx)
+		if err == nil {
+			return
+		}
+		exchange.logger.Warn("register not reached", "error", err)
+		pause = exchange.settings.Register
+	}
+}
+
+// enterAgain lists the VMs, and enters this one if it is not there.
+func (exchange *Exchange) enterAgain(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, exchange.settings.Hello)
+	defer cancel()
+	members, err := exchange.register.List(bounded)
+	if err != nil {
+		return err
+	}
+	for _, member := range members {
+		exchange.know(member)
+	}
+	self := exchange.self
+	self.First = false // is not in the register
+	if slices.Contains(members, self) {
+		return nil
+	}
+	exchange.logger.Info("entered again", "members", len(members))
+	return exchange.register.Enter(bounded, self)
+}
--- a/internal/exchange/role.go
+++ b/internal/exchange/role.go
@@ -50,6 +50,26 @@
 	return role
 }
 
+// Others implements feed.Members.
+func (exchange *Exchange) Others(most int) ([]string, bool) {
+	exchange.mu.Lock()
+	defer exchange.mu.Unlock()
+	var live []*peer
+	for _, peer := range exchange.peers {
+		if exchange.live(peer) {
+			live = append(live, peer)
+		}
+	}
+	slices.SortFunc(live, func(a, b *peer) int {
+		return cmp.Or(a.started.Compare(b.started), cmp.Compare(a.VM, b.VM))
+	})
+	addresses := make([]string, 0, most)
+	for _, peer := range live[:min(most, len(live))] {
+		addresses = append(addresses, peer.Address)
+	}
+	return addresses, exchange.listed && (len(live) > 0 || len(exchange.peers) == 0)
+}
+
 // readsBefore reports whether a VM reads the store for others rather than another one.
 func (exchange *Exchange) readsBefore(vm, other string) bool {
 	return exchange.compareReaders(vm, other) < 0
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -99,7 +99,8 @@
 
 // update returns a datagram that says who sends it.
 func (exchange *Exchange) update() *wire.LoadUpdate {
-	return &wire.LoadUpdate{Vm: exchange.self.VM, Address: exchange.self.Address}
+	current, _ := exchange.epochs.Current()
+	return &wire.LoadUpdate{Vm: exchange.self.VM, Address: exchange.self.Address, Epoch: int64(current)}
 }
 
 // addressOf returns the address of a VM, or none.
--- a/internal/exchange/settings.go
+++ b/internal/exchange/settings.go
@@ -14,6 +14,8 @@
 	Hello time.Duration `yaml:"hello" validate:"min=10ms"`
 	// Register is the time between tries to enter the register.
 	Register time.Duration `yaml:"register" validate:"min=10ms"`
+	// Reenter is the time over which all VMs look whether the register still has them, after it came back older.
+	Reenter time.Duration `yaml:"reenter" validate:"min=10ms"`
 	// RelayFrom is how many live VMs another data centre must have for one of
 	// them to pass on there what it is told, so that what goes between data
 	// centres does not grow with the VMs. With the two or three of a data centre
@@ -47,6 +49,7 @@
 		Silence:        1600 * time.Millisecond,
 		Hello:          2 * time.Second,
 		Register:       500 * time.Millisecond,
+		Reenter:        10 * time.Second,
 		RelayFrom:      5,
 		CoordinateFrom: 2,
 		Coordinators:   3,
--- a/internal/feed/codec.go
+++ b/internal/feed/codec.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/follower"
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
@@ -16,7 +17,9 @@
 const maxPageBytes = 32 << 20
 
 func encode(page follower.Page) *wire.FeedPage {
-	encoded := &wire.FeedPage{Next: page.Next, Whole: page.Whole, AgeUs: page.Age.Microseconds()}
+	encoded := &wire.FeedPage{
+		Next: page.Next, Whole: page.Whole, AgeUs: page.Age.Microseconds(), Epoch: int64(page.Epoch), Unsettled: page.Unsettled,
+	}
 	for _, record := range page.Records {
 		encoded.Records = append(encoded.Records, &wire.FeedRecord{Key: record.Key, Value: record.Value})
 	}
@@ -26,6 +29,7 @@
 func decode(encoded *wire.FeedPage) follower.Page {
 	page := follower.Page{
 		Next: encoded.GetNext(), Whole: encoded.GetWhole(), Age: time.Duration(encoded.GetAgeUs()) * time.Microsecond,
+		Epoch: epoch.Number(encoded.GetEpoch()), Unsettled: encoded.GetUnsettled(),
 	}
 	for _, record := range encoded.GetRecords() {
 		page.Records = append(page.Records, follower.Record{Key: record.GetKey(), Value: record.GetValue()})
@@ -36,7 +40,7 @@
 // errNothing says that a VM has nothing to tell, since its source does not answer.
 var errNothing = errors.New("feed: nothing to tell")
 
-// get asks for one page.
+// get asks for one page. One of an earlier epoch than is known counts for nothing.
 func (log *Log) get(request *http.Request) (follower.Page, error) {
 	response, err := log.client.Do(request)
 	if err != nil {
@@ -57,5 +61,12 @@
 	if err := proto.Unmarshal(data, encoded); err != nil {
 		return follower.Page{}, errors.Wrap(err, "feed")
 	}
-	return decode(encoded), nil
+	page := decode(encoded)
+	if err := log.epochs.Note(page.Epoch); err != nil {
+		return follower.Page{}, errors.Wrap(err, "feed")
+	}
+	if page.Unsettled {
+		log.epochs.Unsettle()
+	}
+	return page, nil
 }
--- a/internal/feed/compress_test.go
+++ b/internal/feed/compress_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/feed"
 	"github.com/mastwinch/mastwinch/internal/follower"
 	"github.com/mastwinch/mastwinch/internal/wire"
@@ -40,8 +41,8 @@
 			tail.Add(follower.Page{Next: 1, Whole: true, Records: []follower.Record{
 				{Key: "config", Value: []byte(test.value)},
 			}}, time.Now())
-			handler := feed.Handler(map[string]*follower.Tail{"log": tail}, slog.New(slog.DiscardHandler))
-			request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/feed?log=log&offset=-1&wait_ms=0", nil)
+			handler := feed.Handler(map[string]*follower.Tail{"log": tail}, epoch.New(time.Now), slog.New(slog.DiscardHandler))
+			request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/feed?log=log&offset=-1&epoch=0&wait_ms=0", nil)
 			request.Header.Set("Accept-Encoding", test.accepts)
 			recorder := httptest.NewRecorder()
 			handler.ServeHTTP(recorder, request)
--- /dev/null
+++ b/internal/feed/epoch_test.go
@@ -0,0 +1,95 @@
+package feed_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/epoch"
+	"github.com/mastwinch/mastwinch/internal/feed"
+	"github.com/mastwinch/mastwinch/internal/follower"
+)
+
+// inEpoch is a page of that epoch.
+func inEpoch(page follower.Page, number epoch.Number) follower.Page {
+	page.Epoch = number
+	return page
+}
+
+// TestEpochsOfOthers has two readers that know an epoch each, while this VM knows epoch 2.
+func TestEpochsOfOthers(t *testing.T) {
+	for name, test := range map[string]struct {
+		first, second epoch.Number
+		// rises is when the first one hears of epoch 2, or zero.
+		rises time.Duration
+		want  string
+		// wantEpoch is the one in force then.
+		wantEpoch epoch.Number
+	}{
+		"the same":                          {first: 2, second: 2, want: "first", wantEpoch: 2},
+		"a later one":                       {first: 3, second: 2, want: "first", wantEpoch: 3},
+		"an earlier one":                    {first: 1, second: 2, want: "direct", wantEpoch: 2},
+		"an earlier one that rises in time": {first: 1, second: 1, rises: 100 * time.Millisecond, want: "first", wantEpoch: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				epochs := epoch.New(time.Now)
+				assert.NilError(t, epochs.Note(2))
+				first, second, _, log := readersIn(t, several{addresses: []string{readerAddress, secondAddress}}, epochs)
+				first.Add(inEpoch(content("first"), test.first), time.Now())
+				second.Add(inEpoch(content("second"), test.second), time.Now())
+				if test.rises > 0 {
+					time.AfterFunc(test.rises, func() { first.Add(inEpoch(content("first"), 2), time.Now()) })
+				}
+				page, err := log.Read(t.Context(), follower.Position{}, 0)
+				assert.NilError(t, err)
+				assert.Equal(t, page.Records[0].Key, test.want)
+				current, _ := epochs.Current()
+				assert.Equal(t, current, test.wantEpoch)
+			})
+		})
+	}
+}
+
+// TestUnsettledPageIsTakenWhateverItsAge: it is as new as there is, and its age tells the last proof.
+func TestUnsettledPageIsTakenWhateverItsAge(t *testing.T) {
+	for name, test := range map[string]struct {
+		unsettled bool
+		want      string
+	}{
+		"settled":   {want: "direct"},
+		"unsettled": {unsettled: true, want: "first"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				first, _, _, log := readers(t, several{addresses: []string{readerAddress}})
+				page := content("first")
+				first.Add(page, time.Now())
+				page.Unsettled = test.unsettled
+				time.Sleep(10 * time.Second)
+				first.Add(page, time.Time{})
+				got, err := log.Read(t.Context(), follower.Position{}, 0)
+				assert.NilError(t, err)
+				assert.Equal(t, got.Records[0].Key, test.want)
+				assert.Equal(t, got.Age > 9*time.Second, test.unsettled)
+			})
+		})
+	}
+}
+
+// TestOffsetOfAnotherEpochAsksForEverything of a reader.
+func TestOffsetOfAnotherEpochAsksForEverything(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		epochs := epoch.New(time.Now)
+		first, _, _, log := readersIn(t, several{addresses: []string{readerAddress}}, epochs)
+		first.Add(inEpoch(content("first"), 2), time.Now())
+		page, err := log.Read(t.Context(), follower.At(1, 1), 0)
+		assert.NilError(t, err)
+		assert.Assert(t, page.Whole)
+		assert.Equal(t, page.Position(), follower.At(2, 1))
+	})
+}
+
+var _ feed.Members = several{}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/follower"
 	"github.com/mastwinch/mastwinch/internal/wait"
 )
@@ -24,11 +25,15 @@
 	path        = "/feed"
 	queryLog    = "log"
 	queryOffset = "offset"
+	queryEpoch  = "epoch"
 	queryWait   = "wait_ms"
 	// queryAwait says that the asker has nobody better to ask.
 	queryAwait = "await"
 )
 
+// everything is the offset of a question for the newest value of all keys.
+const everything = -1
+
 // maxWait bounds what others may ask a VM to wait.
 const maxWait = 30 * time.Second
 
@@ -51,6 +56,9 @@
 	// Role returns the part of this VM. With fewer than least live VMs in the data
 	// centre each reads itself; one that is avoided is not asked.
 	Role(least int, avoid func(address string) bool) Role
+	// Others returns the addresses of live VMs of any data centre, those that run longest first. It reports false
+	// while it is not known yet who is there.
+	Others(most int) ([]string, bool)
 }
 
 // Log is a log that is read through another VM, or directly when there is none
@@ -63,6 +71,7 @@
 	bound    func() time.Duration
 	client   *http.Client
 	settings Settings
+	epochs   *epoch.Watch
 	logger   *slog.Logger
 	now      func() time.Time
 
@@ -75,6 +84,8 @@
 	begun time.Time
 	// failed is when this VM asked the store last, if that did not answer, or zero.
 	failed time.Time
+	// knows says that something was read.
+	knows bool
 }
 
 var _ follower.Log = (*Log)(nil)
@@ -83,11 +94,11 @@
 // reads it for this one. Changes must be known within bound.
 func New(
 	name string, direct follower.Log, members Members, bound func() time.Duration,
-	transport http.RoundTripper, settings Settings, logger *slog.Logger, now func() time.Time,
+	transport http.RoundTripper, settings Settings, epochs *epoch.Watch, logger *slog.Logger, now func() time.Time,
 ) *Log {
 	return &Log{
 		name: name, direct: direct, members: members, bound: bound, client: &http.Client{Transport: transport},
-		settings: settings, logger: logger, now: now,
+		settings: settings, epochs: epochs, logger: logger, now: now,
 		avoided: make(map[string]time.Time), begun: now(),
 	}
 }
@@ -96,10 +107,14 @@
 const meetTick = 10 * time.Millisecond
 
 // Read implements follower.Log.
-func (log *Log) Read(ctx context.Context, offset int64, wait time.Duration) (follower.Page, error) {
+func (log *Log) Read(ctx context.Context, from follower.Position, wait time.Duration) (follower.Page, error) {
+	page, known := log.first(ctx)
+	if known {
+		return page, nil
+	}
 	log.meet(ctx)
 	asked := log.now()
-	page, role, err := log.readElsewhere(ctx, offset)
+	page, role, err := log.readElsewhere(ctx, from)
 	if err == nil {
 		return page, nil
 	}
@@ -110,10 +125,10 @@
 		wait = min(wait, log.settings.ReaderWait)
 	}
 	if address := log.awaited(role); address != "" {
-		return log.readThrough(ctx, address, offset, "&"+queryAwait)
+		return log.readThrough(ctx, address, from, log.settings.Wait, "&"+queryAwait)
 	}
 	late := log.now().Sub(asked)
-	page, err = log.direct.Read(ctx, offset, wait)
+	page, err = log.direct.Read(ctx, from, wait)
 	log.noteDirect(err)
 	page.Age -= late // the store was asked that much later
 	return page, err //nolint:wrapcheck // the log says what failed
@@ -156,7 +171,7 @@
 var errNobody = errors.New("feed: nobody to ask")
 
 // readElsewhere asks other VMs, and returns the part of this one as it is then.
-func (log *Log) readElsewhere(ctx context.Context, offset int64) (follower.Page, Role, error) {
+func (log *Log) readElsewhere(ctx context.Context, from follower.Position) (follower.Page, Role, error) {
 	asked := log.now()
 	failed := errNobody
 	for range log.settings.Tries {
@@ -165,7 +180,7 @@
 		if role.Ask == "" {
 			return follower.Page{}, role, failed
 		}
-		page, err := log.readThrough(ctx, role.Ask, offset, "")
+		page, err := log.readThrough(ctx, role.Ask, from, log.settings.Wait, "")
 		if err == nil {
 			return page, role, nil
 		}
@@ -193,12 +208,20 @@
 }
 
 // readThrough asks another VM, how being added to the query.
-func (log *Log) readThrough(ctx context.Context, address string, offset int64, how string) (follower.Page, error) {
-	bounded, cancel := context.WithTimeout(ctx, log.settings.Wait+log.settings.Patience)
+func (log *Log) readThrough(ctx context.Context, address string, from follower.Position, wait time.Duration, how string) (follower.Page, error) {
+	bounded, cancel := context.WithTimeout(ctx, wait+log.settings.Patience)
 	defer cancel()
+	if current, known := log.epochs.Current(); known && current != from.Epoch {
+		from = follower.Position{Epoch: current} // its offset says nothing in the epoch in force
+	}
+	offset, some := from.Offset()
+	if !some {
+		offset = everything
+	}
 	target := "http://" + address + path + "?" + queryLog + "=" + log.name +
 		"&" + queryOffset + "=" + strconv.FormatInt(offset, 10) +
-		"&" + queryWait + "=" + strconv.FormatInt(log.settings.Wait.Milliseconds(), 10) + how
+		"&" + queryEpoch + "=" + strconv.FormatInt(int64(from.Epoch), 10) +
+		"&" + queryWait + "=" + strconv.FormatInt(wait.Milliseconds(), 10) + how
 	request, err := http.NewRequestWithContext(bounded, http.MethodGet, target, nil)
 	if err != nil {
 		return follower.Page{}, errors.Wrap(err, "feed")
@@ -207,7 +230,7 @@
 	if err != nil {
 		return follower.Page{}, err
 	}
-	if page.Age > log.maxAge() {
+	if page.Age > log.maxAge() && !page.Unsettled {
 		return follower.Page{}, errors.Newf("feed: content is %s old", page.Age)
 	}
 	return page, nil
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/feed"
 	"github.com/mastwinch/mastwinch/internal/follower"
 	"github.com/mastwinch/mastwinch/internal/memnet"
@@ -36,7 +37,7 @@
 	return &store{}
 }
 
-func (store *store) Read(_ context.Context, _ int64, wait time.Duration) (follower.Page, error) {
+func (store *store) Read(_ context.Context, _ follower.Position, wait time.Duration) (follower.Page, error) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	store.calls++
@@ -61,6 +62,8 @@
 	return members.role
 }
 
+func (members) Others(int) ([]string, bool) { return nil, true }
+
 func TestRead(t *testing.T) {
 	tests := map[string]struct {
 		role  feed.Role
@@ -113,7 +116,7 @@
 				}
 				listener, err := network.Listen(t.Context(), readerAddress)
 				assert.NilError(t, err)
-				server := &http.Server{Handler: feed.Handler(map[string]*follower.Tail{"log": tail}, slog.New(slog.DiscardHandler))}
+				server := &http.Server{Handler: feed.Handler(map[string]*follower.Tail{"log": tail}, epoch.New(time.Now), slog.New(slog.DiscardHandler))}
 				go func() { _ = server.Serve(listener) }()
 				defer func() { _ = server.Close() }()
 				network.SetDark(readerAddress, test.dark)
@@ -123,10 +126,10 @@
 				}
 				store := newStore()
 				log := feed.New("log", store, members{role: test.role}, func() time.Duration { return test.bound },
-					transport, feed.DefaultSettings(), slog.New(slog.DiscardHandler), time.Now)
+					transport, feed.DefaultSettings(), epoch.New(time.Now), slog.New(slog.DiscardHandler), time.Now)
 				for range 2 { // the second time a VM that failed is not asked
 					asked := time.Now()
-					page, err := log.Read(t.Context(), follower.Everything, 1500*time.Millisecond)
+					page, err := log.Read(t.Context(), follower.Position{}, 1500*time.Millisecond)
 					assert.NilError(t, err)
 					assert.Equal(t, page.Records[0].Key, test.want)
 					checkAge(t, page, test.want, time.Since(asked))
@@ -156,11 +159,12 @@
 }
 
 func TestBadQuestions(t *testing.T) {
-	handler := feed.Handler(map[string]*follower.Tail{"log": follower.NewTail(time.Now)}, slog.New(slog.DiscardHandler))
+	handler := feed.Handler(map[string]*follower.Tail{"log": follower.NewTail(time.Now)}, epoch.New(time.Now), slog.New(slog.DiscardHandler))
 	for name, target := range map[string]string{
-		"no log":     "/feed?log=none&offset=1&wait_ms=1",
-		"no offset":  "/feed?log=log&offset=x&wait_ms=1",
-		"no wait":    "/feed?log=log&offset=1",
+		"no log":     "/feed?log=none&offset=1&epoch=0&wait_ms=1",
+		"no offset":  "/feed?log=log&offset=x&epoch=0&wait_ms=1",
+		"no epoch":   "/feed?log=log&offset=1&wait_ms=1",
+		"no wait":    "/feed?log=log&offset=1&epoch=0",
 		"other path": "/other",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/feed/handler.go
+++ b/internal/feed/handler.go
@@ -10,18 +10,20 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/follower"
 )
 
-// Handler serves the tails of the logs that this VM reads, by name.
-func Handler(tails map[string]*follower.Tail, logger *slog.Logger) http.Handler {
+// Handler serves the tails of the logs that this VM reads, by name. Who asks may have heard of a later epoch.
+func Handler(tails map[string]*follower.Tail, epochs *epoch.Watch, logger *slog.Logger) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, func(writer http.ResponseWriter, request *http.Request) {
 		query := request.URL.Query()
 		tail := tails[query.Get(queryLog)]
 		offset, errOffset := strconv.ParseInt(query.Get(queryOffset), 10, 64)
+		number, errEpoch := strconv.ParseInt(query.Get(queryEpoch), 10, 64)
 		milliseconds, errWait := strconv.Atoi(query.Get(queryWait))
-		if tail == nil || errOffset != nil || errWait != nil {
+		if tail == nil || errOffset != nil || errEpoch != nil || errWait != nil {
 			writer.WriteHeader(http.StatusBadRequest)
 			return
 		}
@@ -30,7 +32,12 @@
 		if query.Has(queryAwait) {
 			read = tail.Await
 		}
-		page, err := read(request.Context(), offset, wait)
+		from := follower.Position{Epoch: epoch.Number(number)}
+		epochs.Hint(from.Epoch)
+		if offset != everything {
+			from = follower.At(from.Epoch, offset)
+		}
+		page, err := read(request.Context(), from, wait)
 		if err != nil {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 			return
--- a/internal/feed/others_test.go
+++ b/internal/feed/others_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/feed"
 	"github.com/mastwinch/mastwinch/internal/follower"
 	"github.com/mastwinch/mastwinch/internal/memnet"
@@ -36,15 +37,31 @@
 	return feed.Role{Serves: true}
 }
 
+// Others tells those that it knows, once it does.
+func (several several) Others(most int) ([]string, bool) {
+	if time.Now().Before(several.known) {
+		return nil, false
+	}
+	return several.addresses[:min(most, len(several.addresses))], true
+}
+
 // readers serves the tails of two VMs, and returns them with a log that reads there.
 func readers(t *testing.T, members feed.Members) (first, second *follower.Tail, store *store, log *feed.Log) {
+	t.Helper()
+	return readersIn(t, members, epoch.New(time.Now))
+}
+
+// readersIn is readers for a VM that hears of epochs.
+func readersIn(
+	t *testing.T, members feed.Members, epochs *epoch.Watch,
+) (first, second *follower.Tail, store *store, log *feed.Log) {
 	t.Helper()
 	network := memnet.New()
 	first, second = follower.NewTail(time.Now), follower.NewTail(time.Now)
 	for address, tail := range map[string]*follower.Tail{readerAddress: first, secondAddress: second} {
 		listener, err := network.Listen(t.Context(), address)
 		assert.NilError(t, err)
-		server := &http.Server{Handler: feed.Handler(map[string]*follower.Tail{"log": tail}, slog.New(slog.DiscardHandler))}
+		server := &http.Server{Handler: feed.Handler(map[string]*follower.Tail{"log": tail}, epoch.New(time.Now), slog.New(slog.DiscardHandler))}
 		go func() { _ = server.Serve(listener) }()
 		t.Cleanup(func() { _ = server.Close() })
 	}
@@ -54,7 +71,7 @@
 	}
 	store = newStore()
 	log = feed.New("log", store, members, func() time.Duration { return 4 * time.Second },
-		transport, feed.DefaultSettings(), slog.New(slog.DiscardHandler), time.Now)
+		transport, feed.DefaultSettings(), epochs, slog.New(slog.DiscardHandler), time.Now)
 	return first, second, store, log
 }
 
@@ -72,7 +89,7 @@
 		read := func(want string) {
 			t.Helper()
 			started := time.Now()
-			page, err := log.Read(t.Context(), follower.Everything, time.Second)
+			page, err := log.Read(t.Context(), follower.Position{}, time.Second)
 			assert.NilError(t, err)
 			assert.Equal(t, page.Records[0].Key, want)
 			assert.Assert(t, time.Since(started) < 10*time.Millisecond)
@@ -99,10 +116,10 @@
 		second.Add(content("second"), time.Now())
 		time.AfterFunc(100*time.Millisecond, first.Lose)
 		started := time.Now()
-		_, err := log.Read(t.Context(), 1, time.Second)
+		_, err := log.Read(t.Context(), follower.At(0, 1), time.Second)
 		assert.NilError(t, err)
 		assert.Assert(t, time.Since(started) >= 100*time.Millisecond)
-		page, err := log.Read(t.Context(), follower.Everything, time.Second)
+		page, err := log.Read(t.Context(), follower.Position{}, time.Second)
 		assert.NilError(t, err)
 		assert.Equal(t, page.Records[0].Key, "second")
 	})
@@ -115,7 +132,7 @@
 		known := time.Now().Add(20 * time.Millisecond)
 		first, _, store, log := readers(t, several{addresses: []string{readerAddress}, known: known})
 		time.AfterFunc(30*time.Millisecond, func() { first.Add(content("first"), time.Now()) })
-		page, err := log.Read(t.Context(), follower.Everything, time.Second)
+		page, err := log.Read(t.Context(), follower.Position{}, time.Second)
 		assert.NilError(t, err)
 		assert.Equal(t, page.Records[0].Key, "first")
 		assert.Equal(t, store.calls, 0)
@@ -127,12 +144,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		_, _, store, log := readers(t, several{known: time.Now().Add(time.Hour)})
 		started := time.Now()
-		_, err := log.Read(t.Context(), follower.Everything, time.Second)
+		_, err := log.Read(t.Context(), follower.Position{}, time.Second)
 		assert.NilError(t, err)
 		assert.Equal(t, store.calls, 1)
 		assert.Assert(t, time.Since(started) <= 310*time.Millisecond)
 		started = time.Now()
-		_, err = log.Read(t.Context(), follower.Everything, 0)
+		_, err = log.Read(t.Context(), follower.Position{}, 0)
 		assert.NilError(t, err)
 		assert.Assert(t, time.Since(started) < time.Millisecond, "it waits once")
 	})
@@ -141,6 +158,8 @@
 // turnedAway is a VM whose readers have all been turned away by the store.
 type turnedAway struct{}
 
+func (turnedAway) Others(int) ([]string, bool) { return nil, true }
+
 func (turnedAway) Role(int, func(string) bool) feed.Role {
 	return feed.Role{Serves: true, Before: []string{readerAddress, secondAddress}}
 }
@@ -162,7 +181,7 @@
 			second.Add(content("second"), time.Now())
 		})
 		for time.Now().Before(back) {
-			_, err := log.Read(t.Context(), follower.Everything, time.Second)
+			_, err := log.Read(t.Context(), follower.Position{}, time.Second)
 			if err == nil {
 				break
 			}
--- a/internal/follower/bounded.go
+++ b/internal/follower/bounded.go
@@ -22,13 +22,13 @@
 }
 
 // Read implements Log.
-func (bounded Bounded) Read(ctx context.Context, offset int64, wait time.Duration) (Page, error) {
+func (bounded Bounded) Read(ctx context.Context, from Position, wait time.Duration) (Page, error) {
 	limited, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := time.AfterFunc(wait+bounded.patience, func() { cancel(context.DeadlineExceeded) })
 	defer timer.Stop()
 	extend := func() { timer.Reset(bounded.patience) }
-	return bounded.log.Read(context.WithValue(limited, partKey{}, extend), offset, wait) //nolint:wrapcheck // the log says what failed
+	return bounded.log.Read(context.WithValue(limited, partKey{}, extend), from, wait) //nolint:wrapcheck // the log says what failed
 }
 
 // partKey is the key of what PartRead calls.
--- a/internal/follower/bounded_test.go
+++ b/internal/follower/bounded_test.go
@@ -20,7 +20,7 @@
 
 var _ follower.Log = parts{}
 
-func (parts parts) Read(ctx context.Context, _ int64, wait time.Duration) (follower.Page, error) {
+func (parts parts) Read(ctx context.Context, _ follower.Position, wait time.Duration) (follower.Page, error) {
 	time.Sleep(wait)
 	for range parts.count {
 		select {
@@ -54,7 +54,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				start := time.Now()
-				_, err := follower.NewBounded(test.log, patience).Read(t.Context(), follower.Everything, test.wait)
+				_, err := follower.NewBounded(test.log, patience).Read(t.Context(), follower.Position{}, test.wait)
 				assert.Equal(t, errors.Is(err, context.DeadlineExceeded), test.wantFail, "%v", err)
 				assert.Equal(t, time.Since(start), test.wantTook)
 			})
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
@@ -33,6 +34,11 @@
 	Log  Log
 	// Decode returns ErrOtherKey for keys that are not its matter.
 	Decode func(key string, value []byte) (T, error)
+	// Newer reports whether a value is of a later moment than another one of its key, whichever is read later. It is
+	// nil where what is read later is newer.
+	Newer func(a, b T) bool
+	// Strict says that nothing is proven while the source has an older value than is believed.
+	Strict bool
 	// TellBad says that the listener is told of values that cannot be decoded. Otherwise the value before
 	// stays.
 	TellBad bool
@@ -63,6 +69,8 @@
 	Pause time.Duration `yaml:"pause" validate:"min=0,max=30s"`
 	// Patience is how long an answer, or a part of one, may take beyond Wait.
 	Patience time.Duration `yaml:"patience" validate:"min=10ms,max=30s"`
+	// Settle is how long after the source came back older the others may still write again what it lost.
+	Settle time.Duration `yaml:"settle" validate:"min=0,max=1m"`
 	// RetryMin and RetryMax bound the pause after a failure, which doubles.
 	RetryMin time.Duration `yaml:"retry_min" validate:"min=1ms"`
 	RetryMax time.Duration `yaml:"retry_max" validate:"min=1ms"`
@@ -75,7 +83,9 @@
 	settings Settings
 	logger   *slog.Logger
 	now      func() time.Time
+	epochs   *epoch.Watch
 	tail     *Tail
+	base     *base[T]
 
 	// proven is when the question was asked that last proved the belief. It is
 	// nil before the first answer, and never goes back.
@@ -90,11 +100,12 @@
 
 // New returns a follower of source.
 func New[T any](
-	source Source[T], listener Listener[T], settings Settings, logger *slog.Logger, now func() time.Time,
+	source Source[T], listener Listener[T], settings Settings, epochs *epoch.Watch, logger *slog.Logger,
+	now func() time.Time,
 ) *Follower[T] {
 	return &Follower[T]{
-		source: source, listener: listener, settings: settings, logger: logger, now: now, tail: NewTail(now),
-		first: make(chan struct{}),
+		source: source, listener: listener, settings: settings, epochs: epochs, logger: logger, now: now,
+		tail: NewTail(now), base: newBase(source.Newer), first: make(chan struct{}),
 	}
 }
 
@@ -137,7 +148,7 @@
 
 // Run follows the source until ctx is done.
 func (follower *Follower[T]) Run(ctx context.Context) {
-	state := progress{offset: Everything, pause: follower.settings.RetryMin}
+	state := progress{pause: follower.settings.RetryMin}
 	for ctx.Err() == nil {
 		round, giveUp := context.WithCancelCause(ctx)
 		follower.giveUp.Store(&giveUp)
@@ -149,13 +160,15 @@
 
 // progress is how far a follower is.
 type progress struct {
-	offset int64
+	position Position
 	// pause is how long it waits after the next failure.
 	pause time.Duration
 	// lost says that the source did not answer the last question.
 	lost bool
 	// hurry says that a proof is wanted at once.
 	hurry bool
+	// unsettled says that what was read last was, so that all is to be read again once it has settled.
+	unsettled bool
 }
 
 // round asks once, waits until the next question is due, and returns how far it is then.
@@ -164,27 +177,30 @@
 	if state.lost || state.hurry {
 		waiting = 0 // the answer proves the belief; a change may take long to come
 	}
+	if state.unsettled {
+		state, waiting = follower.settle(state, waiting)
+	}
 	asked := follower.now()
-	next, err := follower.ask(ctx, state.offset, waiting)
+	next, unsettled, err := follower.ask(ctx, state.position, waiting)
 	switch {
 	case err == nil:
 		if state.lost {
-			follower.logger.Info("source regained", "source", follower.source.Name, "offset", next)
+			follower.logger.Info("source regained", "source", follower.source.Name, "position", next)
 			follower.listener.Regained()
 		}
 		wait.For(ctx, follower.settings.Pause-follower.now().Sub(asked))
-		return progress{offset: next, pause: follower.settings.RetryMin}
+		return progress{position: next, pause: follower.settings.RetryMin, unsettled: unsettled}
 	case ctx.Err() != nil:
 		return state
-	case errors.Is(err, ErrTrimmed):
+	case errors.Is(err, ErrTrimmed) && state.position != (Position{}):
 		follower.logger.Warn("source trimmed, reading the newest values",
-			"source", follower.source.Name, "offset", state.offset)
-		state.offset = Everything
+			"source", follower.source.Name, "position", state.position)
+		state.position = Position{}
 		return state
 	}
 	if !state.lost {
 		state.lost = true
-		follower.logger.Warn("source lost", "source", follower.source.Name, "offset", state.offset, "error", err)
+		follower.logger.Warn("source lost", "source", follower.source.Name, "position", state.position, "error", err)
 		follower.listener.Lost()
 		follower.tail.Lose()
 	}
@@ -193,35 +209,89 @@
 	return state
 }
 
-// ask asks for everything or for changes, for which it waits that long.
-func (follower *Follower[T]) ask(ctx context.Context, offset int64, waiting time.Duration) (int64, error) {
+// settleTick is the least time between questions while the source is unsettled for others.
+const settleTick = 100 * time.Millisecond
+
+// settle returns from where the next question goes, and how long it may wait, after an unsettled answer: until the
+// source has settled, and then for everything.
+func (follower *Follower[T]) settle(state progress, waiting time.Duration) (progress, time.Duration) {
+	left := follower.epochs.Rose().Add(follower.settings.Settle).Sub(follower.now())
+	if left > 0 {
+		return state, min(waiting, max(left, settleTick))
+	}
+	state.position = Position{}
+	return state, min(waiting, settleTick)
+}
+
+// ask asks for everything or for changes, for which it waits that long. It returns where to go on, and whether the
+// answer was unsettled.
+func (follower *Follower[T]) ask(ctx context.Context, from Position, waiting time.Duration) (Position, bool, error) {
 	asked := follower.now()
-	page, err := follower.source.Log.Read(ctx, offset, waiting)
+	page, err := follower.source.Log.Read(ctx, from, waiting)
 	if err != nil {
-		return offset, err //nolint:wrapcheck // the log says what failed
+		return from, false, err //nolint:wrapcheck // the log says what failed
+	}
+	if !page.Whole && page.Epoch != from.Epoch {
+		return from, false, errors.Wrap(ErrTrimmed, "changes of another epoch")
+	}
+	// The age of a page that another VM calls unsettled is that of a proof from before.
+	proves := page.Unsettled || follower.settled(asked)
+	page.Unsettled = page.Unsettled || !proves
+	follower.takeOver(&page)
+	follower.prove(page, asked, proves)
+	return page.Position(), page.Unsettled, nil
+}
+
+// settled reports whether others had the time to write again, at a moment, what the source lost.
+func (follower *Follower[T]) settled(moment time.Time) bool {
+	rose := follower.epochs.Rose()
+	return rose.IsZero() || !moment.Before(rose.Add(follower.settings.Settle))
+}
+
+// takeOver tells the listener what counts of a page, and leaves just that in it.
+func (follower *Follower[T]) takeOver(page *Page) {
+	read := follower.decode(page.Records)
+	now := follower.now()
+	if page.Whole {
+		read = follower.base.replace(read, page.Unsettled, now)
+	} else {
+		read = follower.base.change(read, now)
+	}
+	page.Records = page.Records[:0:0]
+	changes := make([]Change[T], 0, len(read))
+	for _, held := range read {
+		page.Records = append(page.Records, held.record)
+		changes = append(changes, held.change)
 	}
-	changes := follower.decode(page.Records)
 	switch {
 	case page.Whole:
 		follower.listener.Replace(changes)
 	case len(changes) > 0:
 		follower.listener.Apply(changes)
 	}
+}
+
+// prove notes that a page proves the belief, unless it does not: others may not have written again what the source
+// lost, or it has an older value. Otherwise a key that was removed would be accepted again.
+func (follower *Follower[T]) prove(page Page, asked time.Time, proves bool) {
+	last := follower.proven.Load()
+	if !proves || (follower.source.Strict && len(follower.base.behind) > 0) {
+		follower.tail.Add(page, time.Time{})
+		return
+	}
 	proven := asked.Add(-page.Age)
 	follower.tail.Add(page, proven)
-	last := follower.proven.Load()
 	if last == nil || proven.After(*last) {
 		follower.proven.Store(&proven)
 	}
 	if last == nil {
 		close(follower.first)
 	}
-	return page.Next, nil
 }
 
 // decode decodes records. One that cannot be decoded is logged and counted.
-func (follower *Follower[T]) decode(records []Record) []Change[T] {
-	changes := make([]Change[T], 0, len(records))
+func (follower *Follower[T]) decode(records []Record) []held[T] {
+	read := make([]held[T], 0, len(records))
 	for _, record := range records {
 		change := Change[T]{Key: record.Key}
 		if len(record.Value) > 0 {
@@ -241,7 +311,7 @@
 				change.Value = &value
 			}
 		}
-		changes = append(changes, change)
+		read = append(read, held[T]{record: record, change: change})
 	}
-	return changes
+	return read
 }
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/follower"
 )
 
@@ -32,9 +33,10 @@
 
 var _ follower.Log = (*source)(nil)
 
-func (source *source) Read(ctx context.Context, offset int64, wait time.Duration) (follower.Page, error) {
+func (source *source) Read(ctx context.Context, position follower.Position, wait time.Duration) (follower.Page, error) {
 	source.mu.Lock()
-	page := follower.Page{Whole: offset == follower.Everything, Age: source.age}
+	offset, some := position.Offset()
+	page := follower.Page{Whole: !some, Age: source.age}
 	page.Records = source.from(max(0, offset))
 	page.Next = max(0, offset) + int64(len(page.Records))
 	down, trimmed := source.down, !page.Whole && offset < source.first
@@ -74,7 +76,7 @@
 		return string(value), nil
 	}
 	return follower.New(follower.Source[string]{Name: "test", Log: source, Decode: decode},
-		listener, settings, slog.New(slog.DiscardHandler), time.Now)
+		listener, settings, epoch.New(time.Now), slog.New(slog.DiscardHandler), time.Now)
 }
 
 func (source *source) set(change func(*source)) {
@@ -193,7 +195,7 @@
 func TestTail(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tail := follower.NewTail(time.Now)
-		_, err := tail.Read(t.Context(), follower.Everything, 0)
+		_, err := tail.Read(t.Context(), follower.Position{}, 0)
 		assert.Assert(t, err != nil, "nothing was read yet")
 		record := func(key, value string) follower.Record {
 			return follower.Record{Key: key, Value: []byte(value)}
@@ -201,25 +203,25 @@
 		tail.Add(follower.Page{Whole: true, Next: 10, Records: []follower.Record{record("a", "1"), record("b", "1")}}, time.Now())
 		tail.Add(follower.Page{Next: 12, Records: []follower.Record{record("a", "2"), {Key: "b"}}}, time.Now())
 		time.Sleep(300 * time.Millisecond)
-		page, err := tail.Read(t.Context(), follower.Everything, time.Second)
+		page, err := tail.Read(t.Context(), follower.Position{}, time.Second)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, page, follower.Page{
 			Whole: true, Next: 12, Records: []follower.Record{record("a", "2")}, Age: 300 * time.Millisecond,
 		})
-		page, err = tail.Read(t.Context(), 11, time.Second)
+		page, err = tail.Read(t.Context(), follower.At(0, 11), time.Second)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, page, follower.Page{Next: 12, Records: []follower.Record{{Key: "b"}}, Age: 300 * time.Millisecond})
-		page, err = tail.Read(t.Context(), 3, time.Second)
+		page, err = tail.Read(t.Context(), follower.At(0, 3), time.Second)
 		assert.NilError(t, err)
 		assert.Assert(t, page.Whole, "what is not kept any more is told whole")
 		// A newer proof answers a question that waits, and makes it younger.
 		time.AfterFunc(200*time.Millisecond, func() { tail.Add(follower.Page{Next: 12}, time.Now()) })
 		started := time.Now()
-		page, err = tail.Read(t.Context(), 12, time.Second)
+		page, err = tail.Read(t.Context(), follower.At(0, 12), time.Second)
 		assert.NilError(t, err)
 		assert.Equal(t, time.Since(started), 200*time.Millisecond)
 		assert.Equal(t, page.Age, -200*time.Millisecond, "proven after the question was asked")
-		page, err = tail.Read(t.Context(), 12, time.Second)
+		page, err = tail.Read(t.Context(), follower.At(0, 12), time.Second)
 		assert.NilError(t, err)
 		assert.Equal(t, page.Age, time.Duration(0), "nothing came: proven when the question was asked")
 	})
@@ -234,7 +236,7 @@
 			Name: "far", Log: near.Tail(), Decode: func(_ string, value []byte) (string, error) { return string(value), nil },
 		}, &listener{}, follower.Settings{
 			Wait: time.Second, Patience: time.Second, RetryMin: 100 * time.Millisecond, RetryMax: time.Second,
-		}, slog.New(slog.DiscardHandler), time.Now)
+		}, epoch.New(time.Now), slog.New(slog.DiscardHandler), time.Now)
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		go near.Run(ctx)
@@ -289,7 +291,7 @@
 		followed := follower.New(
 			follower.Source[string]{Name: "test", Log: &source{values: []string{"a"}}, Decode: decode}, listener,
 			follower.Settings{Wait: time.Second, RetryMin: time.Millisecond, RetryMax: time.Millisecond},
-			slog.New(slog.DiscardHandler), time.Now)
+			epoch.New(time.Now), slog.New(slog.DiscardHandler), time.Now)
 		listener.followed = followed
 		go followed.Run(ctx)
 		<-followed.Proven()
--- a/internal/follower/log.go
+++ b/internal/follower/log.go
@@ -5,13 +5,30 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastwinch/mastwinch/internal/epoch"
 )
 
 // ErrTrimmed says that the changes asked for are not kept any more.
 var ErrTrimmed = errors.New("changes are not kept any more")
 
-// Everything is the offset that asks for the newest value of all keys.
-const Everything int64 = -1
+// Position is a place in a log. The zero value is before everything: it asks for the newest value of all keys.
+type Position struct {
+	// Epoch is the one in which the offset counts.
+	Epoch epoch.Number
+	// next is one more than the offset, so that the zero value is none.
+	next int64
+}
+
+// At returns the position of an offset, which is never below zero.
+func At(number epoch.Number, offset int64) Position {
+	return Position{Epoch: number, next: offset + 1}
+}
+
+// Offset returns the offset. It reports false for the position before everything.
+func (position Position) Offset() (int64, bool) {
+	return position.next - 1, position.next > 0
+}
 
 // Record is a value of a key as the source keeps it.
 type Record struct {
@@ -23,6 +40,8 @@
 // Page is an answer of a log.
 type Page struct {
 	Records []Record
+	// Epoch is the one in which the source answered.
+	Epoch epoch.Number
 	// Next is the offset from which later changes are to be read.
 	Next int64
 	// Whole says that Records has the newest values of all keys, and not
@@ -31,11 +50,20 @@
 	// Age is how old the content may have been when the question was asked. It
 	// is below zero when the content was proven after that.
 	Age time.Duration
+	// Unsettled says that the source came back older a moment ago, so that others may not have written again yet:
+	// the page is as new as there is, and proves nothing.
+	Unsettled bool
+}
+
+// Position returns where later changes are to be read.
+func (page Page) Position() Position {
+	return At(page.Epoch, page.Next)
 }
 
 // Log gives values and their changes, in order.
 type Log interface {
-	// Read returns the changes from offset on, or everything. It waits that long
-	// for the first change, and returns ErrTrimmed when there is a gap.
-	Read(ctx context.Context, offset int64, wait time.Duration) (Page, error)
+	// Read returns the changes from a position on, or everything. It waits that long
+	// for the first change, and returns ErrTrimmed when there is a gap, as there is where the
+	// position is of another epoch.
+	Read(ctx context.Context, from Position, wait time.Duration) (Page, error)
 }
--- a/internal/follower/tail.go
+++ b/internal/follower/tail.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastwinch/mastwinch/internal/epoch"
 )
 
 // maxTail is how many changes a tail keeps. Who needs older ones gets the newest
@@ -20,6 +22,10 @@
 
 	mu     sync.Mutex
 	values map[string][]byte
+	// epoch is the one in which next counts.
+	epoch epoch.Number
+	// unsettled says that what was read last was.
+	unsettled bool
 	// changes ends before next.
 	changes []Record
 	next    int64
@@ -39,7 +45,7 @@
 	return &Tail{now: now, values: make(map[string][]byte), renewed: make(chan struct{})}
 }
 
-// Add takes over a page that was proven at that time.
+// Add takes over a page that was proven at that time, or never if that is zero.
 func (tail *Tail) Add(page Page, proven time.Time) {
 	tail.mu.Lock()
 	defer tail.mu.Unlock()
@@ -47,6 +53,8 @@
 		tail.values = make(map[string][]byte, len(page.Records))
 		tail.changes = nil
 	}
+	tail.epoch = page.Epoch
+	tail.unsettled = page.Unsettled
 	for _, record := range page.Records {
 		if len(record.Value) == 0 {
 			delete(tail.values, record.Key)
@@ -70,6 +78,8 @@
 var (
 	// errUnproven says that a tail has nothing to tell yet.
 	errUnproven = errors.New("nothing was read yet")
+	// errEarlier says that a tail has not heard yet of the epoch that who asks knows.
+	errEarlier = errors.New("nothing was read yet in that epoch")
 	// errLost says that a tail will not be renewed soon.
 	errLost = errors.New("the source does not answer")
 )
@@ -95,20 +105,20 @@
 }
 
 // Read implements Log. It answers as soon as there is a change or a newer proof.
-func (tail *Tail) Read(ctx context.Context, offset int64, wait time.Duration) (Page, error) {
-	return tail.read(ctx, offset, wait, errUnproven) // the first page is on its way
+func (tail *Tail) Read(ctx context.Context, from Position, wait time.Duration) (Page, error) {
+	return tail.read(ctx, from, wait, errUnproven, errEarlier) // the first page is on its way
 }
 
 // Await is Read for those who have nobody better to ask: it waits for the source to
 // answer again.
-func (tail *Tail) Await(ctx context.Context, offset int64, wait time.Duration) (Page, error) {
-	return tail.read(ctx, offset, wait, errUnproven, errLost)
+func (tail *Tail) Await(ctx context.Context, from Position, wait time.Duration) (Page, error) {
+	return tail.read(ctx, from, wait, errUnproven, errEarlier, errLost)
 }
 
 // read waits for news, or for the end of one of the errors.
-func (tail *Tail) read(ctx context.Context, offset int64, wait time.Duration, passing ...error) (Page, error) {
+func (tail *Tail) read(ctx context.Context, from Position, wait time.Duration, passing ...error) (Page, error) {
 	asked := tail.now()
-	page, renewed, err := tail.page(offset, asked)
+	page, renewed, err := tail.page(from, asked)
 	if (err != nil && !errors.IsAny(err, passing...)) || len(page.Records) > 0 || wait <= 0 {
 		return page, err
 	}
@@ -120,12 +130,12 @@
 	case <-ctx.Done():
 		return Page{}, errors.WithStack(ctx.Err())
 	}
-	page, _, err = tail.page(offset, asked)
+	page, _, err = tail.page(from, asked)
 	return page, err
 }
 
-// page returns what there is from offset on for a question of that time.
-func (tail *Tail) page(offset int64, asked time.Time) (Page, <-chan struct{}, error) {
+// page returns what there is from a position on for a question of that time.
+func (tail *Tail) page(from Position, asked time.Time) (Page, <-chan struct{}, error) {
 	tail.mu.Lock()
 	defer tail.mu.Unlock()
 	if tail.proven.IsZero() {
@@ -134,9 +144,13 @@
 	if tail.lost {
 		return Page{}, tail.renewed, errLost
 	}
-	page := Page{Next: tail.next, Age: asked.Sub(tail.proven)}
+	if from.Epoch > tail.epoch {
+		return Page{}, tail.renewed, errEarlier
+	}
+	page := Page{Epoch: tail.epoch, Next: tail.next, Age: asked.Sub(tail.proven), Unsettled: tail.unsettled}
+	offset, some := from.Offset()
 	missing := tail.next - offset
-	if offset >= 0 && missing >= 0 && missing <= int64(len(tail.changes)) {
+	if some && from.Epoch == tail.epoch && missing >= 0 && missing <= int64(len(tail.changes)) {
 		page.Records = slices.Clone(tail.changes[int64(len(tail.changes))-missing:])
 		return page, tail.renewed, nil
 	}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -87,18 +87,27 @@
 // startAll starts all VMs, and waits until they know each other.
 func (fleet *fleet) startAll() {
 	for _, vm := range fleet.vms {
-		site := newSite()
-		site.VM = fmt.Sprintf("vm-%d", vm.number)
-		site.DataCentre = fmt.Sprintf("centre-%d", vm.number%3)
-		site.Address = vm.address()
-		site.ReadyAddress = fmt.Sprintf("10.0.1.%d:81", vm.number)
-		site.PeerAddress = fmt.Sprintf("10.0.1.%d:82", vm.number)
-		vm.stopped = make(chan error, 1)
-		_, vm.stop = fleet.startAt(site, vm.stopped)
+		fleet.start(vm)
 	}
 	time.Sleep(3 * time.Second)
 }
 
+func (fleet *fleet) start(vm *fleetVM) {
+	site := newSite()
+	site.VM = fmt.Sprintf("vm-%d", vm.number)
+	site.DataCentre = fmt.Sprintf("centre-%d", vm.number%3)
+	site.Address = vm.address()
+	site.ReadyAddress = fmt.Sprintf("10.0.1.%d:81", vm.number)
+	site.PeerAddress = fmt.Sprintf("10.0.1.%d:82", vm.number)
+	vm.stopped = make(chan error, 1)
+	_, vm.stop = fleet.startAt(site, vm.stopped)
+}
+
+func (fleet *fleet) stop(vm *fleetVM) {
+	vm.stop()
+	assert.Check(fleet.t, <-vm.stopped)
+}
+
 // stopAll stops all VMs at once, and waits for their ends.
 func (fleet *fleet) stopAll() {
 	for _, vm := range fleet.vms {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/mastwinch/mastwinch/internal/clock"
 	"github.com/mastwinch/mastwinch/internal/coordinator"
 	"github.com/mastwinch/mastwinch/internal/directory"
+	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/exchange"
 	"github.com/mastwinch/mastwinch/internal/feed"
 	"github.com/mastwinch/mastwinch/internal/follower"
@@ -55,6 +56,8 @@
 	Servers       follower.Source[directory.Entry]
 	Register      exchange.Register
 	Quarantine    quarantine.Store
+	// Epochs hears of the epochs of the store that all of them are in.
+	Epochs *epoch.Watch
 }
 
 // Gateway is one gateway process.
@@ -87,6 +90,7 @@
 	idle         *idleConnections
 	returns      *returns
 	quarantine   *quarantine.Book
+	epochs       *epoch.Watch
 
 	// running counts requests in progress.
 	running atomic.Int64
@@ -125,7 +129,7 @@
 		VM: site.VM, Address: site.PeerAddress, DataCentre: site.DataCentre, Capacity: site.Capacity,
 		First: site.First,
 	}
-	exchange := exchange.New(settings.Exchange, self, packets, sources.Register, logger, now)
+	exchange := exchange.New(settings.Exchange, self, packets, sources.Register, sources.Epochs, logger, now)
 	life, end := context.WithCancelCause(context.Background())
 	gateway := &Gateway{
 		settings: settings,
@@ -143,6 +147,7 @@
 		idle:     newIdleConnections(now),
 		returns:  newReturns(now),
 
+		epochs:     sources.Epochs,
 		quarantine: quarantine.New(settings.Quarantine, sources.Quarantine, exchange, logger, now),
 
 		life:    life,
@@ -163,16 +168,16 @@
 	// A question to the store has a bound of its own, and one to another VM too.
 	through := func(name string, direct follower.Log, patience time.Duration) follower.Log {
 		direct = follower.NewBounded(direct, patience)
-		return feed.New(name, direct, exchange, bound, transport, reading, logger, now)
+		return feed.New(name, direct, exchange, bound, transport, reading, sources.Epochs, logger, now)
 	}
 	gateway.configuration = follower.New(
 		sources.Configuration.WithLog(
 			through(sources.Configuration.Name, sources.Configuration.Log, settings.Configuration.Patience)),
-		gateway.belief, settings.Configuration, logger, now)
+		gateway.belief, settings.Configuration, sources.Epochs, logger, now)
 	gateway.directory = follower.New(
 		sources.Servers.WithLog(
 			through(sources.Servers.Name, sources.Servers.Log, settings.Directory.Patience)),
-		gateway.pool, settings.Directory, logger, now)
+		gateway.pool, settings.Directory, sources.Epochs, logger, now)
 	gateway.tails = map[string]*follower.Tail{
 		sources.Configuration.Name: gateway.configuration.Tail(),
 		sources.Servers.Name:       gateway.directory.Tail(),
@@ -201,7 +206,7 @@
 		ErrorLog:          slog.NewLogLogger(gateway.logger.Handler(), slog.LevelDebug),
 	}
 	ready := &http.Server{Handler: gateway.readyHandler(), ReadHeaderTimeout: headerTimeout}
-	peers := &http.Server{Handler: feed.Handler(gateway.tails, gateway.logger), ReadHeaderTimeout: headerTimeout}
+	peers := &http.Server{Handler: feed.Handler(gateway.tails, gateway.epochs, gateway.logger), ReadHeaderTimeout: headerTimeout}
 	group, working := errgroup.WithContext(gateway.life)
 	group.Go(func() error { return gateway.listenAndServe(working, front, gateway.site.Address) })
 	group.Go(func() error { return gateway.listenAndServe(working, ready, gateway.site.ReadyAddress) })
@@ -217,6 +222,7 @@
 	group.Go(func() error { gateway.configuration.Run(working); return nil })
 	group.Go(func() error { gateway.directory.Run(working); return nil })
 	group.Go(func() error { gateway.keepHouse(working); return nil })
+	group.Go(func() error { gateway.followEpochs(working); return nil })
 	defer gateway.clock.AfterWake(gateway.wokeUp)()
 	group.Go(func() error { gateway.clock.Run(working); return nil })
 	drained := make(chan struct{})
@@ -250,8 +256,7 @@
 // clock; questions to the store and to other VMs that were under way are asked again.
 func (gateway *Gateway) wokeUp() {
 	gateway.logger.Warn("machine was suspended")
-	gateway.configuration.Renew()
-	gateway.directory.Renew()
+	gateway.renew()
 	gateway.exchange.Greet()
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -73,6 +73,12 @@
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "mastwinch_bad_entries_total", Help: "Entries of the platform's store that could not be read.",
 		}, func() float64 { return float64(gateway.directory.Bad() + gateway.configuration.Bad()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "mastwinch_store_epoch", Help: "How often the platform's store came back older than it was.",
+		}, func() float64 {
+			current, _ := gateway.epochs.Current()
+			return float64(current)
+		}),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "mastwinch_quarantined_requests", Help: "Requests kept from servers, since they crash under them.",
 		}, func() float64 { return float64(len(gateway.quarantine.Entries())) }),
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -144,10 +144,13 @@
 		Configuration: follower.Settings{
 			Wait: 1500 * time.Millisecond, Patience: 700 * time.Millisecond,
 			RetryMin: 100 * time.Millisecond, RetryMax: 800 * time.Millisecond,
+			Settle: 2 * time.Second, // within which the platform's writers write again
 		},
 		Directory: follower.Settings{
 			Pause: 800 * time.Millisecond, Patience: 700 * time.Millisecond,
 			RetryMin: 100 * time.Millisecond, RetryMax: 800 * time.Millisecond,
+			// Three heartbeats of a server and some: until then the entry of one that ended still stands in the copy.
+			Settle: 4 * time.Second,
 		},
 		Reservation: reservation.DefaultSettings(),
 		Quarantine:  quarantine.DefaultSettings(),
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mastwinch/mastwinch/internal/clock"
+	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/gateway"
 	"github.com/mastwinch/mastwinch/internal/memnet"
 	"github.com/mastwinch/mastwinch/internal/standin/metastore"
@@ -204,13 +205,16 @@
 	transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 		return world.network.Dial(ctx, address)
 	}, DisableKeepAlives: true}
-	store := platform.NewStore(storeAddress, transport)
+	clock := world.newClock()
+	epochs := epoch.New(clock.Now)
+	store := platform.NewStore(storeAddress, transport, epochs)
 	served, err := gateway.New(gateway.DefaultSettings(), site, platform.Codec{}, platform.Orders{}, gateway.Sources{
 		Configuration: platform.NewConfigurationSource(store),
 		Servers:       platform.NewServersSource(store),
 		Register:      platform.NewMembers(store, logger),
 		Quarantine:    platform.NewQuarantine(store, logger),
-	}, world.network, world.newClock(), logger)
+		Epochs:        epochs,
+	}, world.network, clock, logger)
 	assert.NilError(world.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	go func() { stopped <- served.Run(ctx) }()
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 
+	"github.com/mastwinch/mastwinch/internal/fingerprint"
 	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
@@ -60,3 +62,25 @@
 		wait.For(ctx, book.settings.Retry)
 	}
 }
+
+// Rewrite writes again what the store, which came back older, does not have any more. VMs look at moments of their own,
+// so that mostly the first one writes and the others find it there.
+func (book *Book) Rewrite(ctx context.Context) {
+	entries := book.Entries()
+	if len(entries) == 0 || !wait.For(ctx, rand.N(book.settings.Rewrite)) { //nolint:gosec // no secret
+		return
+	}
+	stored, err := book.store.List(ctx)
+	for err != nil && wait.For(ctx, book.settings.Retry) {
+		stored, err = book.store.List(ctx)
+	}
+	times := make(map[fingerprint.Fingerprint]int, len(stored))
+	for _, entry := range stored {
+		times[entry.Fingerprint] = entry.Times
+	}
+	for _, entry := range entries {
+		if times[entry.Fingerprint] < entry.Times {
+			book.keep(ctx, entry)
+		}
+	}
+}
--- a/internal/quarantine/settings.go
+++ b/internal/quarantine/settings.go
@@ -41,6 +41,8 @@
 	Entries  int `yaml:"entries" validate:"min=1"`
 	// Repeat is for how long the losses that this VM saw are told again, since datagrams get lost.
 	Repeat time.Duration `yaml:"repeat" validate:"min=0"`
+	// Rewrite is the time over which VMs look what the store, which came back older, does not have any more.
+	Rewrite time.Duration `yaml:"rewrite" validate:"min=10ms"`
 	// Retry is the pause after the store did not answer.
 	Retry time.Duration `yaml:"retry" validate:"min=10ms"`
 }
@@ -57,6 +59,7 @@
 		TimeMax:  160 * time.Minute,
 		Memory:   10 * time.Minute,
 		GoodHalf: 5 * time.Second,
+		Rewrite:  10 * time.Second,
 		Suspects: 4096,
 		Crashes:  1024,
 		Answered: 4096,
