feed: VMs that all start again do not take an older store's word for keys

Cause: after all VMs were killed nobody knows what the store lost, and a removed key was accepted until the operator had written that again. Ruled out: an epoch in the entries of the register (it can stand there 10 ms after the return, and tells no time); a delay at each start (a store that never came back older tells no era, or zero: TestAllVMsStartAgain).

--- a/internal/exchange/register.go
+++ b/internal/exchange/register.go
@@ -78,7 +78,8 @@
 	exchange.mu.Lock()
 	exchange.listed = true
 	exchange.mu.Unlock()
-	exchange.logger.Info("register read", "members", len(members))
+	current, told := exchange.epochs.Current()
+	exchange.logger.Info("register read", "members", len(members), "epoch", current, "epoch_told", told)
 	exchange.send(targets{direct: exchange.greeted()}, nil, true)
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -84,8 +84,8 @@
 	begun time.Time
 	// failed is when this VM asked the store last, if that did not answer, or zero.
 	failed time.Time
-	// knows says that something was read.
-	knows bool
+	// begins says that something is read already, and vouched that it was found out whether it may be unsettled.
+	begins, vouched bool
 }
 
 var _ follower.Log = (*Log)(nil)
@@ -130,6 +130,9 @@
 	late := log.now().Sub(asked)
 	page, err = log.direct.Read(ctx, from, wait)
 	log.noteDirect(err)
+	if err == nil {
+		log.doubt()
+	}
 	page.Age -= late // the store was asked that much later
 	return page, err //nolint:wrapcheck // the log says what failed
 }
--- a/internal/feed/first.go
+++ b/internal/feed/first.go
@@ -19,10 +19,14 @@
 	}
 	for _, address := range log.others(ctx) {
 		page, err := log.readThrough(ctx, address, follower.Position{}, 0, "")
-		if err == nil && page.Unsettled {
+		if err != nil {
+			continue
+		}
+		if page.Unsettled {
 			log.logger.Info("log begun elsewhere", "log", log.name, "address", address, "epoch", page.Epoch, "age", page.Age)
 			return page, true
 		}
+		log.noteVouched()
 	}
 	return follower.Page{}, false
 }
@@ -31,8 +35,8 @@
 func (log *Log) isFirst() bool {
 	log.mu.Lock()
 	defer log.mu.Unlock()
-	first := !log.knows
-	log.knows = true
+	first := !log.begins
+	log.begins = true
 	return first
 }
 
@@ -45,3 +49,23 @@
 		}
 	}
 }
+
+func (log *Log) noteVouched() {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	log.vouched = true
+}
+
+// doubt treats what the store tells at the start as unsettled if it ever came back older and nobody else knows since
+// when: where all VMs start again, a key that was removed would be accepted until the operator has written that again.
+func (log *Log) doubt() {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	if log.vouched {
+		return
+	}
+	log.vouched = true
+	if current, known := log.epochs.Current(); known && current > 0 {
+		log.epochs.Unsettle()
+	}
+}
--- a/internal/gateway/older_fleet_test.go
+++ b/internal/gateway/older_fleet_test.go
@@ -54,3 +54,38 @@
 		})
 	}
 }
+
+// TestAllVMsStartAfterTheStoreCameBackOlder: nobody knows any more what it lost, and the key is not accepted before the
+// operator had the time to write again that it was removed.
+func TestAllVMsStartAfterTheStoreCameBackOlder(t *testing.T) {
+	inFleet(t, 3, 3, func(fleet *fleet) {
+		older := fleet.store.Copy()
+		fleet.configure(2, withoutKeys)
+		time.Sleep(6 * time.Second)
+		fleet.stopAll()
+		fleet.store.Return(older)
+		time.AfterFunc(1500*time.Millisecond, func() { fleet.configure(2, withoutKeys) })
+		for _, vm := range fleet.vms {
+			fleet.start(vm)
+		}
+		for _, got := range fleet.askFor(plain(http.MethodGet, "look"), 20*time.Millisecond, 3*time.Second) {
+			assert.Assert(fleet.t, got.status != http.StatusOK, "%s", got.at)
+		}
+		open := plain(http.MethodGet, "open").with("Authorization", "")
+		assert.Equal(fleet.t, fleet.ask(open).status, http.StatusOK)
+	})
+}
+
+// TestAllVMsStartAgain: where the store never came back older, they serve at once.
+func TestAllVMsStartAgain(t *testing.T) {
+	inFleet(t, 3, 3, func(fleet *fleet) {
+		fleet.stopAll()
+		for _, vm := range fleet.vms {
+			fleet.start(vm)
+		}
+		time.Sleep(10 * time.Millisecond) // until they listen
+		got := fleet.ask(plain(http.MethodGet, "look"))
+		assert.Equal(fleet.t, got.status, http.StatusOK)
+		assert.Assert(fleet.t, got.took < 400*time.Millisecond, "%s", got.took)
+	})
+}
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -63,7 +63,7 @@
 type Store struct {
 	mu     sync.Mutex
 	topics map[string]*topic
-	// era is how often it came back older than it was, and one.
+	// era is how often it came back older than it was.
 	era   int64
 	fault Fault
 	calls int
@@ -77,7 +77,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{topics: make(map[string]*topic), era: 1, changed: make(chan struct{}), healed: make(chan struct{})}
+	return &Store{topics: make(map[string]*topic), changed: make(chan struct{}), healed: make(chan struct{})}
 }
 
 // SetFault makes the store misbehave from now on.
