soak, platformserver, deploy: servers that speak of themselves, a store that comes back older

Cause: no stand-in said that it leaves or asked for rest, and none came back older. Change: stand-ins send both headers and note what reaches them; soak runs from seed 100 on have one kind more each (rest asked for, leaving said while the store is away, a store from an older copy whose writers write again), with two promises checked per VM and server. Ruled out: drawing the new kinds into all plans (the seeds that failed once would be other runs).

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -24,6 +24,8 @@
 	PromiseDenied    Promise = "proper requests are not refused as wrong"
 	PromiseLost      Promise = "nothing is cut without a fault"
 	PromiseLeaving   Promise = "a server that leaves gets nothing new"
+	PromiseSaid      Promise = "a server that says that it leaves gets nothing new"
+	PromiseRest      Promise = "a server that asks a VM for rest gets it"
 	PromiseForward   Promise = "a VM does not go back to an older configuration"
 	PromiseMemory    Promise = "memory of engines is given back"
 	PromiseCrashes   Promise = "what crashes servers is kept from them"
@@ -54,6 +56,7 @@
 	// harmful has those of callers who asked for what crashes servers.
 	harmful  []Outcome
 	runs     map[string][]platformserver.Run
+	arrivals []platformserver.Arrival
 	log      *faultLog
 	operator *operator
 	// life returns which life of a VM's process a time falls into.
@@ -85,6 +88,8 @@
 		}
 	}
 	evidence.checkLeaving(add)
+	evidence.checkSaid(add)
+	evidence.checkRests(add)
 	evidence.checkForward(add)
 	evidence.checkHarmful(add)
 	evidence.checkRecovered(add)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -129,6 +130,31 @@
 			later.ID, later.Sent, later.Ended, later.Status = "later", at(3*time.Second), at(4*time.Second), http.StatusNotFound
 			made.evidence.outcomes = append(made.evidence.outcomes, later)
 		}, want: []Promise{PromiseForward}},
+		"sent to a server that had said that it leaves": {route: routeStream, change: func(made made) {
+			made.evidence.sendAgain(made.outcome, 3100*time.Millisecond, platformserver.Arrival{Leaving: true})
+		}, want: []Promise{PromiseSaid}},
+		"a moment after it had said so": {route: routeStream, change: func(made made) {
+			made.evidence.sendAgain(made.outcome, 2500*time.Millisecond, platformserver.Arrival{Leaving: true})
+		}},
+		"after the VM stood still": {route: routeStream, change: func(made made) {
+			made.evidence.sendAgain(made.outcome, 3100*time.Millisecond, platformserver.Arrival{Leaving: true})
+			made.evidence.log.add(span{from: at(3 * time.Second), to: at(4 * time.Second), kind: KindVMPause, vm: "vm-0"})
+		}},
+		"two sent in a rest": {route: routeStream, change: func(made made) {
+			made.evidence.sendAgain(made.outcome, time.Second, platformserver.Arrival{Rest: 2 * time.Second})
+			made.evidence.sendAgain(made.outcome, time.Second, platformserver.Arrival{})
+		}},
+		"three sent in a rest": {route: routeStream, change: func(made made) {
+			for range restSends + 1 {
+				made.evidence.sendAgain(made.outcome, time.Second, platformserver.Arrival{Rest: 2 * time.Second})
+			}
+		}, want: []Promise{PromiseRest}},
+		"three sent while the way there was cut": {route: routeStream, change: func(made made) {
+			for range restSends + 1 {
+				made.evidence.sendAgain(made.outcome, time.Second, platformserver.Arrival{Rest: 2 * time.Second})
+			}
+			made.evidence.log.add(span{from: at(time.Second), to: at(2 * time.Second), kind: KindLinkOneWay})
+		}},
 		"not served again": {route: routeStream, change: func(made made) {
 			made.evidence.calm = at(0)
 			for range fewest {
@@ -167,3 +193,18 @@
 		assert.Assert(t, event.At >= quietStart && event.At < length-quietEnd+followAfter, "%s", event)
 	}
 }
+
+// sendAgain adds an outcome like another one, but for its being sent so much later, with what reached the server then
+// and, unless that is there, the first time.
+func (evidence *evidence) sendAgain(outcome *Outcome, later time.Duration, first platformserver.Arrival) {
+	first.ID, first.Instance, first.At = outcome.ID, outcome.Seal, at(1100*time.Millisecond)
+	again := *outcome
+	again.ID = fmt.Sprintf("again-%d", len(evidence.outcomes))
+	again.Sent, again.Ended = outcome.Sent.Add(later), outcome.Ended.Add(later)
+	second := platformserver.Arrival{ID: again.ID, Instance: outcome.Seal, At: first.At.Add(later)}
+	evidence.outcomes = append(evidence.outcomes, again)
+	if len(evidence.arrivals) == 0 {
+		evidence.arrivals = append(evidence.arrivals, first)
+	}
+	evidence.arrivals = append(evidence.arrivals, second)
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -106,7 +106,9 @@
 		world.operator.addRoute()
 	case KindRevoke:
 		world.operator.revoke()
-	case KindServerKill, KindServerLeave:
+	case KindStoreOlder:
+		world.playOlder(ctx, event)
+	case KindServerKill, KindServerLeave, KindServerSays:
 		world.replace(ctx, event, backend)
 	case KindRequestCrash:
 		world.askHarmful(ctx, event)
@@ -157,7 +159,10 @@
 	}
 	defer backend.replacing.Unlock()
 	identity := backend.identity()
-	if event.Kind == KindServerLeave {
+	if event.Kind == KindServerSays {
+		world.sayLeaving(ctx, event, backend)
+	}
+	if event.Kind != KindServerKill {
 		world.operator.list(identity, true)
 		wait.For(ctx, boundDrain+serveOn)
 	}
@@ -170,6 +175,38 @@
 	}
 }
 
+// sayLeaving lets a server say that it leaves in its answers alone, while the store takes nothing.
+func (world *world) sayLeaving(ctx context.Context, event Event, backend *backend) {
+	from := time.Now()
+	backend.sayLeaving()
+	world.store.SetFault(metastore.FaultBusy)
+	wait.For(ctx, event.For)
+	world.store.SetFault(metastore.FaultNone)
+	world.log.add(span{from: from, to: time.Now(), kind: KindStoreBusy})
+}
+
+// olderAway is how long the store is away before it comes back from a copy, and olderAgain after how long the others
+// have written again.
+const (
+	olderAway  = 300 * time.Millisecond
+	olderAgain = 1200 * time.Millisecond
+)
+
+// playOlder lets the store come back from a copy as old as the fault is long.
+func (world *world) playOlder(ctx context.Context, event Event) {
+	older := world.store.Copy()
+	wait.For(ctx, event.For)
+	world.store.SetFault(metastore.FaultBusy)
+	wait.For(ctx, olderAway)
+	world.store.Return(older)
+	world.store.SetFault(metastore.FaultNone)
+	wait.For(ctx, olderAgain)
+	world.operator.rewrite()
+}
+
+// restAsked is the rest that a server asks for.
+const restAsked = 4 * time.Second
+
 // faultPart is the part of its requests that a faulty server spoils.
 const faultPart = 0.3
 
@@ -190,7 +227,7 @@
 	backend.setFaults(map[Kind]platformserver.Faults{
 		KindServerErrors: {Errors: faultPart}, KindServerRefuse: {Refused: faultPart}, KindServerLost: {Lost: faultPart},
 		KindServerCut: {Cut: faultPart}, KindServerExtra: {Extra: faultPart}, KindServerHang: {Hang: true},
-		KindServerSlow: {Slow: 4},
+		KindServerSlow: {Slow: 4}, KindServerRest: {Refused: faultPart, Rest: restAsked},
 	}[event.Kind])
 	wait.For(ctx, event.For)
 	backend.setFaults(platformserver.Faults{})
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -44,16 +44,23 @@
 	// extra has the routes that later versions added.
 	extra []string
 	keys  []*key
+	// written has the newest value of each key of both topics, empty for one that was dropped.
+	written map[written][]byte
 	// left has when the leaving of each server was acknowledged.
 	left map[string]time.Time
 }
 
+// written names a record.
+type written struct {
+	topic, key string
+}
+
 // permanentKey is never taken away.
 const permanentKey = "key-0"
 
 func newOperator(store *metastore.Store) *operator {
 	return &operator{
-		store: store, left: make(map[string]time.Time),
+		store: store, left: make(map[string]time.Time), written: make(map[written][]byte),
 		keys: []*key{{value: permanentKey}, {value: "key-1"}, {value: "key-2"}},
 	}
 }
@@ -99,7 +106,22 @@
 	if err != nil {
 		panic(err) // names and numbers only
 	}
-	operator.store.Put("keyed.op", "config", value)
+	operator.put("keyed.op", "config", value)
+}
+
+// put writes a record, and remembers it. The lock is held.
+func (operator *operator) put(topic, key string, value []byte) {
+	operator.written[written{topic: topic, key: key}] = value
+	operator.store.Put(topic, key, value)
+}
+
+// rewrite writes all again that a store which came back older may have lost.
+func (operator *operator) rewrite() {
+	operator.mu.Lock()
+	defer operator.mu.Unlock()
+	for name, value := range operator.written {
+		operator.store.Put(name.topic, name.key, value)
+	}
 }
 
 func route(name, kind, service string, resumable bool) map[string]any {
@@ -185,17 +207,19 @@
 	if err != nil {
 		panic(err) // names and numbers only
 	}
-	operator.store.Put("keyed.servers", identity.Instance, value)
+	operator.mu.Lock()
+	defer operator.mu.Unlock()
+	operator.put("keyed.servers", identity.Instance, value)
 	if leaving {
-		operator.mu.Lock()
-		defer operator.mu.Unlock()
 		operator.left[identity.Instance] = time.Now()
 	}
 }
 
 // drop takes the entry of a server out of the store.
 func (operator *operator) drop(identity platformserver.Identity) {
-	operator.store.Put("keyed.servers", identity.Instance, nil)
+	operator.mu.Lock()
+	defer operator.mu.Unlock()
+	operator.put("keyed.servers", identity.Instance, nil)
 }
 
 // leavings returns when the leaving of each server was acknowledged.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -43,10 +43,13 @@
 	KindConfigure    Kind = "configure"     // a new version of the configuration
 	KindRevoke       Kind = "revoke"        // a key is taken away
 	KindRequestCrash Kind = "request_crash" // callers ask for what crashes each server that runs it
+	KindServerRest   Kind = "server_rest"   // refuses, and asks for rest each time
+	KindServerSays   Kind = "server_says"   // says in its answers that it leaves, the store being away
+	KindStoreOlder   Kind = "store_older"   // it comes back from a copy; the others write again
 )
 
-// Kinds returns all kinds in order, but for KindRequestCrash, which has runs of its own: a drawn plan stays what it was
-// for the seeds that failed once.
+// Kinds returns all kinds in order, but for those that have runs of their own (see extra): a drawn plan stays what it
+// was for the seeds that failed once.
 func Kinds() []Kind {
 	return []Kind{
 		KindVMKill, KindVMPause, KindVMStop, KindVMReload, KindAllKill, KindFrontReset, KindFrontDelay,
@@ -59,7 +62,7 @@
 
 // planned reports whether a kind is planned work, which may cost no request.
 func (kind Kind) planned() bool {
-	return slices.Contains([]Kind{KindVMStop, KindVMReload, KindServerLeave, KindConfigure, KindRevoke}, kind)
+	return slices.Contains([]Kind{KindVMStop, KindVMReload, KindServerLeave, KindServerSays, KindConfigure, KindRevoke}, kind)
 }
 
 // ofStore reports whether a kind strikes the store, or the way to it.
@@ -109,8 +112,12 @@
 	// store are well: bounds that count only then are checked there.
 	oftenPerSecond  = 1.3
 	seldomPerSecond = 0.35
-	// crashSeeds is of how many runs one has callers who ask for what crashes servers.
-	crashSeeds = 5
+	// extraSeeds is of how many runs one has each of the extra kinds, and extraFrom the first seed that has others than
+	// KindRequestCrash.
+	extraSeeds = 5
+	extraFrom  = 100
+	// extraEvents is how often each of them but KindRequestCrash comes in its runs.
+	extraEvents = 3
 	// followPart is the part of the faults of the store that last as long as they may
 	// and during which a key is taken away: who cannot know must not serve it.
 	followPart  = 0.5
@@ -154,12 +161,35 @@
 		}
 		events = append(events, event)
 	}
-	if seed%crashSeeds == 1 {
-		random = rand.New(rand.NewPCG(seed, 1)) //nolint:gosec // no secret
-		crash := draw(KindRequestCrash, longestFault)
+	random = rand.New(rand.NewPCG(seed, 1)) //nolint:gosec // no secret
+	switch kind := extra(seed); kind {
+	case "":
+	case KindRequestCrash:
+		crash := draw(kind, longestFault)
 		crash.For = longestFault
 		events = append(events, crash)
+	default:
+		for range extraEvents {
+			event := draw(kind, longestFault)
+			if kind != KindStoreOlder {
+				event.For = longestStoreFault // requests long after the notice are what shows
+			}
+			events = append(events, event)
+		}
 	}
 	slices.SortStableFunc(events, func(a, b Event) int { return int(a.At - b.At) })
 	return events
 }
+
+// extra returns the kind that the run of a seed has beside those that are drawn, or nothing.
+func extra(seed uint64) Kind {
+	number := seed % extraSeeds
+	switch {
+	case number == 1:
+		return KindRequestCrash
+	case seed < extraFrom || number == 0:
+		return ""
+	default:
+		return []Kind{KindServerRest, KindServerSays, KindStoreOlder}[number-2]
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -53,7 +53,8 @@
 	wait.For(ctx, boundFree)
 	evidence := &evidence{
 		outcomes: outcomes, harmful: world.harmful.all(), runs: make(map[string][]platformserver.Run), log: world.log, operator: world.operator,
-		calm: start.Add(settings.Length - quietEnd + calmBefore), life: world.life, down: world.down,
+		arrivals: world.record.Arrivals(),
+		calm:     start.Add(settings.Length - quietEnd + calmBefore), life: world.life, down: world.down,
 	}
 	for _, run := range world.record.Runs() {
 		evidence.runs[run.ID] = append(evidence.runs[run.ID], run)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -85,6 +85,7 @@
 	http.Handler
 	Identity() platformserver.Identity
 	SetFaults(faults platformserver.Faults)
+	SayLeaving()
 	SetCrash(crash platformserver.Crash)
 }
 
@@ -236,6 +237,12 @@
 	backend.standIn.SetFaults(faults)
 }
 
+func (backend *backend) sayLeaving() {
+	backend.mu.Lock()
+	defer backend.mu.Unlock()
+	backend.standIn.SayLeaving()
+}
+
 // addVM writes the settings of a VM and starts it.
 func (world *world) addVM(number int, storeAddress string) error {
 	added := &vm{name: fmt.Sprintf("vm-%d", number)}
--- a/internal/standin/platformserver/record.go
+++ b/internal/standin/platformserver/record.go
@@ -21,10 +21,22 @@
 	At     time.Time
 }
 
-// Record has what all servers ran, in order.
+// Arrival is one request that reached the server that it was meant for, and what that one says of itself in its answer.
+type Arrival struct {
+	// ID is the request's.
+	ID       string
+	Instance string
+	At       time.Time
+	// Leaving says that the server says that it leaves, and Rest for how long it turns the VM away, or zero.
+	Leaving bool
+	Rest    time.Duration
+}
+
+// Record has what all servers got and ran, in order.
 type Record struct {
 	mu         sync.Mutex
 	runs       []Run
+	arrivals   []Arrival
 	violations []string
 }
 
@@ -34,6 +46,19 @@
 	record.runs = append(record.runs, run)
 }
 
+func (record *Record) arrive(arrival Arrival) {
+	record.mu.Lock()
+	defer record.mu.Unlock()
+	record.arrivals = append(record.arrivals, arrival)
+}
+
+// Arrivals returns what arrived so far.
+func (record *Record) Arrivals() []Arrival {
+	record.mu.Lock()
+	defer record.mu.Unlock()
+	return append([]Arrival(nil), record.arrivals...)
+}
+
 // Violate notes that a server saw what must never happen.
 func (record *Record) Violate(what string) {
 	record.mu.Lock()
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -26,6 +26,8 @@
 	headerDeadline     = "Deadline-Ms"
 	headerOrganisation = "Tenant"
 	headerKey          = "Authorization"
+	headerLeaving      = "Server-Leaving"
+	headerRetryAfter   = "Retry-After"
 )
 
 // maxBodyBytes bounds what is read of a request.
@@ -37,6 +39,8 @@
 	// Errors are answered 500 after they ran, Refused 503 without being run.
 	Errors  float64
 	Refused float64
+	// Rest is for how long a server that refuses wants nothing from the VM, or zero for no word of it.
+	Rest time.Duration
 	// Lost ran and get no answer, Cut break off within the answer, Extra get a
 	// second answer, to no request.
 	Lost  float64
@@ -75,6 +79,8 @@
 	faults Faults
 	crash  Crash
 	random *rand.Rand
+	// leaving says that all answers say that the server leaves.
+	leaving bool
 }
 
 func newFront(identity Identity, record *Record, seed uint64) *front {
@@ -95,6 +101,23 @@
 	front.crash = crash
 }
 
+// SayLeaving lets all answers say from now on that the server leaves.
+func (front *front) SayLeaving() {
+	front.mu.Lock()
+	defer front.mu.Unlock()
+	front.leaving = true
+}
+
+// speak writes what the server says of itself in any answer, and returns that.
+func (front *front) speak(writer http.ResponseWriter) Arrival {
+	front.mu.Lock()
+	defer front.mu.Unlock()
+	if front.leaving {
+		writer.Header().Set(headerLeaving, "1")
+	}
+	return Arrival{Instance: front.identity.Instance, At: time.Now(), Leaving: front.leaving, Rest: front.faults.Rest}
+}
+
 // Identity returns which server this is.
 func (front *front) Identity() Identity {
 	return front.identity
@@ -144,6 +167,14 @@
 func (front *front) admit(writer http.ResponseWriter, request *http.Request) (misfortune, bool) {
 	expected := request.Header.Get(headerExpect)
 	drawn := front.draw()
+	arrival := front.speak(writer)
+	arrival.ID = request.Header.Get(headerID)
+	if !drawn.refused {
+		arrival.Rest = 0
+	}
+	if expected == "" || expected == front.identity.Instance {
+		front.record.arrive(arrival)
+	}
 	switch {
 	case expected != "" && expected != front.identity.Instance:
 		writer.Header().Set(headerInstance, front.identity.Instance)
@@ -154,6 +185,9 @@
 		<-request.Context().Done()
 		panic(http.ErrAbortHandler)
 	case drawn.refused:
+		if arrival.Rest > 0 {
+			writer.Header().Set(headerRetryAfter, strconv.FormatFloat(arrival.Rest.Seconds(), 'f', -1, 64))
+		}
 		notRun(writer, request, http.StatusServiceUnavailable, "")
 		return drawn, false
 	}
