--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -84,8 +84,8 @@
 	begun time.Time
 	// failed is when this VM asked the store last, if that did not answer, or zero.
 	failed time.Time
-	// begins says that something is read already, and vouched that it was found out whether it may be unsettled.
-	begins, vouched bool
+	// read says that a page came.
+	read bool
 }
 
 var _ follower.Log = (*Log)(nil)
@@ -108,14 +108,11 @@
 
 // Read implements follower.Log.
 func (log *Log) Read(ctx context.Context, from follower.Position, wait time.Duration) (follower.Page, error) {
-	page, known := log.first(ctx)
-	if known {
-		return page, nil
-	}
 	log.meet(ctx)
 	asked := log.now()
 	page, role, err := log.readElsewhere(ctx, from)
 	if err == nil {
+		log.noteRead()
 		return page, nil
 	}
 	if !errors.Is(err, errNobody) {
@@ -130,11 +127,11 @@
 	late := log.now().Sub(asked)
 	page, err = log.direct.Read(ctx, from, wait)
 	log.noteDirect(err)
-	if err == nil {
-		log.doubt()
+	if err != nil {
+		return page, err //nolint:wrapcheck // the log says what failed
 	}
 	page.Age -= late // the store was asked that much later
-	return page, err //nolint:wrapcheck // the log says what failed
+	return log.vouched(ctx, page), nil
 }
 
 // fewReaders is how many VMs of a data centre ask a store that is away all the time.
