pool, follower: one type a file

Change: the list of servers stands in pool/list.go; source and settings of followers in files of their own. Nothing else. Ruled out: nothing.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -15,67 +15,6 @@
 	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
-// ErrOtherKey is returned by decoders for keys that are not their matter.
-var ErrOtherKey = errors.New("another key")
-
-// Change is a new value of a key, or none when the key was dropped.
-type Change[T any] struct {
-	Key string
-	// Value is nil when the key was dropped.
-	Value *T
-	// Bad says that the key has a value that cannot be decoded.
-	Bad bool
-}
-
-// Source is a log and how its values are decoded.
-type Source[T any] struct {
-	// Name is for the log lines.
-	Name string
-	Log  Log
-	// Decode returns ErrOtherKey for keys that are not its matter.
-	Decode func(key string, value []byte) (T, error)
-	// Newer reports whether a value is of a later moment than another one of its key, whichever is read later. It is
-	// nil where what is read later is newer.
-	Newer func(a, b T) bool
-	// Strict says that nothing is proven while the source has an older value than is believed.
-	Strict bool
-	// TellBad says that the listener is told of values that cannot be decoded. Otherwise the value before
-	// stays.
-	TellBad bool
-}
-
-// WithLog returns the source with another log.
-func (source Source[T]) WithLog(log Log) Source[T] {
-	source.Log = log
-	return source
-}
-
-// Listener is told of changes, in order.
-type Listener[T any] interface {
-	// Replace takes over the whole state.
-	Replace(values []Change[T])
-	// Apply takes over changes.
-	Apply(changes []Change[T])
-	// Lost notes that the source did not answer, and Regained that it does.
-	Lost()
-	Regained()
-}
-
-// Settings say how often the source is asked.
-type Settings struct {
-	// Wait is how long one question waits for a change.
-	Wait time.Duration `yaml:"wait" validate:"min=0,max=30s"`
-	// Pause is the least time from one question to the next.
-	Pause time.Duration `yaml:"pause" validate:"min=0,max=30s"`
-	// Patience is how long an answer, or a part of one, may take beyond Wait.
-	Patience time.Duration `yaml:"patience" validate:"min=10ms,max=30s"`
-	// Settle is how long after the source came back older the others may still write again what it lost.
-	Settle time.Duration `yaml:"settle" validate:"min=0,max=1m"`
-	// RetryMin and RetryMax bound the pause after a failure, which doubles.
-	RetryMin time.Duration `yaml:"retry_min" validate:"min=1ms"`
-	RetryMax time.Duration `yaml:"retry_max" validate:"min=1ms"`
-}
-
 // Follower follows one source.
 type Follower[T any] struct {
 	source   Source[T]
