--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -29,8 +29,8 @@
 	mu      sync.Mutex
 	members map[string]exchange.Member
 	away    bool
-	// entered counts how often a VM entered.
-	entered int
+	// entered counts how often a VM entered, and listed how often one listed the others.
+	entered, listed int
 }
 
 var _ exchange.Register = (*register)(nil)
@@ -49,6 +49,7 @@
 func (register *register) List(context.Context) ([]exchange.Member, error) {
 	register.mu.Lock()
 	defer register.mu.Unlock()
+	register.listed++
 	var list []exchange.Member
 	for _, member := range register.members {
 		list = append(list, member)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -73,6 +73,12 @@
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "mastwinch_bad_entries_total", Help: "Entries of the platform's store that could not be read.",
 		}, func() float64 { return float64(gateway.directory.Bad() + gateway.configuration.Bad()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "mastwinch_resting_servers", Help: "Servers that want nothing from this VM now.",
+		}, func() float64 { return float64(len(gateway.pool.Resting(gateway.site.VM))) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "mastwinch_leaving_servers", Help: "Servers that are known to leave and are not gone.",
+		}, func() float64 { return float64(gateway.pool.Leaving()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "mastwinch_store_epoch", Help: "How often the platform's store came back older than it was.",
 		}, func() float64 {
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -80,6 +80,19 @@
 	return true
 }
 
+// Leaving returns how many servers are known to leave.
+func (pool *Pool) Leaving() int {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	leaving := 0
+	for _, server := range pool.servers {
+		if server.entry.Leaving {
+			leaving++
+		}
+	}
+	return leaving
+}
+
 // NotFree notes that a server said how much KV memory it has left, which was too little for
 // wanted tokens of a request that is noted there already. What it has in use beyond what
 // is known here counts from now on, at all VMs: it mostly belongs to a VM that was killed,
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -26,6 +26,7 @@
 	PromiseLeaving   Promise = "a server that leaves gets nothing new"
 	PromiseSaid      Promise = "a server that says that it leaves gets nothing new"
 	PromiseRest      Promise = "a server that asks a VM for rest gets it"
+	PromiseBad       Promise = "a bad entry names no server"
 	PromiseForward   Promise = "a VM does not go back to an older configuration"
 	PromiseMemory    Promise = "memory of engines is given back"
 	PromiseCrashes   Promise = "what crashes servers is kept from them"
@@ -88,6 +89,7 @@
 		}
 	}
 	evidence.checkLeaving(add)
+	evidence.checkBad(add)
 	evidence.checkSaid(add)
 	evidence.checkRests(add)
 	evidence.checkForward(add)
@@ -194,6 +196,18 @@
 	}
 }
 
+// checkBad looks at servers whose entries were spoilt while everybody could know.
+func (evidence *evidence) checkBad(add addFunc) {
+	for _, arrival := range evidence.arrivals {
+		for _, spoilt := range evidence.operator.spoilt[arrival.Instance] {
+			known := spoilt.from.Add(boundDrain + slackLeaving)
+			if arrival.At.After(known) && arrival.At.Before(spoilt.to) && !evidence.disturbed(spoilt.from.Add(-boundContact), arrival.At) {
+				add(PromiseBad, "%s reached %s %s after its entry was spoilt", arrival.ID, arrival.Instance, arrival.At.Sub(spoilt.from))
+			}
+		}
+	}
+}
+
 // disturbed reports whether a VM or the store was struck in a span.
 func (evidence *evidence) disturbed(from, to time.Time) bool {
 	return slices.ContainsFunc(evidence.log.between(from, to), func(span span) bool {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -140,6 +140,14 @@
 			made.evidence.sendAgain(made.outcome, 3100*time.Millisecond, platformserver.Arrival{Leaving: true})
 			made.evidence.log.add(span{from: at(3 * time.Second), to: at(4 * time.Second), kind: KindVMPause, vm: "vm-0"})
 		}},
+		"sent to a server whose entry is bad": {route: routeStream, change: func(made made) {
+			made.evidence.operator.spoilt["i-1"] = []spoilt{{from: at(-3 * time.Second), to: at(3 * time.Second)}}
+			made.evidence.arrivals = []platformserver.Arrival{{ID: "r", Instance: "i-1", At: at(time.Second)}}
+		}, want: []Promise{PromiseBad}},
+		"sent after it was good again": {route: routeStream, change: func(made made) {
+			made.evidence.operator.spoilt["i-1"] = []spoilt{{from: at(-5 * time.Second), to: at(0)}}
+			made.evidence.arrivals = []platformserver.Arrival{{ID: "r", Instance: "i-1", At: at(time.Second)}}
+		}},
 		"two sent in a rest": {route: routeStream, change: func(made made) {
 			made.evidence.sendAgain(made.outcome, time.Second, platformserver.Arrival{Rest: 2 * time.Second})
 			made.evidence.sendAgain(made.outcome, time.Second, platformserver.Arrival{})
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -108,8 +108,8 @@
 		world.operator.revoke()
 	case KindStoreOlder:
 		world.playOlder(ctx, event)
-	case KindServerKill, KindServerLeave, KindServerSays:
-		world.replace(ctx, event, backend)
+	case KindServerKill, KindServerLeave, KindServerSays, KindBadEntry:
+		world.playServer(ctx, event, backend)
 	case KindRequestCrash:
 		world.askHarmful(ctx, event)
 	default:
@@ -152,12 +152,21 @@
 	world.store.SetFault(metastore.FaultNone)
 }
 
-// replace ends a server, at once or as planned, and puts a new one at its address.
-func (world *world) replace(ctx context.Context, event Event, backend *backend) {
+// playServer replaces a server, or has its entry spoilt.
+func (world *world) playServer(ctx context.Context, event Event, backend *backend) {
 	if !backend.replacing.TryLock() {
 		return // it is being replaced already
 	}
 	defer backend.replacing.Unlock()
+	if event.Kind == KindBadEntry {
+		world.spoil(ctx, event, backend)
+		return
+	}
+	world.replace(ctx, event, backend)
+}
+
+// replace ends a server, at once or as planned, and puts a new one at its address.
+func (world *world) replace(ctx context.Context, event Event, backend *backend) {
 	identity := backend.identity()
 	if event.Kind == KindServerSays {
 		world.sayLeaving(ctx, event, backend)
@@ -185,6 +194,14 @@
 	world.log.add(span{from: from, to: time.Now(), kind: KindStoreBusy})
 }
 
+// spoil lets another writer replace the entry of a server, until the server writes it again.
+func (world *world) spoil(ctx context.Context, event Event, backend *backend) {
+	identity := backend.identity()
+	world.operator.spoil(identity, event.Target)
+	wait.For(ctx, event.For)
+	world.operator.list(identity, false)
+}
+
 // olderAway is how long the store is away before it comes back from a copy, and olderAgain after how long the others
 // have written again.
 const (
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -46,6 +46,8 @@
 	keys  []*key
 	// written has the newest value of each key of both topics, empty for one that was dropped.
 	written map[written][]byte
+	// spoilt has when the entry of each server was, by the server.
+	spoilt map[string][]spoilt
 	// left has when the leaving of each server was acknowledged.
 	left map[string]time.Time
 }
@@ -55,13 +57,19 @@
 	topic, key string
 }
 
+// spoilt is when the entry of a server was another writer's; it has no end while it still is.
+type spoilt struct {
+	from, to time.Time
+}
+
 // permanentKey is never taken away.
 const permanentKey = "key-0"
 
 func newOperator(store *metastore.Store) *operator {
 	return &operator{
 		store: store, left: make(map[string]time.Time), written: make(map[written][]byte),
-		keys: []*key{{value: permanentKey}, {value: "key-1"}, {value: "key-2"}},
+		spoilt: make(map[string][]spoilt),
+		keys:   []*key{{value: permanentKey}, {value: "key-1"}, {value: "key-2"}},
 	}
 }
 
@@ -210,11 +218,27 @@
 	operator.mu.Lock()
 	defer operator.mu.Unlock()
 	operator.put("keyed.servers", identity.Instance, value)
+	if last := len(operator.spoilt[identity.Instance]) - 1; last >= 0 && operator.spoilt[identity.Instance][last].to.IsZero() {
+		operator.spoilt[identity.Instance][last].to = time.Now()
+	}
 	if leaving {
 		operator.left[identity.Instance] = time.Now()
 	}
 }
 
+// spoil puts one of several bad entries in the place of a server's.
+func (operator *operator) spoil(identity platformserver.Identity, number int) {
+	bad := []string{
+		"{", "null", "\x00\xff", `{"service": 7}`, `{"address": "", "state": "ready"}`,
+		fmt.Sprintf(`{"service": %q, "address": %q, "zone": "north", "slots": 16, "state": "away"}`, identity.Service, identity.Address),
+		fmt.Sprintf(`{"service": %q, "address": "here", "zone": "north", "slots": 16, "state": "ready"}`, identity.Service),
+	}
+	operator.mu.Lock()
+	defer operator.mu.Unlock()
+	operator.put("keyed.servers", identity.Instance, []byte(bad[number%len(bad)]))
+	operator.spoilt[identity.Instance] = append(operator.spoilt[identity.Instance], spoilt{from: time.Now()})
+}
+
 // drop takes the entry of a server out of the store.
 func (operator *operator) drop(identity platformserver.Identity) {
 	operator.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -46,6 +46,7 @@
 	KindServerRest   Kind = "server_rest"   // refuses, and asks for rest each time
 	KindServerSays   Kind = "server_says"   // says in its answers that it leaves, the store being away
 	KindStoreOlder   Kind = "store_older"   // it comes back from a copy; the others write again
+	KindBadEntry     Kind = "bad_entry"     // another writer spoils the entry of a server
 )
 
 // Kinds returns all kinds in order, but for those that have runs of their own (see extra): a drawn plan stays what it
@@ -62,7 +63,7 @@
 
 // planned reports whether a kind is planned work, which may cost no request.
 func (kind Kind) planned() bool {
-	return slices.Contains([]Kind{KindVMStop, KindVMReload, KindServerLeave, KindServerSays, KindConfigure, KindRevoke}, kind)
+	return slices.Contains([]Kind{KindVMStop, KindVMReload, KindServerLeave, KindServerSays, KindBadEntry, KindConfigure, KindRevoke}, kind)
 }
 
 // ofStore reports whether a kind strikes the store, or the way to it.
@@ -172,7 +173,7 @@
 		for range extraEvents {
 			event := draw(kind, longestFault)
 			if kind != KindStoreOlder {
-				event.For = longestStoreFault // requests long after the notice are what shows
+				event.For = longestStoreFault // what comes long after it began is what shows
 			}
 			events = append(events, event)
 		}
@@ -187,9 +188,9 @@
 	switch {
 	case number == 1:
 		return KindRequestCrash
-	case seed < extraFrom || number == 0:
+	case seed < extraFrom:
 		return ""
 	default:
-		return []Kind{KindServerRest, KindServerSays, KindStoreOlder}[number-2]
+		return []Kind{KindBadEntry, KindRequestCrash, KindServerRest, KindServerSays, KindStoreOlder}[number]
 	}
 }
