--- a/internal/follower/log.go
+++ b/internal/follower/log.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +14,8 @@
 // ErrTrimmed says that the changes asked for are not kept any more.
 var ErrTrimmed = errors.New("changes are not kept any more")
 
+var _ slog.LogValuer = Position{}
+
 // Position is a place in a log. The zero value is before everything: it asks for the newest value of all keys.
 type Position struct {
 	// Epoch is the one in which the offset counts.
@@ -37,6 +41,15 @@
 	Value []byte
 }
 
+// LogValue implements slog.LogValuer.
+func (position Position) LogValue() slog.Value {
+	offset, some := position.Offset()
+	if !some {
+		return slog.StringValue("before everything")
+	}
+	return slog.StringValue(fmt.Sprintf("%d in epoch %d", offset, position.Epoch))
+}
+
 // Page is an answer of a log.
 type Page struct {
 	Records []Record
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -36,7 +36,9 @@
 type fleet struct {
 	*world
 
-	vms []*fleetVM
+	// apply is the bound on new configurations, or zero for none: from some seconds on VMs read through each other.
+	apply time.Duration
+	vms   []*fleetVM
 	// servers has those of both services.
 	servers []*fleetServer
 }
@@ -52,9 +54,15 @@
 
 // inFleet runs a test before so many VMs and servers of each service.
 func inFleet(t *testing.T, vms, servers int, test func(fleet *fleet)) {
+	t.Helper()
+	inFleetBound(t, vms, servers, 0, test)
+}
+
+// inFleetBound is inFleet with a bound on new configurations.
+func inFleetBound(t *testing.T, vms, servers int, apply time.Duration, test func(fleet *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		fleet := &fleet{world: &world{
+		fleet := &fleet{apply: apply, world: &world{
 			t: t, network: memnet.New(), store: metastore.New(), seen: make(map[string][]seenRequest),
 		}}
 		store := fleet.listen(storeAddress, fleet.store)
@@ -99,6 +107,7 @@
 	site.Address = vm.address()
 	site.ReadyAddress = fmt.Sprintf("10.0.1.%d:81", vm.number)
 	site.PeerAddress = fmt.Sprintf("10.0.1.%d:82", vm.number)
+	site.Bounds.Apply = fleet.apply
 	vm.stopped = make(chan error, 1)
 	_, vm.stop = fleet.startAt(site, vm.stopped)
 }
