--- a/internal/follower/settings.go
+++ b/internal/follower/settings.go
@@ -16,3 +16,9 @@
 	RetryMin time.Duration `yaml:"retry_min" validate:"min=1ms"`
 	RetryMax time.Duration `yaml:"retry_max" validate:"min=1ms"`
 }
+
+// WithSettleAtLeast returns the settings with that long a time to settle, if theirs is shorter.
+func (settings Settings) WithSettleAtLeast(least time.Duration) Settings {
+	settings.Settle = max(settings.Settle, least)
+	return settings
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -177,7 +177,7 @@
 	gateway.directory = follower.New(
 		sources.Servers.WithLog(
 			through(sources.Servers.Name, sources.Servers.Log, settings.Directory.Patience)),
-		gateway.pool, settings.Directory, sources.Epochs, logger, now)
+		gateway.pool, settings.Directory.WithSettleAtLeast(lapseTime(site)), sources.Epochs, logger, now)
 	gateway.tails = map[string]*follower.Tail{
 		sources.Configuration.Name: gateway.configuration.Tail(),
 		sources.Servers.Name:       gateway.directory.Tail(),
@@ -185,6 +185,14 @@
 	return gateway, nil
 }
 
+// lapses is after how many silent heartbeats the entry of a server lapses, and one more for what is under way.
+const lapses = 3 + 1
+
+// lapseTime is how long the entry of a server that ended may stand in the store.
+func lapseTime(site Site) time.Duration {
+	return lapses * site.Heartbeat
+}
+
 // service finds a service in the configuration in force.
 func (gateway *Gateway) service(name string) (*catalog.Service, bool) {
 	current := gateway.belief.current.Load()
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -149,8 +149,7 @@
 		Directory: follower.Settings{
 			Pause: 800 * time.Millisecond, Patience: 700 * time.Millisecond,
 			RetryMin: 100 * time.Millisecond, RetryMax: 800 * time.Millisecond,
-			// Three heartbeats of a server and some: until then the entry of one that ended still stands in the copy.
-			Settle: 4 * time.Second,
+			Settle: 2 * time.Second, // or as long as the entry of a server that ended may stand in the copy
 		},
 		Reservation: reservation.DefaultSettings(),
 		Quarantine:  quarantine.DefaultSettings(),
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -14,6 +14,8 @@
 	PeerAddress string
 	// Capacity is that of the VM's link, in Mbit/s.
 	Capacity int
+	// Heartbeat is how often backend servers write their entries, or zero where that is not told.
+	Heartbeat time.Duration
 	// First says that all VMs of the system start for the first time.
 	First bool
 	// Store is the address of the platform's store.
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -185,6 +185,7 @@
 	return gateway.Site{
 		VM: "vm-1", DataCentre: "north", Address: vmAddress, ReadyAddress: readyAddress,
 		PeerAddress: "10.0.1.1:82", Store: storeAddress, MemoryBytes: 256 << 20,
+		Heartbeat: time.Second,
 		Bounds: gateway.Bounds{
 			Grace: 8 * time.Second, Revoke: 5 * time.Second, RevokeFailClosed: true,
 			RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
