keeper: a log that lost entries which were folded is folded no further

Cause: the same class as a store that comes back older: an offset without the history that it counts in. The keeper went on at its offset and called itself ready. Change: a log whose end is before what was folded ends the folding; the keeper is not ready until it is started again. Ruled out: folding the log anew in the running process (what entries decided by the earlier history would be taken back).

--- a/internal/keeper/fakelog_test.go
+++ b/internal/keeper/fakelog_test.go
@@ -95,3 +95,12 @@
 	defer fakelog.mu.Unlock()
 	return fakelog.appends
 }
+
+// shorten lets the log come back with its oldest entries alone.
+func (fakelog *fakeLog) shorten(count int) {
+	fakelog.mu.Lock()
+	defer fakelog.mu.Unlock()
+	fakelog.entries = fakelog.entries[:count]
+	close(fakelog.grown)
+	fakelog.grown = make(chan struct{})
+}
--- a/internal/keeper/follower.go
+++ b/internal/keeper/follower.go
@@ -38,11 +38,17 @@
 	// ready is set once the state is as new as the log was, or was taken
 	// from a peer.
 	ready atomic.Bool
+	// shorter says that the log lost entries that were folded. Its offsets mean others from then on, so nothing of it is
+	// folded any more: else this keeper would go on without what stands there now, unlike one that starts then.
+	shorter bool
 }
 
+// errShorter says that the log lost entries that were folded.
+var errShorter = errors.New("log lost entries that were folded; start this process again")
+
 // run follows the log until ctx is done.
 func (follower *follower) run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !follower.shorter {
 		err := follower.read(ctx)
 		if expired, ok := asExpired(err); ok {
 			follower.logger.Info("entries expired, a base is needed", "wanted", expired.Wanted, "first", expired.First)
@@ -53,7 +59,7 @@
 		}
 		follower.metrics.logUp.Set(0)
 		follower.logger.Warn("log cannot be followed", "next_offset", follower.hub.replica.Next(), "error", err)
-		if !follower.ready.Load() {
+		if !follower.ready.Load() && !follower.shorter {
 			follower.takeFromPeer(ctx)
 		}
 		wait.For(ctx, readRetry)
@@ -68,6 +74,11 @@
 	if err != nil {
 		return err
 	}
+	if page.Next < follower.hub.replica.Next() {
+		follower.shorter = true
+		follower.ready.Store(false)
+		return errors.Wrapf(errShorter, "%d entries of %d", page.Next, follower.hub.replica.Next())
+	}
 	follower.metrics.logUp.Set(1)
 	for _, entry := range page.Entries {
 		err = follower.hub.commit(&wire.Committed{
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -213,6 +213,40 @@
 	})
 }
 
+// TestLogThatCameBackShorter has a log that lost its last entries, and gives their offsets out again. A keeper that
+// folded them went on at its offset: it called itself ready, and folded what came behind without what stands before, as
+// no other keeper does that starts then.
+func TestLogThatCameBackShorter(t *testing.T) {
+	for name, grows := range map[string]int{"and stays so": 0, "and grows beyond what it was": 6} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := newFakeLog()
+				add := func(number int) {
+					data, err := proto.Marshal(&wire.Batch{Records: []*wire.Record{record(number)}})
+					assert.NilError(t, err)
+					assert.NilError(t, log.Append(t.Context(), data))
+				}
+				for number := range 5 {
+					add(number)
+				}
+				bench := newBench("vm1", log, newFakeLog())
+				defer bench.run()()
+				time.Sleep(2 * time.Second)
+				assert.Assert(t, bench.follower.ready.Load())
+				assert.Equal(t, sessions(bench.hub.replica), 5)
+				log.shorten(3)
+				time.Sleep(2 * time.Second)
+				for number := range grows {
+					add(100 + number)
+				}
+				time.Sleep(5 * time.Second)
+				assert.Assert(t, !bench.follower.ready.Load())
+				assert.Equal(t, sessions(bench.hub.replica), 5)
+			})
+		})
+	}
+}
+
 func TestCheckpointInParts(t *testing.T) {
 	large := &wire.State{NextOffset: 7}
 	for i := range 20_000 {
