--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -138,7 +138,10 @@
 // open returns the servers that may get a request, with what this VM itself has
 // there. None of them is one that was tried, or that wants nothing from this VM now.
 func (gateway *Gateway) open(service *catalog.Service, tried []string) []placement.Server {
-	servers := gateway.pool.Open(service, slices.Concat(tried, gateway.pool.Resting(gateway.site.VM)))
+	resting := gateway.pool.Resting(gateway.site.VM)
+	servers := slices.DeleteFunc(gateway.pool.Open(service, tried), func(server placement.Server) bool {
+		return slices.Contains(resting, server.ID)
+	})
 	for i := range servers {
 		servers[i].Connected = gateway.upstream.Kept(servers[i].Address)
 	}
