epoch, follower: a spoilt hint hides none that follow

Cause: reading the change: a hint at a very high epoch made all later ones count for nothing. Change: hints start anew when the epoch rises. Ruled out: nothing. Figures: TestHint.

--- a/internal/epoch/watch.go
+++ b/internal/epoch/watch.go
@@ -50,6 +50,7 @@
 		return nil
 	case watch.known:
 		watch.rose = watch.now()
+		watch.hint = 0 // a spoilt one must not hide those that follow
 		close(watch.changed)
 		watch.changed = make(chan struct{})
 	}
--- a/internal/epoch/watch_test.go
+++ b/internal/epoch/watch_test.go
@@ -51,3 +51,31 @@
 		})
 	}
 }
+
+// TestHint hints at epochs: each later one than is known is worth one question, and none is believed.
+func TestHint(t *testing.T) {
+	watch := epoch.New(time.Now)
+	hinted := func() bool {
+		select {
+		case <-watch.Hinted():
+			return true
+		default:
+			return false
+		}
+	}
+	watch.Hint(3)
+	assert.Assert(t, !hinted(), "the first question is on its way")
+	assert.NilError(t, watch.Note(1))
+	watch.Hint(1)
+	assert.Assert(t, !hinted())
+	watch.Hint(9)
+	watch.Hint(9)
+	watch.Hint(2)
+	assert.Assert(t, hinted())
+	assert.Assert(t, !hinted(), "once")
+	current, _ := watch.Current()
+	assert.Equal(t, current, epoch.Number(1))
+	assert.NilError(t, watch.Note(2))
+	watch.Hint(3)
+	assert.Assert(t, hinted(), "a spoilt one does not hide those that follow")
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -196,7 +196,7 @@
 	} else {
 		read = follower.base.change(read, now)
 	}
-	page.Records = page.Records[:0:0]
+	page.Records = make([]Record, 0, len(read))
 	changes := make([]Change[T], 0, len(read))
 	for _, held := range read {
 		page.Records = append(page.Records, held.record)
