gateway: a test that others serve while some servers speak

Cause: what a server says is heeded whether it is true or not; nothing showed that callers lose nothing by it while others serve. Change: a test with one of three to five of six servers that leave or ask for rest in each third answer, 1, 3 and 6 VMs. Ruled out: nothing.

--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -296,3 +296,35 @@
 		turnsAway(world, nth, writer, request)
 	}
 }
+
+// TestOthersServeWhileSomeServersSpeak has servers that say they leave, or ask for rest, while they could serve, in each
+// third answer: as long as others of the service don't, no caller is refused or fails for it.
+func TestOthersServeWhileSomeServersSpeak(t *testing.T) {
+	for name, test := range map[string]struct {
+		vms, servers, speaking int
+		speaks                 func(usual backend) backend
+	}{
+		"one of three leaves, 3 VMs":      {vms: 3, servers: 3, speaking: 1, speaks: leaves},
+		"five of six leave, 6 VMs":        {vms: 6, servers: 6, speaking: 5, speaks: leaves},
+		"one of three asks, 3 VMs":        {vms: 3, servers: 3, speaking: 1, speaks: func(backend) backend { return rests() }},
+		"five of six ask, 6 VMs":          {vms: 6, servers: 6, speaking: 5, speaks: func(backend) backend { return rests() }},
+		"half of six ask, a VM by itself": {vms: 1, servers: 6, speaking: 3, speaks: func(backend) backend { return rests() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, test.vms, test.servers, func(fleet *fleet) {
+				fine := takes(20*time.Millisecond, answers(http.StatusOK, "fine"))
+				speaking := 0
+				for _, server := range fleet.servers {
+					server.script = fine
+					if server.service == "plain" && speaking < test.speaking {
+						speaking++
+						server.script = eachThird(fine, test.speaks(fine))
+					}
+				}
+				for _, got := range fleet.askFor(plain(http.MethodGet, "look"), 20*time.Millisecond, 3*restTime) {
+					assert.Equal(t, got.status, http.StatusOK, got.body)
+				}
+			})
+		})
+	}
+}
