--- /dev/null
+++ b/internal/exchange/codec_internal_test.go
@@ -0,0 +1,39 @@
+package exchange
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mastwinch/mastwinch/internal/fingerprint"
+	"github.com/mastwinch/mastwinch/internal/pool"
+	"github.com/mastwinch/mastwinch/internal/wire"
+)
+
+// TestReportsArriveAsTheyWere sends drawn ones, of any health, through a datagram.
+func TestReportsArriveAsTheyWere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		report := pool.Report{
+			ID:          rapid.Uint64().Draw(t, "id"),
+			Server:      rapid.StringMatching(`[a-z0-9#-]{1,20}`).Draw(t, "server"),
+			Phase:       pool.Phase(rapid.IntRange(int(pool.PhaseWaiting), int(pool.PhaseOver)).Draw(t, "phase")),
+			Work:        drawMilliseconds(t, 0, "work"),
+			Memory:      rapid.IntRange(0, 2_000_000).Draw(t, "memory"),
+			Gap:         drawMilliseconds(t, 0, "gap"),
+			Tight:       rapid.Bool().Draw(t, "tight"),
+			Helps:       rapid.Bool().Draw(t, "helps"),
+			Age:         drawMilliseconds(t, 0, "age"),
+			Due:         drawMilliseconds(t, -aMinute, "due"),
+			Rest:        drawMilliseconds(t, 0, "rest"),
+			Health:      pool.Health(rapid.IntRange(int(pool.HealthUntold), int(pool.HealthResting)).Draw(t, "health")),
+			Fingerprint: fingerprint.Fingerprint(rapid.Uint64().Draw(t, "fingerprint")),
+		}
+		data, err := proto.Marshal(&wire.LoadUpdate{Sendings: encode([]pool.Report{report})})
+		assert.NilError(t, err)
+		update := &wire.LoadUpdate{}
+		assert.NilError(t, proto.Unmarshal(data, update))
+		assert.DeepEqual(t, decode(update.GetSendings()), []pool.Report{report})
+	})
+}
