--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -189,7 +189,8 @@
 		for id, runs := range evidence.runs {
 			for _, run := range runs {
 				if run.Instance == instance && run.At.After(until) {
-					add(PromiseLeaving, "%s ran at %s %s after it left", id, instance, run.At.Sub(left))
+					add(PromiseLeaving, "%s ran at %s %s after it left, which it reached %s after", id, instance, run.At.Sub(left),
+						evidence.reached(id, instance).Sub(left))
 				}
 			}
 		}
@@ -208,6 +209,16 @@
 	}
 }
 
+// reached returns when a request reached a server, or zero.
+func (evidence *evidence) reached(id, instance string) time.Time {
+	for _, arrival := range evidence.arrivals {
+		if arrival.ID == id && arrival.Instance == instance {
+			return arrival.At
+		}
+	}
+	return time.Time{}
+}
+
 // disturbed reports whether a VM or the store was struck in a span.
 func (evidence *evidence) disturbed(from, to time.Time) bool {
 	return slices.ContainsFunc(evidence.log.between(from, to), func(span span) bool {
