soak: a server that leaves is held to what reaches it, not to when it begins to run

The promise is about what reaches a server. Change: the check goes by arrivals, also of requests that the server did not run, which it left out before. Figures: TestCheck has a request that waited, one that was not run, and the ones of before.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -179,20 +179,15 @@
 	}
 }
 
-// checkLeaving looks at servers that left while everybody could know.
+// checkLeaving looks at what reached servers that left while everybody could know. A request that came before may begin
+// to run long after: one waited 3.6 s at an engine that left a quarter of a second after it came.
 func (evidence *evidence) checkLeaving(add addFunc) {
-	for instance, left := range evidence.operator.leavings() {
+	leavings := evidence.operator.leavings()
+	for _, arrival := range evidence.arrivals {
+		left, leaves := leavings[arrival.Instance]
 		until := left.Add(boundDrain + slackLeaving)
-		if evidence.disturbed(left.Add(-boundContact), until) {
-			continue
-		}
-		for id, runs := range evidence.runs {
-			for _, run := range runs {
-				if run.Instance == instance && run.At.After(until) {
-					add(PromiseLeaving, "%s ran at %s %s after it left, which it reached %s after", id, instance, run.At.Sub(left),
-						evidence.reached(id, instance).Sub(left))
-				}
-			}
+		if leaves && arrival.At.After(until) && !evidence.disturbed(left.Add(-boundContact), until) {
+			add(PromiseLeaving, "%s reached %s %s after it left", arrival.ID, arrival.Instance, arrival.At.Sub(left))
 		}
 	}
 }
@@ -209,16 +204,6 @@
 	}
 }
 
-// reached returns when a request reached a server, or zero.
-func (evidence *evidence) reached(id, instance string) time.Time {
-	for _, arrival := range evidence.arrivals {
-		if arrival.ID == id && arrival.Instance == instance {
-			return arrival.At
-		}
-	}
-	return time.Time{}
-}
-
 // disturbed reports whether a VM or the store was struck in a span.
 func (evidence *evidence) disturbed(from, to time.Time) bool {
 	return slices.ContainsFunc(evidence.log.between(from, to), func(span span) bool {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -120,9 +120,20 @@
 		}},
 		"a server that left": {route: routeStream, change: func(made made) {
 			made.evidence.operator.left["i-1"] = at(-4 * time.Second)
+			made.evidence.reaches(at(time.Second))
 		}, want: []Promise{PromiseLeaving}},
+		"a server that left, and ran nothing of it": {route: routeStream, change: func(made made) {
+			made.evidence.operator.left["i-1"] = at(-4 * time.Second)
+			made.evidence.reaches(at(time.Second))
+			made.evidence.runs = nil
+		}, want: []Promise{PromiseLeaving}},
+		"a server that left while it waited there": {route: routeStream, change: func(made made) {
+			made.evidence.operator.left["i-1"] = at(-4 * time.Second)
+			made.evidence.reaches(at(-5 * time.Second))
+		}},
 		"a server that left while the store was away": {route: routeStream, change: func(made made) {
 			made.evidence.operator.left["i-1"] = at(-4 * time.Second)
+			made.evidence.reaches(at(time.Second))
 			made.evidence.log.add(span{from: at(-5 * time.Second), to: at(-4 * time.Second), kind: KindStoreBusy})
 		}},
 		"back to an older configuration": {route: "v7", change: func(made made) {
@@ -216,3 +227,8 @@
 	}
 	evidence.arrivals = append(evidence.arrivals, second)
 }
+
+// reaches notes when the request reached its server.
+func (evidence *evidence) reaches(moment time.Time) {
+	evidence.arrivals = append(evidence.arrivals, platformserver.Arrival{ID: "r", Instance: "i-1", At: moment})
+}
