--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -66,13 +66,8 @@
 // Placed returns the answer that tells a verdict.
 func (verdict Verdict) Placed() Answer {
 	plan := verdict.Plan
-	servers := make([]string, 0, 1+len(plan.Helpers))
-	servers = append(servers, plan.Server.ID)
-	for _, helper := range plan.Helpers {
-		servers = append(servers, helper.ID)
-	}
 	return Answer{
-		ID: verdict.ID, Decision: DecisionPlaced, Servers: servers, Part: plan.Part, Shares: plan.Shares,
+		ID: verdict.ID, Decision: DecisionPlaced, Servers: plan.IDs(), Part: plan.Part, Shares: plan.Shares,
 		Predicted: plan.Predicted, Tight: plan.Tight, Reason: string(plan.Reason),
 	}
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -110,8 +110,8 @@
 
 // look asks the policy for one request, by a view of the servers that its VM may use.
 func (queue *Queue) look(request *Request, servers Servers, view []placement.Server, now time.Time) (placement.Plan, bool) {
-	view = without(view, servers.Resting(request.VM))
-	open := without(view, request.Tried)
+	view = placement.Without(view, servers.Resting(request.VM))
+	open := placement.Without(view, request.Tried)
 	if len(open) == 0 {
 		open = view // all failed once: any may do better now
 	}
@@ -128,17 +128,3 @@
 	}
 	return work
 }
-
-// without returns the servers but for some.
-func without(view []placement.Server, some []string) []placement.Server {
-	if len(some) == 0 {
-		return view
-	}
-	open := make([]placement.Server, 0, len(view))
-	for i := range view {
-		if !slices.Contains(some, view[i].ID) {
-			open = append(open, view[i])
-		}
-	}
-	return open
-}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -154,8 +154,7 @@
 // settle returns from where the next question goes, and how long it may wait, after an unsettled answer: until the
 // source has settled, and then for everything.
 func (follower *Follower[T]) settle(state progress, waiting time.Duration) (progress, time.Duration) {
-	left := follower.epochs.Rose().Add(follower.settings.Settle).Sub(follower.now())
-	if left > 0 {
+	if left := follower.settlesAt().Sub(follower.now()); left > 0 {
 		return state, min(waiting, max(left, settleTick))
 	}
 	state.position = Position{}
@@ -183,8 +182,12 @@
 
 // settled reports whether others had the time to write again, at a moment, what the source lost.
 func (follower *Follower[T]) settled(moment time.Time) bool {
-	rose := follower.epochs.Rose()
-	return rose.IsZero() || !moment.Before(rose.Add(follower.settings.Settle))
+	return follower.epochs.Rose().IsZero() || !moment.Before(follower.settlesAt())
+}
+
+// settlesAt is until when others may write again what the source lost when the epoch last rose.
+func (follower *Follower[T]) settlesAt() time.Time {
+	return follower.epochs.Rose().Add(follower.settings.Settle)
 }
 
 // takeOver tells the listener what counts of a page, and leaves just that in it.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/mastwinch/mastwinch/internal/catalog"
@@ -138,10 +137,7 @@
 // open returns the servers that may get a request, with what this VM itself has
 // there. None of them is one that was tried, or that wants nothing from this VM now.
 func (gateway *Gateway) open(service *catalog.Service, tried []string) []placement.Server {
-	resting := gateway.pool.Resting(gateway.site.VM)
-	servers := slices.DeleteFunc(gateway.pool.Open(service, tried), func(server placement.Server) bool {
-		return slices.Contains(resting, server.ID)
-	})
+	servers := placement.Without(gateway.pool.Open(service, tried), gateway.pool.Resting(gateway.site.VM))
 	for i := range servers {
 		servers[i].Connected = gateway.upstream.Kept(servers[i].Address)
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -84,6 +84,16 @@
 	return plan.Server.ID
 }
 
+// IDs returns the servers of the plan by their IDs, the one that writes the answer first.
+func (plan Plan) IDs() []string {
+	ids := make([]string, 0, 1+len(plan.Helpers))
+	ids = append(ids, plan.Server.ID)
+	for _, helper := range plan.Helpers {
+		ids = append(ids, helper.ID)
+	}
+	return ids
+}
+
 // Reason names the rule that decided.
 type Reason string
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -114,7 +114,7 @@
 		}
 		if until, rests := pool.rests.over(pool.vm, id, now); rests {
 			missing = append(missing, id)
-			pool.publisher.Publish(Report{Server: id, Phase: PhaseOver, Health: HealthResting, Rest: until.Sub(now)})
+			pool.tellRest(id, until.Sub(now))
 			continue
 		}
 		found = append(found, server.view(now, pool.settings))
--- a/internal/pool/rest.go
+++ b/internal/pool/rest.go
@@ -61,6 +61,11 @@
 		return
 	}
 	pool.logger.Info("server rests", "server", id, "long", long)
+	pool.tellRest(id, long)
+}
+
+// tellRest tells other VMs for how long a server wants nothing from this one.
+func (pool *Pool) tellRest(id string, long time.Duration) {
 	pool.publisher.Publish(Report{Server: id, Phase: PhaseOver, Health: HealthResting, Rest: long})
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -90,8 +90,9 @@
 	}
 	evidence.checkLeaving(add)
 	evidence.checkBad(add)
-	evidence.checkSaid(add)
-	evidence.checkRests(add)
+	pairs := evidence.byPair()
+	evidence.checkSaid(pairs, add)
+	evidence.checkRests(pairs, add)
 	evidence.checkForward(add)
 	evidence.checkHarmful(add)
 	evidence.checkRecovered(add)
--- a/internal/soak/notice.go
+++ b/internal/soak/notice.go
@@ -51,8 +51,8 @@
 
 // checkSaid looks at requests that reached a server after the VM had passed on an answer in which it said that it
 // leaves. Only an end or a pause of the VM excuses one.
-func (evidence *evidence) checkSaid(add addFunc) {
-	for pair, all := range evidence.byPair() {
+func (evidence *evidence) checkSaid(pairs map[pair][]arrived, add addFunc) {
+	for pair, all := range pairs {
 		for _, first := range all {
 			passedOn := first.outcome.answered() && first.outcome.Seal == pair.instance
 			if !first.Leaving || !passedOn {
@@ -71,8 +71,8 @@
 }
 
 // checkRests looks at requests that reached a server in the rest that it had asked the VM for.
-func (evidence *evidence) checkRests(add addFunc) {
-	for pair, all := range evidence.byPair() {
+func (evidence *evidence) checkRests(pairs map[pair][]arrived, add addFunc) {
+	for pair, all := range pairs {
 		for _, turnedAway := range all {
 			from, to := turnedAway.At.Add(restNotice), turnedAway.At.Add(turnedAway.Rest)
 			sends := 0
