platform, gateway: what a server names as its limit is decoded, logged and counted

Nothing told whether a limit was heard and heeded by one VM for itself or not heard at all. The head of an answer is decoded where rests are, the line 'server names a limit' and the counter mastwinch_server_notices_total say so. A value that is no number, or below zero, is counted as unreadable and says nothing; an absent one says that there is no limit; another server's 421 says nothing of this one. No decision goes by it yet.

--- a/internal/call/notice.go
+++ b/internal/call/notice.go
@@ -8,6 +8,8 @@
 	Leaving bool
 	// Rest is for how long the server wants nothing from this VM, or zero.
 	Rest time.Duration
-	// Unreadable is what the server gave for a rest and is no time, or empty.
-	Unreadable string
+	// Limit is how many requests the server takes from all VMs together.
+	Limit Limit
+	// Unreadable has what the server gave for a rest that is no time, or for a limit that is no number.
+	Unreadable []string
 }
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/mastwinch/mastwinch/internal/call"
 	"github.com/mastwinch/mastwinch/internal/upstream"
 )
 
@@ -10,6 +11,7 @@
 const (
 	noticeLeaving    = "leaving"
 	noticeRest       = "rest"
+	noticeLimit      = "limit"
 	noticeUnreadable = "unreadable"
 )
 
@@ -32,8 +34,12 @@
 		gateway.metrics.notices.WithLabelValues(noticeRest).Inc()
 		gateway.pool.Rests(server, notice.Rest)
 	}
-	if notice.Unreadable != "" {
+	if notice.Limit.Kind == call.LimitNamed {
+		gateway.metrics.notices.WithLabelValues(noticeLimit).Inc()
+		gateway.logger.Info("server names a limit", "server", server, "status", status, "per_second", notice.Limit.PerSecond)
+	}
+	for _, value := range notice.Unreadable {
 		gateway.metrics.notices.WithLabelValues(noticeUnreadable).Inc()
-		gateway.logger.Info("rest of a server not understood", "server", server, "status", status, "value", notice.Unreadable)
+		gateway.logger.Info("notice of a server not understood", "server", server, "status", status, "value", value)
 	}
 }
