gateway: a test of servers that name how many requests a second they take, which fails

Servers that name a limit get as much as any other: 32 to 185 requests in four seconds where 5 to 35 are allowed, over 1, 2, 6 and 18 VMs. A VM that is alone does not keep to it either (158 of 13), so the limit is not shared wrongly but not heeded at all.

--- /dev/null
+++ b/internal/gateway/limit_test.go
@@ -0,0 +1,89 @@
+package gateway_test
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Bounds on what reaches a server that names a limit, from all VMs together, as the platform has them.
+const (
+	// limitNotice is the time from the first answer that names the limit until it must be heeded.
+	limitNotice = 3 * time.Second
+	// limitWindow is the time over which requests are counted, limitTimes the multiple of what the limit allows in it
+	// that may reach the server, and limitSlack how many more.
+	limitWindow = 4 * time.Second
+	limitTimes  = 1.5
+	limitSlack  = 5
+)
+
+// names answers like another server, and names a limit on the requests a second from all VMs.
+func names(limit float64, answer backend) backend {
+	return func(world *world, nth int, writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
+		answer(world, nth, writer, request)
+	}
+}
+
+// allowed is how many requests may reach a server in any limitWindow.
+func allowed(limit float64) int {
+	return int(limitTimes*limit*limitWindow.Seconds() + limitSlack)
+}
+
+// busiest returns the most requests within any limitWindow, from a moment on.
+func busiest(reached []time.Time, from time.Time) int {
+	most := 0
+	for first, at := range reached {
+		if at.Before(from) {
+			continue
+		}
+		end, _ := slices.BinarySearchFunc(reached, at.Add(limitWindow), time.Time.Compare)
+		most = max(most, end-first)
+	}
+	return most
+}
+
+// Two engines named in each answer how many requests a second they take from all VMs together, 1.4 and 1.1, and got 19
+// and 16 in four seconds, where 13 and 12 are allowed.
+func TestFleetKeepsToLimitsOfServers(t *testing.T) {
+	for name, test := range map[string]struct {
+		vms     int
+		servers int
+		// limited is how many servers of each service name the limit.
+		limited int
+		limit   float64
+	}{
+		"one of three, 6 VMs":         {vms: 6, servers: 3, limited: 1, limit: 1.4},
+		"one of three, a VM":          {vms: 1, servers: 3, limited: 1, limit: 1.4},
+		"one of three, less, 6 VMs":   {vms: 6, servers: 3, limited: 1, limit: 0.3},
+		"all three, 6 VMs":            {vms: 6, servers: 3, limited: 3, limit: 5},
+		"two of three, none, 18 VMs":  {vms: 18, servers: 3, limited: 2, limit: 0},
+		"one of six, much, two VMs":   {vms: 2, servers: 6, limited: 1, limit: 20},
+		"five of six, little, 18 VMs": {vms: 18, servers: 6, limited: 5, limit: 2},
+	} {
+		for kind, usual := range usual() {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				inFleet(t, test.vms, test.servers, func(fleet *fleet) {
+					var limited []*fleetServer
+					for _, server := range fleet.servers {
+						server.script = usual.answers
+						if len(limited) < 2*test.limited { // servers of the two services take turns
+							server.script = names(test.limit, usual.answers)
+							limited = append(limited, server)
+						}
+					}
+					began := time.Now()
+					fleet.spread(usual.caller, 8*time.Millisecond, limitNotice+2*limitWindow)
+					for _, server := range limited {
+						got := busiest(fleet.reached(server.id()), began.Add(limitNotice))
+						assert.Check(t, got <= allowed(test.limit), "%d requests in %s, allowed %d", got, limitWindow, allowed(test.limit))
+					}
+				})
+			})
+		}
+	}
+}
