--- /dev/null
+++ b/internal/coordinator/limits_test.go
@@ -0,0 +1,112 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Times of a play in which all servers name a limit from the start on, and something befalls VMs in the midst of it.
+const (
+	strikeAt  = 6 * time.Second
+	strikeFor = 4 * time.Second
+	playTime  = 14 * time.Second
+)
+
+// TestLimitsOverAllVMs has more requests than all servers take together, of which each names how many it takes from all
+// VMs, and VMs that are lost, cut off or wake up: no server gets more than one and a half times of that and five in any
+// four seconds, whoever sent it, and while nothing is amiss each gets most of it.
+func TestLimitsOverAllVMs(t *testing.T) {
+	for name, test := range map[string]struct {
+		strike func(fleet *fleet)
+		// whole says that servers get what they take also then.
+		whole bool
+		// most is the greatest fleet of the test, or zero for any.
+		most int
+	}{
+		"nothing":                     {strike: func(*fleet) {}, whole: true},
+		"who decides is killed":       {strike: func(fleet *fleet) { fleet.decider().kill() }, whole: true},
+		"who decides is frozen":       {strike: freezeDecider},
+		"who decides is cut off":      {strike: func(fleet *fleet) { fleet.decider().cut(false) }, most: 76},
+		"who decides hears nothing":   {strike: func(fleet *fleet) { fleet.decider().cut(true) }, most: 76},
+		"a VM is cut off":             {strike: func(fleet *fleet) { fleet.vms[3].cut(false) }},
+		"half hear not the others":    {strike: halves, most: 76},
+		"VMs start again, one by one": {strike: restarts, most: 76},
+	} {
+		for _, size := range []struct {
+			vms   int
+			limit float64
+		}{{vms: 6, limit: 1.4}, {vms: 18, limit: 5}, {vms: 76, limit: 2}, {vms: 295, limit: 0.3}, {vms: 295, limit: 2}} {
+			if test.most > 0 && size.vms > test.most {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s, %d VMs, %v a second", name, size.vms, size.limit), func(t *testing.T) {
+				t.Parallel()
+				inFleet(t, size.vms, 3, func(fleet *fleet) {
+					for _, server := range fleet.servers {
+						server.setLimit(size.limit)
+					}
+					began := time.Now()
+					time.AfterFunc(strikeAt, func() { test.strike(fleet) })
+					time.AfterFunc(strikeAt+strikeFor, fleet.heal)
+					fleet.play(60, playTime)
+					fleet.assertWithin(size.limit)
+					until := playTime
+					if !test.whole {
+						until = strikeAt
+					}
+					fleet.assertUsed(size.limit, began.Add(time.Second), began.Add(until))
+				})
+			})
+		}
+	}
+}
+
+// assertWithin checks that no server got more than it takes once VMs had time to heed it.
+func (fleet *fleet) assertWithin(limit float64) {
+	for _, server := range fleet.servers {
+		got := server.busiest(server.namedAt.Add(limitNotice))
+		assert.Check(fleet.t, got <= allowed(limit), "%s got %d, allowed %d", server.id, got, allowed(limit))
+	}
+}
+
+// assertUsed checks that each server got most of what it takes in a span in which more was asked for.
+func (fleet *fleet) assertUsed(limit float64, from, to time.Time) {
+	const most = 0.8
+	for _, server := range fleet.servers {
+		got := server.within(from, to)
+		due := limit * to.Sub(from).Seconds()
+		assert.Check(fleet.t, float64(got) >= most*due-1, "%s got %d of %v", server.id, got, due)
+	}
+}
+
+// freezeDecider lets who decides stand still for a while.
+func freezeDecider(fleet *fleet) {
+	vm := fleet.decider()
+	vm.freeze()
+	time.AfterFunc(strikeFor, vm.wake)
+}
+
+// halves lets no datagram pass between two halves of the VMs.
+func halves(fleet *fleet) {
+	half := make(map[string]bool)
+	for number, vm := range fleet.vms {
+		half[vm.address()] = number%2 == 0
+	}
+	for _, vm := range fleet.vms {
+		own := half[vm.address()]
+		vm.strike()
+		vm.conn.setLoses(func(to string) bool { return half[to] != own })
+	}
+}
+
+// restarts kills one VM after another, and starts each again.
+func restarts(fleet *fleet) {
+	for number := range min(10, len(fleet.vms)) {
+		after := time.Duration(number) * 300 * time.Millisecond
+		time.AfterFunc(after, fleet.vms[number].kill)
+		time.AfterFunc(after+200*time.Millisecond, func() { fleet.add(number) })
+	}
+}
