backpressure: who uses a part of a limit begins with nothing saved up

76 VMs that had all been told of a limit of 5 a second and lost sight of each other sent 67 requests in four seconds, 35 allowed. Cause: each had kept a bucket that only its own look drains, and those that do not decide never look, so every one of them began with a whole request. Now a VM that uses only its part of a limit, since it does not hear most VMs, begins with an empty bucket at a phase of its own.

--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -18,6 +18,8 @@
 	savedTime = 250 * time.Millisecond
 	// owedTime is the time for which a limit may be overdrawn by requests that were not known in time.
 	owedTime = 4 * time.Second
+	// forgetTime is after how long without a look those who use a part of a limit begin anew.
+	forgetTime = time.Minute
 	// stepTime is the time between the steps in which load comes back once a limit is lifted. In each of them it
 	// doubles, so that a server which was in need a moment ago does not get all at once from all VMs.
 	stepTime = 250 * time.Millisecond
@@ -37,6 +39,8 @@
 	// tokens is how many requests the server could take at countedAt. It is below zero after more than it takes.
 	tokens    float64
 	countedAt time.Time
+	// lookedAt is when somebody last wanted to know whether the server takes a request.
+	lookedAt time.Time
 }
 
 // WithNamed returns the limit after a server named one, which was heard at a moment, and reports whether that differs
@@ -95,6 +99,18 @@
 	return !limit.saidAt.IsZero() && limit.liftedAt.IsZero()
 }
 
+// WithLook returns the limit after a look for those who may use a share of the limit. Who uses only a part begins with
+// nothing saved up, and so much less as a phase from zero to one says: it does not know what others sent before, and of
+// many that are cut off each would begin with one, all in the same moment.
+func (limit Limit) WithLook(share, phase float64, now time.Time) Limit {
+	if share < 1 && now.Sub(limit.lookedAt) > forgetTime {
+		limit.tokens = -phase
+		limit.countedAt = now
+	}
+	limit.lookedAt = now
+	return limit
+}
+
 // Open reports whether the server takes a request now of those who may use a share of the limit.
 func (limit Limit) Open(share float64, now time.Time) bool {
 	return !limit.Holds(now) || limit.level(share, now) >= 1
--- a/internal/backpressure/limit_test.go
+++ b/internal/backpressure/limit_test.go
@@ -138,6 +138,35 @@
 	assert.Assert(t, quarters[7] >= 50, "%v", quarters)
 }
 
+// TestPartBeginsWithNothing has many VMs that are cut off from each other a while after a limit was named: they stay
+// within it together, and none is silent for ever.
+func TestPartBeginsWithNothing(t *testing.T) {
+	const vms, perSecond = 76, 2.0
+	limits := make([]backpressure.Limit, vms)
+	for vm := range limits {
+		limits[vm] = named(perSecond)
+	}
+	sends := make([]int, vms)
+	var sent []time.Time
+	for now := start().Add(time.Minute); now.Before(start().Add(4 * time.Minute)); now = now.Add(50 * time.Millisecond) {
+		for vm, limit := range limits {
+			limit = limit.WithLook(1.0/vms, float64(vm)/vms, now)
+			if limit.Open(1.0/vms, now) {
+				limit = limit.WithTaken(1.0/vms, now)
+				sends[vm]++
+				sent = append(sent, now)
+			}
+			limits[vm] = limit
+		}
+	}
+	for _, sends := range sends {
+		assert.Assert(t, sends > 1)
+	}
+	rate := float64(len(sent)) / (3 * time.Minute).Seconds()
+	assert.Assert(t, rate <= perSecond, "%v", rate)
+	assert.Assert(t, float64(most(sent)) <= 1.5*perSecond*window.Seconds()+5, "%d", most(sent))
+}
+
 // TestOverdrawnLimitIsPaidBack has many requests that were not known when they went to the server.
 func TestOverdrawnLimitIsPaidBack(t *testing.T) {
 	limit := named(2)
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/mastwinch/mastwinch/internal/backpressure"
@@ -126,7 +127,12 @@
 
 // withinLimit reports whether a server takes a request now.
 func (pool *Pool) withinLimit(server *server, now time.Time) bool {
-	return !server.limit.Holds(now) || server.limit.Open(pool.publisher.Share(), now)
+	if !server.limit.Holds(now) {
+		return true
+	}
+	share := pool.publisher.Share()
+	server.limit = server.limit.WithLook(share, rand.Float64(), now) //nolint:gosec // no secret
+	return server.limit.Open(share, now)
 }
 
 // place puts a request at its server and counts it against the limit there, unless it was told of so late that it may
