--- a/internal/coordinator/limits_test.go
+++ b/internal/coordinator/limits_test.go
@@ -130,3 +130,84 @@
 		assert.Assert(t, server.within(cutAt.Add(limitWindow), time.Now()) > 0, "nobody asks it any more")
 	})
 }
+
+// limitChange is what a server names from a moment on.
+type limitChange struct {
+	at    time.Duration
+	limit float64
+}
+
+// greatestOf returns the greatest limit that counts in the limitWindow from a moment on. What a server said counts until
+// the next word must be heeded.
+func greatestOf(changes []limitChange, from time.Duration) float64 {
+	greatest := 0.0
+	for i, change := range changes {
+		last := i+1 == len(changes)
+		counts := last || from < changes[i+1].at+limitNotice
+		if counts && change.at < from+limitWindow {
+			greatest = max(greatest, change.limit)
+		}
+	}
+	return greatest
+}
+
+// TestLimitsThatMove has servers whose limits change, or stand in some answers only.
+func TestLimitsThatMove(t *testing.T) {
+	for name, test := range map[string]struct {
+		changes []limitChange
+		// oneOf is of how many answers one names the limit.
+		oneOf int
+		// from is from when on requests are counted.
+		from time.Duration
+	}{
+		"up and down":       {changes: []limitChange{{0, 5}, {8 * time.Second, 1}, {16 * time.Second, 5}, {24 * time.Second, 0.2}}},
+		"none, then some":   {changes: []limitChange{{0, 0}, {12 * time.Second, 2}}},
+		"one answer of ten": {changes: []limitChange{{0, 1.4}}, oneOf: 10, from: 20 * time.Second},
+	} {
+		for _, vms := range []int{6, 76} {
+			t.Run(fmt.Sprintf("%s, %d VMs", name, vms), func(t *testing.T) {
+				t.Parallel()
+				inFleet(t, vms, 3, func(fleet *fleet) {
+					limited := fleet.servers[0]
+					limited.oneOf = test.oneOf
+					for _, change := range test.changes {
+						time.AfterFunc(change.at, func() { limited.setLimit(change.limit) })
+					}
+					began := time.Now()
+					const long = 32 * time.Second
+					fleet.play(60, long)
+					for from := max(limitNotice, test.from); from+limitWindow < long; from += limitWindow / 40 {
+						got := limited.within(began.Add(from), began.Add(from+limitWindow))
+						most := allowed(greatestOf(test.changes, from))
+						assert.Assert(t, got <= most, "%d at %s, allowed %d", got, from, most)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestLimitEnds has a server that takes as many as any other from a moment on: it gets about its part again within the time
+// in which VMs must have heard, not all at once, and no request is refused or late meanwhile.
+func TestLimitEnds(t *testing.T) {
+	for _, vms := range []int{2, 6, 76, 295} {
+		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
+			t.Parallel()
+			inFleet(t, vms, 3, func(fleet *fleet) {
+				limited := fleet.servers[0]
+				limited.setLimit(1)
+				fleet.play(60, 5*time.Second)
+				ended := time.Now()
+				limited.setLimit(-1)
+				fleet.play(60, 8*time.Second)
+				before := limited.within(ended.Add(-limitWindow), ended)
+				assert.Check(t, before <= allowed(1), "%d before", before)
+				after := limited.within(ended.Add(limitNotice+time.Second), ended.Add(limitNotice+time.Second+limitWindow))
+				assert.Check(t, after >= 60, "%d after, 80 are its part", after)
+				for _, got := range fleet.results {
+					assert.Check(t, got.served && got.took < plainObjective, "%+v", got)
+				}
+			})
+		})
+	}
+}
