backpressure: a limit that comes and goes is lifted later each time

A server that named 1.4 requests a second in one answer of ten got 28 to 30 in four seconds, 13 allowed: each other answer lifted the limit. After a limit was named again within 30 s of its end it is lifted only when it was not named for 1 s, and twice as long after each return, up to 16 s. The first end is heeded at once, as TestLimitEnds asks.

--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -20,6 +20,12 @@
 	owedTime = 4 * time.Second
 	// forgetTime is after how long without a look those who use a part of a limit begin anew.
 	forgetTime = time.Minute
+	// relapseTime is for how long after a limit was lifted its return is a relapse. After one the limit is lifted only
+	// when it was not named for relapseLeast, and for twice as long after each other one, up to relapseMost: a server
+	// that names it in some answers only would else get as much as one that names none.
+	relapseTime  = 30 * time.Second
+	relapseLeast = time.Second
+	relapseMost  = 16 * time.Second
 	// stepTime is the time between the steps in which load comes back once a limit is lifted. In each of them it
 	// doubles, so that a server which was in need a moment ago does not get all at once from all VMs.
 	stepTime = 250 * time.Millisecond
@@ -36,6 +42,8 @@
 	saidAt time.Time
 	// liftedAt is when it was known that the limit is lifted, or zero.
 	liftedAt time.Time
+	// quiet is for how long the server must not name a limit before it is lifted.
+	quiet time.Duration
 	// tokens is how many requests the server could take at countedAt. It is below zero after more than it takes.
 	tokens    float64
 	countedAt time.Time
@@ -58,16 +66,27 @@
 		limit.tokens = 1
 		limit.countedAt = at
 	}
+	if !limit.liftedAt.IsZero() {
+		limit.quiet = limit.quietAfter(at.Sub(limit.liftedAt))
+	}
 	limit.perSecond = perSecond
 	limit.saidAt = at
 	limit.liftedAt = time.Time{}
 	return limit, changed
 }
 
+// quietAfter returns for how long the server must not name a limit, after it named one again so long after it was lifted.
+func (limit Limit) quietAfter(lifted time.Duration) time.Duration {
+	if lifted > relapseTime {
+		return 0
+	}
+	return min(relapseMost, max(relapseLeast, 2*limit.quiet))
+}
+
 // WithLifted returns the limit after an answer without it, and reports whether that differs from what was known. The answer
 // was asked for at a moment: one that was asked for before the limit was heard may have been made before it.
 func (limit Limit) WithLifted(askedAt, now time.Time) (Limit, bool) {
-	if limit.saidAt.IsZero() || !limit.liftedAt.IsZero() || !askedAt.After(limit.saidAt) {
+	if limit.saidAt.IsZero() || !limit.liftedAt.IsZero() || !askedAt.After(limit.saidAt.Add(limit.quiet)) {
 		return limit, false
 	}
 	limit.saidAt = askedAt
--- a/internal/backpressure/limit_test.go
+++ b/internal/backpressure/limit_test.go
@@ -114,6 +114,29 @@
 	}
 }
 
+// TestRelapses has a limit that is named again each time after it was lifted: it is lifted later and later, and at once
+// again after a long time without.
+func TestRelapses(t *testing.T) {
+	now := start()
+	limit := named(1)
+	for _, quiet := range []time.Duration{0, 1, 2, 4, 8, 16, 16} {
+		quiet *= time.Second
+		_, early := limit.WithLifted(now.Add(quiet), now.Add(quiet))
+		assert.Assert(t, !early, "lifted within %s", quiet)
+		now = now.Add(quiet + time.Millisecond)
+		lifted, after := limit.WithLifted(now, now)
+		assert.Assert(t, after, "not lifted after %s", quiet)
+		now = now.Add(time.Second)
+		limit, _ = lifted.WithNamed(1, now)
+	}
+	now = now.Add(17 * time.Second)
+	limit, _ = limit.WithLifted(now, now)
+	now = now.Add(time.Minute)
+	limit, _ = limit.WithNamed(1, now)
+	_, lifted := limit.WithLifted(now.Add(time.Millisecond), now.Add(time.Millisecond))
+	assert.Assert(t, lifted)
+}
+
 // TestLoadComesBackInSteps has a server that does not name its limit any more while all VMs want it: what it gets grows
 // over two seconds, and is not bounded after them.
 func TestLoadComesBackInSteps(t *testing.T) {
