exchange, pool: VMs that are gone for good have no part of a limit

In a fleet of 12 VMs behind 40 register entries of VMs that are gone, who decides used 0.23 of what servers take: it held the missing ones for cut off. Now only VMs that somebody heard in the last five minutes count; those that decide tell how many they hear. TestShareBehindManyThatAreGone: 0.23 before, 1 after.

The share is reckoned once for a look, not for each limited server.

--- a/internal/exchange/coordinators.go
+++ b/internal/exchange/coordinators.go
@@ -178,8 +178,8 @@
 	return exchange.order
 }
 
-// deciders returns the VMs that decide and how many VMs are known.
-func (exchange *Exchange) deciders() ([]*wire.Peer, uint32) {
+// deciders returns the VMs that decide, how many VMs are known, and how many are heard.
+func (exchange *Exchange) deciders() (deciders []*wire.Peer, known, heard uint32) {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
 	var peers []*wire.Peer
@@ -190,7 +190,7 @@
 			Capacity: uint32(member.Capacity), //nolint:gosec // a link's
 		})
 	}
-	return peers, uint32(exchange.known()) //nolint:gosec // VMs
+	return peers, uint32(exchange.known()), uint32(exchange.members()) //nolint:gosec // VMs
 }
 
 // watched returns the VMs that this one keeps in touch with where some decide for all:
--- a/internal/exchange/coordinators_test.go
+++ b/internal/exchange/coordinators_test.go
@@ -349,3 +349,18 @@
 		})
 	}
 }
+
+// TestShareBehindManyThatAreGone has a register in which most VMs are gone for good: those that are there use limits
+// whole, since the others use nothing.
+func TestShareBehindManyThatAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		vms := newVMs(t, 0)
+		defer vms.end()
+		vms.enterGone(t, 40)
+		vms.addFleet(t, 12)
+		time.Sleep(6 * time.Second)
+		for _, vm := range vms.agreed(t) {
+			assert.Equal(t, vms.parts[numberOf(t, vm)].Share(), 1.0)
+		}
+	})
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -26,6 +26,9 @@
 // maxDatagram is the largest datagram that is read.
 const maxDatagram = 8 << 10
 
+// shareTime is after how long a VM that is not heard is taken to be gone for good rather than cut off.
+const shareTime = 5 * time.Minute
+
 // Sink takes what other VMs tell.
 type Sink interface {
 	Told(vm string, reports []pool.Report)
@@ -86,6 +89,9 @@
 	turn int
 	// knownElsewhere is the most VMs that another one said it knew.
 	knownElsewhere int
+	// heardElsewhere is the most VMs that another one said it heard, and heardElsewhereAt when that was said last.
+	heardElsewhere   int
+	heardElsewhereAt time.Time
 	// listed says that the register was read once.
 	listed bool
 	// started is since when this VM takes datagrams.
@@ -142,25 +148,35 @@
 }
 
 func (exchange *Exchange) members() int {
-	count := 1
-	for _, peer := range exchange.peers {
-		if exchange.live(peer) {
-			count++
-		}
-	}
-	return count
+	return exchange.heardWithin(exchange.settings.Silence)
 }
 
 // Share implements pool.Publisher. Who hears more than half of all VMs decides for all of them; what less of them use
 // counts by their number, so that parts which are cut off from each other stay within one and a half times the whole.
+// VMs that nobody heard for shareTime use nothing.
 func (exchange *Exchange) Share() float64 {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
-	live, known := exchange.members(), exchange.known()
-	if 2*live > known {
+	live := exchange.members()
+	all := exchange.heardWithin(shareTime)
+	if exchange.now().Sub(exchange.heardElsewhereAt) < shareTime {
+		all = max(all, exchange.heardElsewhere)
+	}
+	if 2*live > all {
 		return 1
 	}
-	return float64(live) / float64(known)
+	return float64(live) / float64(all)
+}
+
+// heardWithin returns how many VMs were heard within a time, this one among them.
+func (exchange *Exchange) heardWithin(within time.Duration) int {
+	count := 1
+	for _, peer := range exchange.peers {
+		if !peer.heard.IsZero() && exchange.now().Sub(peer.heard) < within {
+			count++
+		}
+	}
+	return count
 }
 
 // Known returns how many VMs are or were in the register, this one among them, as far
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -143,9 +143,19 @@
 		known.blind = update.GetBlind()
 	}
 	exchange.knownElsewhere = max(exchange.knownElsewhere, int(update.GetKnown()))
+	exchange.noteHeard(int(update.GetHeard()))
 	return known.address, returned, true
 }
 
+// noteHeard takes over how many VMs another one hears. Fewer than before count once more were not told of for long.
+func (exchange *Exchange) noteHeard(count int) {
+	now := exchange.now()
+	if count >= exchange.heardElsewhere || now.Sub(exchange.heardElsewhereAt) >= shareTime {
+		exchange.heardElsewhere = count
+		exchange.heardElsewhereAt = now
+	}
+}
+
 // reply answers a VM that wants to know whether it is heard, or that returned. One that decides and greets may have
 // started again before its silence was noticed: it is told of all at once, since it knows nothing.
 func (exchange *Exchange) reply(update *wire.LoadUpdate, address net.Addr, returned bool, sink Sink) {
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -93,7 +93,7 @@
 	update.UpMs = uint32(exchange.now().Sub(exchange.started).Milliseconds()) //nolint:gosec // weeks at most
 	update.Blind = sink.Blind()
 	update.Quarantined = encodeQuarantined(sink.Quarantined(), exchange.now())
-	update.Peers, update.Known = exchange.deciders()
+	update.Peers, update.Known, update.Heard = exchange.deciders()
 	exchange.sendTo([]net.Addr{address}, update)
 }
 
--- a/internal/pool/bench_test.go
+++ b/internal/pool/bench_test.go
@@ -18,33 +18,42 @@
 
 func (unheard) Share() float64 { return 1 }
 
-// BenchmarkOpen views engines with eight requests each.
+// BenchmarkOpen views engines with eight requests each, and those of which a tenth named a limit.
 func BenchmarkOpen(b *testing.B) {
 	for _, count := range []int{18, 60, 150, 600} {
-		b.Run(fmt.Sprint(count), func(b *testing.B) {
-			servers := pool.New(pool.DefaultSettings(), "vm-1", unheard{}, slog.New(slog.DiscardHandler), time.Now)
-			entries := make([]follower.Change[directory.Entry], 0, count)
-			reports := make([]pool.Report, 0, 8*count)
-			for i := range count {
-				id := fmt.Sprintf("engine-%d", i)
-				entries = append(entries, follower.Change[directory.Entry]{Key: id, Value: &directory.Entry{
-					ID: id, Service: "engines", Address: id, Slots: 10,
-				}})
-				for range 8 {
-					reports = append(reports, pool.Report{
-						ID: uint64(len(reports)), Server: id, Phase: pool.PhaseWriting, Memory: 5000, Gap: time.Second, Pace: 1.1,
-					})
-				}
-			}
-			servers.Replace(entries)
-			service := &catalog.Service{Name: "engines", Engine: &catalog.Engine{MemoryTokens: 232_000}}
-			b.ReportAllocs()
-			for b.Loop() {
-				b.StopTimer()
-				servers.Told("vm-2", reports) // so that they are not forgotten
-				b.StartTimer()
-				servers.Open(service, nil)
-			}
-		})
+		b.Run(fmt.Sprint(count), func(b *testing.B) { benchmarkOpen(b, count, 0) })
+	}
+	for _, count := range []int{60, 600} {
+		b.Run(fmt.Sprintf("%d, a tenth limited", count), func(b *testing.B) { benchmarkOpen(b, count, count/10) })
+	}
+}
+
+func benchmarkOpen(b *testing.B, count, limited int) {
+	b.Helper()
+	servers := pool.New(pool.DefaultSettings(), "vm-1", unheard{}, slog.New(slog.DiscardHandler), time.Now)
+	entries := make([]follower.Change[directory.Entry], 0, count)
+	reports := make([]pool.Report, 0, 8*count)
+	for i := range count {
+		id := fmt.Sprintf("engine-%d", i)
+		entries = append(entries, follower.Change[directory.Entry]{Key: id, Value: &directory.Entry{
+			ID: id, Service: "engines", Address: id, Slots: 10,
+		}})
+		for range 8 {
+			reports = append(reports, pool.Report{
+				ID: uint64(len(reports)), Server: id, Phase: pool.PhaseWriting, Memory: 5000, Gap: time.Second, Pace: 1.1,
+			})
+		}
+	}
+	servers.Replace(entries)
+	for i := range limited {
+		servers.Limits(fmt.Sprintf("engine-%d", i), 1000)
+	}
+	service := &catalog.Service{Name: "engines", Engine: &catalog.Engine{MemoryTokens: 232_000}}
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		servers.Told("vm-2", reports) // so that they are not forgotten
+		b.StartTimer()
+		servers.Open(service, nil)
 	}
 }
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -125,14 +125,13 @@
 	return limited
 }
 
-// withinLimit reports whether a server takes a request now.
-func (pool *Pool) withinLimit(server *server, now time.Time) bool {
+// withinLimit reports whether a server takes a request now of those who may use a share of its limit.
+func (server *server) withinLimit(share func() float64, now time.Time) bool {
 	if !server.limit.Holds(now) {
 		return true
 	}
-	share := pool.publisher.Share()
-	server.limit = server.limit.WithLook(share, rand.Float64(), now) //nolint:gosec // no secret
-	return server.limit.Open(share, now)
+	server.limit = server.limit.WithLook(share(), rand.Float64(), now) //nolint:gosec // no secret
+	return server.limit.Open(share(), now)
 }
 
 // place puts a request at its server and counts it against the limit there, unless it was told of so late that it may
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -80,13 +80,14 @@
 	open := make([]placement.Server, 0, len(pool.byService[service.Name]))
 	var lapsed []placement.Server
 	limited := 0
+	share := sync.OnceValue(pool.publisher.Share)
 	slow := pool.settings.SlowTimes * pool.usualPace(service, now)
 	for _, server := range pool.byService[service.Name] {
 		if !pool.takes(server, now) || slices.Contains(tried, server.entry.ID) {
 			continue
 		}
 		pool.forget(server, now)
-		if !pool.withinLimit(server, now) {
+		if !server.withinLimit(share, now) {
 			limited++
 			continue
 		}
--- a/internal/pool/sending.go
+++ b/internal/pool/sending.go
@@ -134,7 +134,7 @@
 	defer pool.mu.Unlock()
 	now := pool.now()
 	for _, planned := range plan.IDs() {
-		if server := pool.servers[planned]; server != nil && !pool.withinLimit(server, now) {
+		if server := pool.servers[planned]; server != nil && !server.withinLimit(pool.publisher.Share, now) {
 			return nil, false
 		}
 	}
