--- a/internal/coordinator/limits_test.go
+++ b/internal/coordinator/limits_test.go
@@ -211,3 +211,43 @@
 		})
 	}
 }
+
+// TestAllServersLimited has callers that ask for as many, three and five times as many requests as all servers of a service
+// take together: as many are in time as servers take, and the others are refused soon.
+func TestAllServersLimited(t *testing.T) {
+	const limit, servers, long = 5.0, 3, 12 * time.Second
+	for _, vms := range []int{1, 6, 76} {
+		for _, times := range []float64{1, 3, 5} {
+			t.Run(fmt.Sprintf("%d VMs, %v times", vms, times), func(t *testing.T) {
+				t.Parallel()
+				inFleet(t, vms, servers, func(fleet *fleet) {
+					for _, server := range fleet.servers {
+						server.setLimit(limit)
+					}
+					fleet.play(15, 3*time.Second) // so that all have heard
+					began := time.Now()
+					fleet.play(times*limit*servers, long)
+					inTime, slowest := fleet.outcome(began)
+					takes := limit * servers * long.Seconds()
+					t.Logf("%v of %v in time, the slowest refusal after %s", inTime, takes, slowest)
+					assert.Check(t, float64(inTime) >= 0.9*takes, "%d of %v in time", inTime, takes)
+					assert.Check(t, slowest <= plainObjective, "refused after %s", slowest)
+				})
+			})
+		}
+	}
+}
+
+// outcome returns how many requests since a moment were served in time, and how long others were held at most.
+func (fleet *fleet) outcome(since time.Time) (inTime int, slowest time.Duration) {
+	for _, got := range fleet.results {
+		switch {
+		case got.arrived.Before(since):
+		case got.served && got.took <= plainObjective:
+			inTime++
+		case !got.served:
+			slowest = max(slowest, got.took)
+		}
+	}
+	return inTime, slowest
+}
