dispatch: where all servers of a service are limited, who finds no place in time is refused soon

What callers saw: while all servers of a service name limits, requests beyond these were held for 1.3 s and refused with a time drawn from the usual span. Cause: overload is found out by the places that late ones get, which takes a second; limits say it at once. Now the queue knows what the service takes a second; who is not expected to get a place in half of its time is refused by the next pass, and told to return in turn, as far apart as servers take requests. A newcomer does not take the request that opened by time alone before those that wait for it. A VM that decides by itself gives a request up when it would be late by the next look. Callers get 503 servers_limited, not run.

Tried and not taken: to refuse on arrival by the number that wait, which refused short requests behind a long one that waits for memory.

Left: which kinds get the places is by order of the queue (in time, short, due), not by worth a request.

--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -152,6 +152,12 @@
 	return limit
 }
 
+// PerSecond is how many requests a second the server gets now of those who may use a share of the limit, and false where
+// that is as many as it can.
+func (limit Limit) PerSecond(share float64, now time.Time) (float64, bool) {
+	return limit.rate(share, now), limit.Holds(now)
+}
+
 // level is how many requests the server could take now.
 func (limit Limit) level(share float64, now time.Time) float64 {
 	rate := limit.rate(share, now)
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -73,10 +73,10 @@
 }
 
 // refuse notes that a request is refused, and returns the answer that tells it.
-func (coordinator *Coordinator) refuse(key dispatch.Key, now time.Time) dispatch.Answer {
-	answer := dispatch.Answer{ID: key.ID, Decision: dispatch.DecisionRefused}
-	delete(coordinator.renewed, key)
-	coordinator.given[key] = given{answer: answer, at: now}
+func (coordinator *Coordinator) refuse(refusal dispatch.Refusal, now time.Time) dispatch.Answer {
+	answer := dispatch.Answer{ID: refusal.ID, Decision: dispatch.DecisionRefused, Return: refusal.Return}
+	delete(coordinator.renewed, refusal.Key)
+	coordinator.given[refusal.Key] = given{answer: answer, at: now}
 	return answer
 }
 
@@ -164,8 +164,8 @@
 	for _, verdict := range verdicts {
 		answers = append(answers, addressed{Answer: coordinator.give(verdict, now), vm: verdict.VM})
 	}
-	for _, key := range refused {
-		answers = append(answers, addressed{Answer: coordinator.refuse(key, now), vm: key.VM})
+	for _, refusal := range refused {
+		answers = append(answers, addressed{Answer: coordinator.refuse(refusal, now), vm: refusal.VM})
 	}
 	return answers, coordinator.queue.Len() > 0
 }
@@ -205,6 +205,11 @@
 	return view.servers.Resting(vm)
 }
 
+// TakesPerSecond implements dispatch.Servers.
+func (view *view) TakesPerSecond(service, vm string) (float64, bool) {
+	return view.servers.TakesPerSecond(service, vm)
+}
+
 // Take implements dispatch.Servers.
 func (view *view) Take(request *dispatch.Request, plan placement.Plan) {
 	view.servers.Assign(request.VM, request.ID, plan, request.Placement)
--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -58,6 +58,8 @@
 	// Limited says that the first server named a limit, so that its answer is to be told of if it has none.
 	Limited bool
 	Reason  string
+	// Return is in how long the caller of a refused request may return, or zero where nothing is known of that.
+	Return time.Duration
 }
 
 // Final reports whether nothing else follows for the ask.
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -64,12 +64,21 @@
 	return float64(ahead+1) <= float64(len(lateplaces.placed))*within.Seconds()/watchTime.Seconds()
 }
 
-// refuse takes the tight requests out of the queue that no place is expected for before
-// their callers leave, and returns them. It goes by the order of the last pass.
-func (queue *Queue) refuse(now time.Time) []Key {
+// refuse takes the requests out of the queue that no place is expected for, and returns them: where
+// all servers are limited by what these take, else the late tight ones by the places that such got.
+// It goes by the order of the last pass.
+func (queue *Queue) refuse(servers Servers, now time.Time) []Refusal {
 	ahead := make(map[string]int)
-	var refused []Key
+	var refused []Refusal
 	queue.waiting = slices.DeleteFunc(queue.waiting, func(request *Request) bool {
+		if perSecond, limited := servers.TakesPerSecond(request.Service, request.VM); limited {
+			if limitServes(request, ahead[request.Service], perSecond, now) {
+				ahead[request.Service]++
+				return false
+			}
+			refused = append(refused, queue.refusal(request, perSecond, now))
+			return true
+		}
 		if !request.Tight || !request.late(now) {
 			return false
 		}
@@ -78,7 +87,7 @@
 			ahead[request.Service]++
 			return false
 		}
-		refused = append(refused, request.Key)
+		refused = append(refused, Refusal{Key: request.Key})
 		return true
 	})
 	return refused
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -23,6 +23,9 @@
 	Open(service string) []placement.Server
 	// Resting returns the servers that want nothing from a VM now.
 	Resting(vm string) []string
+	// TakesPerSecond returns how many requests a second of all VMs the servers of a service take that want some from a
+	// VM, and reports whether all of these named limits.
+	TakesPerSecond(service, vm string) (float64, bool)
 	// Take notes that a request got the servers of a plan.
 	Take(request *Request, plan placement.Plan)
 }
@@ -34,11 +37,13 @@
 	waiting []*Request
 	// late has what was learnt of late requests by their services.
 	late map[string]*latePlaces
+	// returns has when the last refused caller of each service with limited servers was told to return.
+	returns map[string]time.Time
 }
 
 // New returns an empty queue whose requests get servers by a policy.
 func New(policy placement.Policy) *Queue {
-	return &Queue{policy: policy, late: make(map[string]*latePlaces)}
+	return &Queue{policy: policy, late: make(map[string]*latePlaces), returns: make(map[string]time.Time)}
 }
 
 // Len returns how many requests wait.
@@ -47,10 +52,16 @@
 }
 
 // Offer gives servers to a new request, or lets it wait. All that wait already found no
-// place when something changed last, so it passes nobody who could have gone.
+// place when something changed last, so it passes nobody who could have gone; but limited servers
+// take another request by time alone, so behind others that wait for them it waits for the next pass.
 func (queue *Queue) Offer(request *Request, servers Servers, now time.Time) (Verdict, bool) {
 	queue.Remove(request.Key)
 	queue.waiting = append(queue.waiting, request)
+	if queue.count(request.Service) > 1 {
+		if _, limited := servers.TakesPerSecond(request.Service, request.VM); limited {
+			return Verdict{}, false
+		}
+	}
 	plan, placed := queue.look(request, servers, servers.Open(request.Service), now)
 	if !placed {
 		return Verdict{}, false
@@ -63,7 +74,7 @@
 // Pass gives servers to those that wait, in their order, and returns what was given. A
 // request that fits nowhere lets others go before it. Of those that still wait then it
 // drops the ones that are not expected to be served, and returns them too.
-func (queue *Queue) Pass(servers Servers, now time.Time) ([]Verdict, []Key) {
+func (queue *Queue) Pass(servers Servers, now time.Time) ([]Verdict, []Refusal) {
 	queue.watch(now)
 	slices.SortFunc(queue.waiting, compareAt(now, queue.overloaded))
 	views := make(map[string][]placement.Server)
@@ -86,7 +97,7 @@
 		verdicts = append(verdicts, Verdict{Key: request.Key, Plan: plan})
 		return true
 	})
-	return verdicts, queue.refuse(now)
+	return verdicts, queue.refuse(servers, now)
 }
 
 // Find returns a request that waits, or nil.
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -35,12 +35,18 @@
 	servers []placement.Server
 	// resting has the servers that want nothing from a VM.
 	resting map[string][]string
+	// perSecond is how many requests a second all of them take, or zero for no limit.
+	perSecond float64
 }
 
 var _ dispatch.Servers = (*believed)(nil)
 
 func (believed *believed) Resting(vm string) []string { return believed.resting[vm] }
 
+func (believed *believed) TakesPerSecond(string, string) (float64, bool) {
+	return believed.perSecond, believed.perSecond > 0
+}
+
 func (believed *believed) Open(string) []placement.Server {
 	return append([]placement.Server(nil), believed.servers...)
 }
--- a/internal/exchange/asks.go
+++ b/internal/exchange/asks.go
@@ -57,6 +57,7 @@
 		PredictedMs: milliseconds(answer.Predicted),
 		Tight:       answer.Tight,
 		Limited:     answer.Limited,
+		ReturnMs:    milliseconds(answer.Return),
 		Reason:      answer.Reason,
 	}
 }
@@ -77,6 +78,7 @@
 			Predicted: time.Duration(verdict.GetPredictedMs()) * time.Millisecond,
 			Tight:     verdict.GetTight(),
 			Limited:   verdict.GetLimited(),
+			Return:    time.Duration(verdict.GetReturnMs()) * time.Millisecond,
 			Reason:    verdict.GetReason(),
 		})
 	}
--- a/internal/exchange/asks_internal_test.go
+++ b/internal/exchange/asks_internal_test.go
@@ -45,6 +45,7 @@
 			Shares:    rapid.SliceOfN(rapid.IntRange(0, 2_000_000), 0, dispatchServers).Draw(t, "shares"),
 			Predicted: drawMilliseconds(t, 0, "predicted"),
 			Tight:     rapid.Bool().Draw(t, "tight"),
+			Return:    drawMilliseconds(t, 0, "return"),
 			Limited:   rapid.Bool().Draw(t, "limited"),
 			Reason:    rapid.StringMatching(`[a-z ]{0,20}`).Draw(t, "reason"),
 		}
--- a/internal/gateway/elsewhere.go
+++ b/internal/gateway/elsewhere.go
@@ -42,6 +42,9 @@
 		id := gateway.pool.ReserveID()
 		answer, placed := gateway.coordinator.Place(ctx, id, func() dispatch.Ask { return run.newAsk(id) })
 		run.refused = placed && answer.Decision == dispatch.DecisionRefused
+		if run.refused && answer.Return > 0 {
+			run.givenUp = givenUp{reason: ReasonLimited, until: gateway.now().Add(answer.Return)}
+		}
 		if !placed || run.refused {
 			return placement.Plan{}, nil, false
 		}
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,6 +20,8 @@
 	limitWindow = 4 * time.Second
 	limitTimes  = 1.5
 	limitSlack  = 5
+	// objective is when the first answer is due on all routes of the tests.
+	objective = 300 * time.Millisecond
 )
 
 // names answers like another server, and names a limit on the requests a second from all VMs.
@@ -89,3 +92,36 @@
 		}
 	}
 }
+
+// TestCallersAreToldWhenLimitedServersTakeMore: while all servers of a service take fewer requests than come, the others are
+// refused soon, truly as not run, with a time to return.
+func TestCallersAreToldWhenLimitedServersTakeMore(t *testing.T) {
+	for name, usual := range usual() {
+		for _, vms := range []int{1, 3} {
+			t.Run(strconv.Itoa(vms)+" VMs, "+name, func(t *testing.T) {
+				inFleet(t, vms, 1, func(fleet *fleet) {
+					for _, server := range fleet.servers {
+						server.script = names(1, usual.answers)
+					}
+					fleet.askFor(usual.caller, 200*time.Millisecond, 3*time.Second)
+					answers := fleet.askFor(usual.caller, 200*time.Millisecond, 6*time.Second)
+					served := 0
+					for _, got := range answers {
+						if got.status == http.StatusOK {
+							served++
+							continue
+						}
+						assert.Equal(t, got.status, http.StatusServiceUnavailable)
+						assert.Assert(t, strings.Contains(got.body, `"not_run":true`), got.body)
+						assert.Assert(t, strings.Contains(got.body, "servers_limited"), got.body)
+						assert.Assert(t, got.took <= objective, "refused after %s", got.took)
+						seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+						assert.NilError(t, err)
+						assert.Assert(t, seconds > 0.2 && seconds <= 30, "%v", seconds)
+					}
+					assert.Assert(t, served >= 5, "%d of %d were served", served, len(answers))
+				})
+			})
+		}
+	}
+}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -30,6 +30,7 @@
 	ReasonRefused         Reason = "servers_refused"
 	ReasonBusy            Reason = "servers_busy"
 	ReasonResting         Reason = "servers_rest"
+	ReasonLimited         Reason = "servers_limited"
 	ReasonStopping        Reason = "stopping"
 	ReasonCrashesServers  Reason = "crashes_servers"
 	ReasonCallerGone      Reason = "caller_gone"
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -53,7 +53,7 @@
 		}
 		// It had a look after its objective was over, when what harms nobody is taken:
 		// so a prompt that is too long ever to be in time is read on a calm day.
-		if run.heldEnough() || !run.waitForRoom(ctx, changed) {
+		if run.heldEnough() || run.limitTooLong() || !run.waitForRoom(ctx, changed) {
 			break
 		}
 	}
--- a/internal/gateway/rest.go
+++ b/internal/gateway/rest.go
@@ -1,5 +1,16 @@
 package gateway
 
+import (
+	"cmp"
+	"time"
+)
+
+// givenUp is why a request is given up that found no place, and until when there is none.
+type givenUp struct {
+	reason Reason
+	until  time.Time
+}
+
 // restTooLong reports whether all servers want nothing from this VM until the request is late, so that it is given up
 // at once. Its caller's next try goes to another VM, which they may not have asked.
 func (run *run) restTooLong() bool {
@@ -7,14 +18,24 @@
 	if !resting || !over.After(run.due(run.placementRequest().Tight())) {
 		return false
 	}
-	run.rested = over
+	run.givenUp = givenUp{reason: ReasonResting, until: over}
 	return true
 }
 
-// unplaced is why a request is given up that found no servers.
-func (run *run) unplaced() Reason {
-	if run.rested.IsZero() {
-		return ReasonBusy // held for long enough
+// limitTooLong reports whether the request will be late by the next look where all servers named limits, at a VM that
+// decides by itself: those that come later can still be in time.
+func (run *run) limitTooLong() bool {
+	now := run.gateway.now()
+	perSecond, limited := run.gateway.pool.TakesPerSecond(run.service.Name, run.gateway.site.VM)
+	next := now.Add(run.gateway.settings.Request.Look)
+	if !limited || next.Before(run.due(run.placementRequest().Tight())) {
+		return false
 	}
-	return ReasonResting
+	run.givenUp = givenUp{reason: ReasonLimited, until: now.Add(time.Duration(float64(time.Second) / perSecond))}
+	return true
+}
+
+// unplaced is why a request is given up that found no servers. Where nothing more is known it was held for long enough.
+func (run *run) unplaced() Reason {
+	return cmp.Or(run.givenUp.reason, ReasonBusy)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -38,8 +38,8 @@
 	last result
 	// refused says that the VM that decides expects no place before the caller leaves.
 	refused bool
-	// rested is when the first server has rested, of a request that is given up since all rest, or zero.
-	rested time.Time
+	// givenUp says why the request is given up without a place, where that is known.
+	givenUp givenUp
 	// begun says that the head of an answer was written, and hasEvents that events of it came.
 	begun     bool
 	hasEvents atomic.Bool
@@ -285,7 +285,9 @@
 	case ReasonCrashesServers:
 		return run.gateway.quarantine.Kept(run.fingerprint)
 	case ReasonResting:
-		return run.rested.Sub(run.gateway.now()) + run.gateway.retryAfter()
+		return run.givenUp.until.Sub(run.gateway.now()) + run.gateway.retryAfter()
+	case ReasonLimited:
+		return max(run.givenUp.until.Sub(run.gateway.now()), run.gateway.settings.Request.RetryAfterMin)
 	default:
 		return run.gateway.retryAfter()
 	}
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/mastwinch/mastwinch/internal/backpressure"
@@ -142,3 +143,25 @@
 		server.limit = server.limit.WithTaken(pool.publisher.Share(), now)
 	}
 }
+
+// TakesPerSecond returns how many requests a second the servers of a service take that want some from a VM, and reports
+// whether there are such and all of them named limits.
+func (pool *Pool) TakesPerSecond(service, vm string) (float64, bool) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	now := pool.now()
+	share := sync.OnceValue(pool.publisher.Share)
+	total := 0.0
+	for _, server := range pool.byService[service] {
+		_, rests := pool.rests.over(vm, server.entry.ID, now)
+		if !pool.takes(server, now) || rests {
+			continue
+		}
+		perSecond, limited := server.limit.PerSecond(share(), now)
+		if !limited {
+			return 0, false
+		}
+		total += perSecond
+	}
+	return total, total > 0
+}
