--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -41,8 +41,7 @@
 		Placement: placement.Request{
 			DataCentre: ask.DataCentre, Engine: service.Engine, Tokens: ask.Tokens, Memory: ask.Memory,
 			Gap: ask.Gap, ShortestGap: service.ShortestGap, Objective: ask.Objective,
-			// A VM keeps to the same servers where they are equal: of 295 VMs before 150
-			// engines a fifth less open new connections (18,640 to 14,933 on one day).
+			// A VM keeps to the same servers where they are equal, so that fewer new connections are opened.
 			Seed: xxhash.Sum64String(vm),
 		},
 	}
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -19,10 +19,6 @@
 // each held one waits to its end for nothing. So one of them waits in any case, and as
 // many more as the places that late ones got lately tell to be served before their callers
 // leave.
-//
-// With requests for three times the slots of 18 engines it brings 0.145 and 0.160 of worth on two
-// drawn fleets (three days each); to hold all until their callers leave brings 0.091 and
-// 0.130, to refuse all once one was late 0.136 and 0.131.
 type latePlaces struct {
 	// since is since when late requests have waited without a break, or zero, and seen is when
 	// some last did.
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -5,9 +5,9 @@
 // It answers load at which requests of many VMs want the same servers at the same
 // moment: bursts of long prompts beyond what the engines read, and bursts of short ones
 // that fill them. One queue that knows each decision before it makes the next one needs
-// no time for VMs to hear of each other; where each VM looked in turn after the others
-// had heard of the one before it, some 30 long prompts a second were the most, however
-// many engines there were.
+// no time for VMs to hear of each other; where each VM looks in turn after the others
+// heard of the one before it, that time bounds the long prompts a second, however many
+// engines there are.
 package dispatch
 
 import (
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -56,9 +56,7 @@
 // those that can't; tight ones first, since one of them takes a small part of one server
 // and its objective is the shortest; then by when their first event is due. Where more
 // tight ones come than are served, those due last go first: each of the others is given a
-// place in the last moment in which it may be in time, and is late by any error. Of 540 that
-// engines serve in six seconds 418 were in time at three times that load, and 321 at five times;
-// now 566 and 585 are (TestGoodputHoldsUnderOverload).
+// place in the last moment in which it may be in time, and is late by any error.
 func compareAt(now time.Time, overloaded func(service string) bool) func(a, b *Request) int {
 	return func(a, b *Request) int {
 		return cmp.Or(
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -82,9 +82,8 @@
 	}
 }
 
-// greetNamed greets VMs that another one says decide, and that were not heard here. They would be
-// greeted in turns with all that are away, so that VMs which start together behind many that are gone took up to
-// 7 s to agree on who decides.
+// greetNamed greets VMs that another one says decide, and that were not heard here. In turns with all that are away VMs
+// which start together behind many that are gone would agree on who decides only after seconds.
 func (exchange *Exchange) greetNamed(named []*wire.Peer) {
 	exchange.mu.Lock()
 	now := exchange.now()
--- a/internal/exchange/register.go
+++ b/internal/exchange/register.go
@@ -118,7 +118,7 @@
 }
 
 // Reenter enters this VM again if the register, which came back older, does not have it any more. VMs look at moments
-// of their own: 300 of them make some 30 calls a second of it.
+// of their own, so that the store is not asked by all at once.
 func (exchange *Exchange) Reenter(ctx context.Context) {
 	pause := rand.N(exchange.settings.Reenter) //nolint:gosec // no secret
 	for wait.For(ctx, pause) {
--- a/internal/exchange/settings.go
+++ b/internal/exchange/settings.go
@@ -23,8 +23,7 @@
 	RelayFrom int `yaml:"relay_from" validate:"min=2"`
 	// CoordinateFrom is from how many known VMs on some of them decide for all: what
 	// each VM tells goes to these only. Told to all it grows with the square of the VMs, and
-	// no VM knows what waits at the others: from two VMs on instead of 24 brings 0.11 of
-	// worth under overload, and nothing else beyond the error (96 plays with 6 to 9 VMs).
+	// no VM knows what waits at the others, so that under overload each lets too many wait.
 	CoordinateFrom int `yaml:"coordinate_from" validate:"min=2"`
 	// Coordinators is how many VMs are told of all that is under way, so that one
 	// decides and the others can go on for it.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -152,8 +152,8 @@
 	return role.Before[rand.IntN(fewReaders)] //nolint:gosec // no secret
 }
 
-// noteDirect notes whether the store answered. That changes are gone is an answer: taken for none it kept a VM waiting
-// 1.2 s and more for readers that the store had turned away, and at a configuration of 5.5 s before.
+// noteDirect notes whether the store answered. That changes are gone is an answer: taken for none it would keep a VM
+// waiting for readers that the store turned away, with what it knew before.
 func (log *Log) noteDirect(err error) {
 	log.mu.Lock()
 	defer log.mu.Unlock()
--- a/internal/feed/settings.go
+++ b/internal/feed/settings.go
@@ -18,17 +18,17 @@
 	Avoid     time.Duration `yaml:"avoid" validate:"min=10ms"`
 	AvoidLost time.Duration `yaml:"avoid_lost" validate:"min=10ms"`
 	// Tries is how many other VMs are asked before the store, while the first of them
-	// answers within Patience that it does not know: 60 VMs behind one reader that the
-	// store turned away made 200 calls a second.
+	// answers within Patience that it does not know. Else all VMs behind one reader that the
+	// store turns away call it.
 	Tries int `yaml:"tries" validate:"min=1"`
 	// Probe is the time between questions to a store that answered neither this VM nor
 	// those that read it before this one. Meanwhile it waits for their answers, so that
-	// 295 VMs do not ask a store that is away 700 times a second.
+	// many VMs do not all ask a store that is away.
 	Probe time.Duration `yaml:"probe" validate:"min=10ms"`
 	// Meet is how long after its start a VM waits at most until it knows whom to ask:
-	// each that reads the store meanwhile makes five calls more. MeetFirst is the same
-	// where all VMs start for the first time: 295 that enter the register in turn, 4 ms
-	// each, take 1.2 s, and nobody calls yet.
+	// each that reads the store meanwhile calls it more often. MeetFirst is the same
+	// where all VMs start for the first time: they enter the register in turn, which takes
+	// longer, and nobody calls yet.
 	Meet      time.Duration `yaml:"meet" validate:"min=0,max=10s"`
 	MeetFirst time.Duration `yaml:"meet_first" validate:"min=0,max=10s"`
 	// Wait is how long a question to another VM waits.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -70,7 +70,7 @@
 }
 
 // Renew gives up the question or pause under way and asks again at once: after a suspension the answer proves little, and the
-// time for it would run on as if there had been none, 2.2 s without a proof.
+// time for it would run on as if there had been none.
 func (follower *Follower[T]) Renew() {
 	if giveUp := follower.giveUp.Load(); giveUp != nil {
 		(*giveUp)(errRenewed)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,8 +103,7 @@
 
 // noteNotFree tells the pool which engines have less memory than was believed. One that gave
 // another answer, or none, is not asked again for this request. Otherwise the same plan
-// was made again each 20 ms: 122 times in a second after VMs had been killed, while eight
-// prompts waited until they were refused.
+// would be made again at each look, until the request is refused.
 func (run *run) noteNotFree(err error) {
 	var failed *reservation.GatherError
 	if !errors.As(err, &failed) {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -205,8 +205,7 @@
 // within the pause after the one before it. So a stream that broke off goes before new
 // requests while its pause can still be kept, and after them when it can't. The objective of
 // a tight request counts from its caller's first try. That of others counts from this one:
-// they are few, and to let them yield leaves them without servers until the next fault
-// (0.778 against 0.803 of worth on a day on which all VMs are killed after many were).
+// they are few, and to let them yield leaves them without servers until the next fault.
 func (run *run) due(tight bool) time.Time {
 	switch {
 	case !run.account.last.IsZero():
--- a/internal/gateway/returns.go
+++ b/internal/gateway/returns.go
@@ -11,9 +11,7 @@
 // refused, or whose VM was killed, has less of it.
 //
 // It answers overload: worth counts from the first try, so one that came back is late
-// already, and what it gets is not there for one that can still be in time. Where half of
-// those served were such returns, 308 of 362 that are in time without overload were so
-// at three times the load.
+// already, and what it gets is not there for one that can still be in time.
 type returns struct {
 	now func() time.Time
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -124,7 +124,7 @@
 
 // awaitConfiguration returns the configuration in force, for which it waits that long when there is none
 // yet, and for its proof. Without one it returns nil. The proof comes a moment after the first configuration:
-// requests that waited for this one alone were refused as if it were too old, 5 of 300 plays.
+// requests that wait for this one alone would be refused as if it were too old.
 func (gateway *Gateway) awaitConfiguration(ctx context.Context, most time.Duration) *catalog.Catalog {
 	if most <= 0 {
 		return gateway.belief.current.Load()
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -58,12 +58,10 @@
 	SettleVM time.Duration `yaml:"settle_vm" validate:"min=0,max=100ms"`
 	// HoldObjectives is the multiple of its objective for which a request that takes
 	// turns is held while no server has room. Later it cannot be in time, and others
-	// wait behind it: one objective instead of 0.45 of the caller's patience brings
-	// 0.007 of worth (30 days with trouble).
+	// wait behind it.
 	HoldObjectives float64 `yaml:"hold_objectives" validate:"min=0.1"`
 	// HoldPart is the part of the time that its caller has for which it is held at
-	// most, so that one that came back is not held to its end for nothing: one with
-	// 2.9 s left was held for 2.9 s.
+	// most, so that one that came back is not held to its end for nothing.
 	HoldPart float64 `yaml:"hold_part" validate:"min=0.1,max=1"`
 	// LastLook is for how long it is held beyond that: it is late then, and takes what harms
 	// nobody, where the VM that decides looks at it some times. Without it a prompt too long
@@ -82,15 +80,12 @@
 	RetryAfterMin time.Duration `yaml:"retry_after_min" validate:"min=0"`
 	RetryAfterMax time.Duration `yaml:"retry_after_max" validate:"min=1ms,gtefield=RetryAfterMin"`
 	// StartHold is how long after the start of the process requests wait for its first
-	// configuration. Where 295 VMs start together they have one after 0.17 to 0.26 s,
-	// since the store hands out 80 MB a second; 550 requests that came before were told
-	// to return after 2 s and more.
+	// configuration, which takes a moment where many VMs start together: else callers would be
+	// told to return only after seconds.
 	StartHold time.Duration `yaml:"start_hold" validate:"min=0,max=5s"`
 	// StoreRetryMin and StoreRetryMax are the same for a VM that knows no
-	// configuration yet. With the store it has one within 10 ms of
-	// its start, so the store is away then, which lasts for seconds; callers honour
-	// up to a third of their time, 3.3 s of the users' 10 s. Against 0.2 to 0.6 s
-	// half as many are refused for good (0.9 instead of 1.6 %, 30 days with trouble).
+	// configuration yet. With the store it has one a moment after its start, so the store is
+	// away then, which lasts for seconds: callers that return sooner spend their tries.
 	StoreRetryMin time.Duration `yaml:"store_retry_min" validate:"min=0"`
 	StoreRetryMax time.Duration `yaml:"store_retry_max" validate:"min=1ms,gtefield=StoreRetryMin"`
 	// MaxAnswerBytes bounds an answer of a plain service, which is held whole.
--- a/internal/placement/harm.go
+++ b/internal/placement/harm.go
@@ -31,8 +31,7 @@
 }
 
 // silences reports whether a pass is so long that streams at a server are given up
-// and sent again, which would read their prompts once more at another one. To leave
-// such servers out brings 0.006 of worth (30 days with trouble).
+// and sent again, which would read their prompts once more at another one.
 func (lengthaware LengthAware) silences(server *Server, pass time.Duration) bool {
 	silence := lengthaware.settings.silence
 	return silence != nil && server.MinGap > 0 && pass > silence(server.MinGap)
@@ -51,9 +50,7 @@
 		}
 		// Tight requests that come while the part is read wait for it.
 		harm := lost * server.TightWeight * part.Seconds() / lengthaware.settings.TightLife.Seconds()
-		// A pass counts by the pauses that are there: against one limit of 240 ms for all it
-		// brings 0.043 of worth where the shortest pause is 120 ms, and 0.008 over seven
-		// fleets (quiet and burst day each).
+		// A pass counts by the pauses that are there, which differ from kind to kind.
 		if server.TightGap > 0 && pass > server.TightGap {
 			harm += lost * server.TightWeight
 		}
@@ -66,8 +63,8 @@
 }
 
 // leastHarmed returns the first servers of a list in the order of compare. To keep that
-// few in order, instead of sorting all for each number of parts, makes a decision for a
-// long prompt three times as fast at 150 servers (BenchmarkPlace).
+// few in order, instead of sorting all for each number of parts, is what makes a decision for a
+// long prompt quick among many servers (BenchmarkPlace).
 func leastHarmed(harms []harmed, count int) []harmed {
 	least := make([]harmed, 0, count+1)
 	for _, candidate := range harms {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -45,9 +45,7 @@
 }
 
 // tokensPerWeight scales what a request is worth by its length. No caller or route states
-// what a request is worth, and it need not be near: with half and twice as many tokens worth
-// changed by 0.003 and 0.002 (s.e. 0.005, 30 plays each on five small fleets), and by slots'
-// parts of an engine's memory instead by -0.001 and -0.008 (s.e. 0.004 and 0.006).
+// what a request is worth, and it need not be near.
 const tokensPerWeight = 10_000
 
 // Weight is what a request is worth beside others, near enough to weigh harm
--- a/internal/placement/settings.go
+++ b/internal/placement/settings.go
@@ -5,13 +5,11 @@
 // Settings tune LengthAware.
 type Settings struct {
 	// PackSlots is the part of the slots of a server that tight requests fill. The
-	// rest is room for those that several VMs send at the same moment. 0.8 instead of
-	// 0.6 brings 0.012 of worth (30 days with trouble), since it leaves more servers
-	// to long prompts; 0.95 brings no more.
+	// rest is room for those that several VMs send at the same moment. A greater part leaves
+	// more servers to long prompts.
 	PackSlots float64 `yaml:"pack_slots" validate:"min=0.1,max=1"`
 	// PackDense is the same while long prompts want servers: one for each LongTime of
-	// reading that waits or is in progress. In bursts of short prompts long ones found
-	// no server at all; it brings 0.006 of worth (60 days with trouble).
+	// reading that waits or is in progress, which would find no server in a burst of short ones.
 	PackDense float64       `yaml:"pack_dense" validate:"max=1,gtefield=PackSlots"`
 	LongTime  time.Duration `yaml:"long_time" validate:"min=10ms"`
 	// KeepSpare is how many servers beside the filled ones are kept for tight
@@ -25,8 +23,7 @@
 	// busy.
 	NearRunning int `yaml:"near_running" validate:"min=0"`
 	// PassSpare is what a pass takes beside reading, steps and context: what other VMs send
-	// meanwhile, which is not known yet. Half and three quarters of a pass in place of it
-	// lost 0.005 of worth (30 plays, small fleets).
+	// meanwhile, which is not known yet.
 	PassSpare time.Duration `yaml:"pass_spare" validate:"min=0"`
 	// MaxParts is the most servers that read one prompt.
 	MaxParts int `yaml:"max_parts" validate:"min=1,max=17"`
--- a/internal/placement/tight.go
+++ b/internal/placement/tight.go
@@ -71,8 +71,8 @@
 
 // firstFit returns the first of the servers, in their order, where the request keeps all pauses
 // in time and nothing long is read. So short prompts beyond the kept servers stay together:
-// where each went to the least busy of all, 85 of them were at 36 of 60 servers, of which eight
-// were kept, and no long prompt found enough others. It brings 0.004 of worth (86 plays, s.e. 0.002).
+// where each goes to the least busy of all, they are at most servers, and no long prompt finds
+// enough others.
 func (lengthaware LengthAware) firstFit(servers []Server, request Request, work time.Duration) (best Server, found bool) {
 	for i := range servers {
 		server := &servers[i]
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -60,7 +60,7 @@
 }
 
 // Leaves notes that a server said in an answer that it leaves. The list may be without that for as long as its source
-// is away: a server got 16 requests in the ten seconds after it had said so.
+// is away, in which it would go on getting requests.
 func (pool *Pool) Leaves(id string) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
--- a/internal/pool/rest.go
+++ b/internal/pool/rest.go
@@ -52,8 +52,8 @@
 	return until, now.Before(until)
 }
 
-// Rests notes that a server wants nothing from this VM for so long. Without that it counted as one failure, which any
-// good answer took back: a server that turned away each third request got 47 more of one VM in its rest.
+// Rests notes that a server wants nothing from this VM for so long. It is no failure, which any good answer would take
+// back.
 func (pool *Pool) Rests(id string, long time.Duration) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -67,9 +67,8 @@
 }
 
 // asLikely reports whether the request may as well be the cause as another one. One that ever ended well may
-// not: a popular one is on each lost server too. One that had events may be less so than one that never had:
-// of 23 requests under which engines crashed none had an event, of 270 that were broken off
-// beside them 237 had.
+// not: a popular one is on each lost server too. One that had events may be less so than one that never had, since
+// engines crash before the first event.
 func (suspect *suspect) asLikely(other *suspect) bool {
 	return suspect.answered == nil && (!suspect.ran || other.ran)
 }
--- a/internal/quarantine/settings.go
+++ b/internal/quarantine/settings.go
@@ -13,8 +13,7 @@
 	Certain int `yaml:"certain" validate:"gtefield=Limit"`
 	// Moment is how close losses are that may be one event: a server's connections break within some
 	// milliseconds, and those of all that are lost in a wave. Of one that crashes under a request to the next
-	// it takes longer, since each reads it first. With 150 ms it was sent six times more where three
-	// are allowed (nine servers of four slots, amid waves).
+	// it takes longer, since each reads it first.
 	Moment time.Duration `yaml:"moment" validate:"min=0,max=1s"`
 	// Settle is after how long a loss counts. Until then VMs tell who was there, and of others lost at the same
 	// moment; whoever told first would be ahead of those that were there too.
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -181,7 +181,7 @@
 }
 
 // checkLeaving looks at what reached servers that left while everybody could know. A request that came before may begin
-// to run long after: one waited 3.6 s at an engine that left a quarter of a second after it came.
+// to run long after, behind others at its server.
 func (evidence *evidence) checkLeaving(add addFunc) {
 	leavings := evidence.operator.leavings()
 	for _, arrival := range evidence.arrivals {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -177,8 +177,7 @@
 
 // drop closes the connections that are kept for a server. Where one of them got no
 // answer the others may have gone silent with it, without a reset, while a new one
-// works: else each would hold up a request for as long as it takes to be noticed,
-// 1.2 s for one that is not acknowledged and up to 3 s for one that nobody uses.
+// works: else each would hold up a request for as long as it takes to be noticed.
 func (client *Client) drop(address string) {
 	client.mu.Lock()
 	defer client.mu.Unlock()
