backpressure, pool: rests stand beside limits, each kept for its scope

What servers ask of those that send to them was kept in two places, rests among the servers of the pool. No behaviour is changed. A table has servers that are limited and rest, leave or belong to another address besides.

--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -1,5 +1,3 @@
-// Package backpressure keeps what backend servers ask of those that send to them. It has no clock, lock or I/O: times
-// come in, and values go out.
 package backpressure
 
 import (
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -148,7 +148,7 @@
 		pool.leaves(report.Server, vm)
 	case HealthResting:
 		if pool.servers[report.Server] != nil {
-			pool.rests.add(vm, report.Server, pool.now().Add(report.Rest))
+			pool.rests.Add(vm, report.Server, pool.now().Add(report.Rest))
 		}
 	case HealthLimited:
 		pool.limited(report.Server, vm, report.PerSecond, pool.now().Add(-report.Age))
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -153,7 +153,7 @@
 	share := sync.OnceValue(pool.publisher.Share)
 	total := 0.0
 	for _, server := range pool.byService[service] {
-		_, rests := pool.rests.over(vm, server.entry.ID, now)
+		_, rests := pool.rests.Over(vm, server.entry.ID, now)
 		if !pool.takes(server, now) || rests {
 			continue
 		}
--- a/internal/pool/limit_test.go
+++ b/internal/pool/limit_test.go
@@ -192,3 +192,39 @@
 	_, third := world.StartWithin(plan, placement.Request{})
 	assert.Assert(t, third)
 }
+
+// TestSeveralAtOnce has a server that is limited and something else besides: it is open to this VM only if all let it be, and
+// the service takes what those take that may be used.
+func TestSeveralAtOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		also func(world *world)
+		open []string
+		// takes is how many requests a second all take, or zero for no limit.
+		takes float64
+	}{
+		"nothing":                  {also: func(*world) {}, open: []string{"s1", "s2"}, takes: 5},
+		"it rests":                 {also: func(world *world) { world.Rests("s1", time.Minute) }, open: []string{"s1", "s2"}, takes: 3},
+		"it rests from another VM": {also: rested("vm-2", "s1", time.Minute), open: []string{"s1", "s2"}, takes: 5},
+		"all rest":                 {also: func(world *world) { world.Rests("s1", time.Minute); world.Rests("s2", time.Minute) }, open: []string{"s1", "s2"}},
+		"it leaves":                {also: func(world *world) { world.Leaves("s1") }, open: []string{"s2"}, takes: 3},
+		"its entry says it leaves": {also: func(world *world) { world.Apply([]follower.Change[directory.Entry]{leaving("s1")}) }, open: []string{"s2"}, takes: 3},
+		"it is another server now": {also: func(world *world) { world.Closed("s1") }, open: []string{"s2"}, takes: 3},
+		"the other one is as before": {also: func(world *world) {
+			world.pass(time.Millisecond)
+			world.LiftsLimit("s2", world.now)
+			world.pass(3 * time.Second)
+		}, open: []string{"s1", "s2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			world := newWorld()
+			world.Replace(listedUpTo(2))
+			world.Limits("s1", 2)
+			world.Limits("s2", 3)
+			test.also(world)
+			assert.DeepEqual(t, world.open(), test.open)
+			perSecond, limited := world.TakesPerSecond("engines", "vm-1")
+			assert.Equal(t, perSecond, test.takes)
+			assert.Equal(t, limited, test.takes > 0)
+		})
+	}
+}
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -144,7 +144,7 @@
 		service := server.entry.Service
 		byService[service] = append(byService[service], server)
 	}
-	pool.rests.forget(pool.servers)
+	pool.rests.Forget(func(id string) bool { return pool.servers[id] != nil })
 	for _, servers := range byService {
 		order(servers)
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/mastwinch/mastwinch/internal/backpressure"
 	"github.com/mastwinch/mastwinch/internal/catalog"
 	"github.com/mastwinch/mastwinch/internal/placement"
 )
@@ -34,7 +35,7 @@
 	sourceLost bool
 	returned   time.Time
 	own        map[uint64]*sending
-	rests      rests
+	rests      backpressure.Rests
 	// nextID starts anywhere, so that a VM that was started again is not taken
 	// for what it was before.
 	nextID uint64
@@ -63,7 +64,7 @@
 		listed:    make(map[string]string),
 		byService: make(map[string][]*server),
 		own:       make(map[uint64]*sending),
-		rests:     make(rests),
+		rests:     make(backpressure.Rests),
 		nextID:    rand.Uint64(), //nolint:gosec // no secret
 		changed:   make(chan struct{}),
 	}
@@ -120,7 +121,7 @@
 			missing = append(missing, id)
 			continue
 		}
-		if until, rests := pool.rests.over(pool.vm, id, now); rests {
+		if until, rests := pool.rests.Over(pool.vm, id, now); rests {
 			missing = append(missing, id)
 			pool.tellRest(id, until.Sub(now))
 			continue
