soak, stand-ins: servers name limits that move, and what they get of all VMs is checked

Seeds from 200 on, each fifth: three times a server names a limit for nine seconds, and another one from the middle on, beside kills, pauses, stops and a store that is away.

--- a/internal/pool/limit_test.go
+++ b/internal/pool/limit_test.go
@@ -204,10 +204,10 @@
 	}{
 		"nothing":                  {also: func(*world) {}, open: []string{"s1", "s2"}, takes: 5},
 		"it rests":                 {also: func(world *world) { world.Rests("s1", time.Minute) }, open: []string{"s1", "s2"}, takes: 3},
-		"it rests from another VM": {also: rested("vm-2", "s1", time.Minute), open: []string{"s1", "s2"}, takes: 5},
+		"it rests from another VM": {also: rested("s1", time.Minute), open: []string{"s1", "s2"}, takes: 5},
 		"all rest":                 {also: func(world *world) { world.Rests("s1", time.Minute); world.Rests("s2", time.Minute) }, open: []string{"s1", "s2"}},
 		"it leaves":                {also: func(world *world) { world.Leaves("s1") }, open: []string{"s2"}, takes: 3},
-		"its entry says it leaves": {also: func(world *world) { world.Apply([]follower.Change[directory.Entry]{leaving("s1")}) }, open: []string{"s2"}, takes: 3},
+		"its entry says it leaves": {also: func(world *world) { world.Apply([]follower.Change[directory.Entry]{leaving()}) }, open: []string{"s2"}, takes: 3},
 		"it is another server now": {also: func(world *world) { world.Closed("s1") }, open: []string{"s2"}, takes: 3},
 		"the other one is as before": {also: func(world *world) {
 			world.pass(time.Millisecond)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -58,8 +58,8 @@
 	}}
 }
 
-func leaving(id string) follower.Change[directory.Entry] {
-	change := listed(id)
+func leaving() follower.Change[directory.Entry] {
+	change := listed("s1")
 	change.Value.Leaving = true
 	return change
 }
@@ -119,12 +119,12 @@
 			want:   []string{"s1", "s3"},
 		},
 		"a leaving server gets nothing": {
-			change: func(world *world) { world.Apply([]follower.Change[directory.Entry]{leaving("s1")}) },
+			change: func(world *world) { world.Apply([]follower.Change[directory.Entry]{leaving()}) },
 			want:   []string{"s2", "s3"},
 		},
 		"a server that was leaving stays so, whatever the list says later": {
 			change: func(world *world) {
-				world.Apply([]follower.Change[directory.Entry]{leaving("s1"), listed("s1")})
+				world.Apply([]follower.Change[directory.Entry]{leaving(), listed("s1")})
 			},
 			want: []string{"s2", "s3"},
 		},
--- a/internal/pool/rest_test.go
+++ b/internal/pool/rest_test.go
@@ -14,9 +14,9 @@
 	"github.com/mastwinch/mastwinch/internal/pool"
 )
 
-func rested(vm, id string, long time.Duration) func(world *world) {
+func rested(id string, long time.Duration) func(world *world) {
 	return func(world *world) {
-		world.Told(vm, []pool.Report{{Server: id, Phase: pool.PhaseOver, Health: pool.HealthResting, Rest: long}})
+		world.Told("vm-2", []pool.Report{{Server: id, Phase: pool.PhaseOver, Health: pool.HealthResting, Rest: long}})
 	}
 }
 
@@ -29,11 +29,11 @@
 		other []string
 	}{
 		"here":             {rest: func(world *world) { world.Rests("s1", 2*time.Second) }, own: []string{"s1"}},
-		"from another VM":  {rest: rested("vm-2", "s1", 2*time.Second), other: []string{"s1"}},
+		"from another VM":  {rest: rested("s1", 2*time.Second), other: []string{"s1"}},
 		"over":             {rest: func(world *world) { world.Rests("s1", time.Second) }},
-		"over elsewhere":   {rest: rested("vm-2", "s1", time.Second)},
+		"over elsewhere":   {rest: rested("s1", time.Second)},
 		"an unknown one":   {rest: func(world *world) { world.Rests("s9", time.Minute) }},
-		"unknown, is told": {rest: rested("vm-2", "s9", time.Minute)},
+		"unknown, is told": {rest: rested("s9", time.Minute)},
 		"a shorter one after a longer": {rest: func(world *world) {
 			world.Rests("s1", 2*time.Second)
 			world.Rests("s1", time.Millisecond)
--- a/internal/pool/start_test.go
+++ b/internal/pool/start_test.go
@@ -97,7 +97,7 @@
 // TestEntryThatTellsNoStart is taken to be of the start that is there.
 func TestEntryThatTellsNoStart(t *testing.T) {
 	world := newWorld()
-	world.Apply([]follower.Change[directory.Entry]{startOf(1), leaving("s1")})
+	world.Apply([]follower.Change[directory.Entry]{startOf(1), leaving()})
 	assert.Equal(t, len(world.open()), 0)
 	world.Apply([]follower.Change[directory.Entry]{startOf(2)})
 	assert.DeepEqual(t, world.open(), []string{startID(2)})
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -26,6 +26,7 @@
 	PromiseLeaving   Promise = "a server that leaves gets nothing new"
 	PromiseSaid      Promise = "a server that says that it leaves gets nothing new"
 	PromiseRest      Promise = "a server that asks a VM for rest gets it"
+	PromiseLimit     Promise = "a server that names a limit gets no more from all VMs"
 	PromiseBad       Promise = "a bad entry names no server"
 	PromiseForward   Promise = "a VM does not go back to an older configuration"
 	PromiseMemory    Promise = "memory of engines is given back"
@@ -93,6 +94,7 @@
 	pairs := evidence.byPair()
 	evidence.checkSaid(pairs, add)
 	evidence.checkRests(pairs, add)
+	evidence.checkLimits(pairs, add)
 	evidence.checkForward(add)
 	evidence.checkHarmful(add)
 	evidence.checkRecovered(add)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -174,6 +174,19 @@
 			}
 			made.evidence.log.add(span{from: at(time.Second), to: at(2 * time.Second), kind: KindLinkOneWay})
 		}},
+		"as many as a limit allows": {route: routeStream, change: func(made made) {
+			made.evidence.sendLimited(made.outcome, limitSlack-1, 0)
+		}},
+		"more than a limit allows": {route: routeStream, change: func(made made) {
+			made.evidence.sendLimited(made.outcome, limitSlack, 0)
+		}, want: []Promise{PromiseLimit}},
+		"more, and another limit before": {route: routeStream, change: func(made made) {
+			made.evidence.sendLimited(made.outcome, limitSlack, 1)
+		}},
+		"more, after the VM stood still": {route: routeStream, change: func(made made) {
+			made.evidence.sendLimited(made.outcome, limitSlack, 0)
+			made.evidence.log.add(span{from: at(3 * time.Second), to: at(4 * time.Second), kind: KindVMPause, vm: "vm-0"})
+		}},
 		"not served again": {route: routeStream, change: func(made made) {
 			made.evidence.calm = at(0)
 			for range fewest {
@@ -228,6 +241,25 @@
 	evidence.arrivals = append(evidence.arrivals, second)
 }
 
+// sendLimited adds a request at a server 3 s after that told the VM of a limit, which may be another one before that, and so
+// many more a second later, when it takes none.
+func (evidence *evidence) sendLimited(outcome *Outcome, count int, before float64) {
+	evidence.arrivals = append(evidence.arrivals, platformserver.Arrival{
+		ID: outcome.ID, Instance: outcome.Seal, At: at(1100 * time.Millisecond), Limited: true,
+	})
+	sends := []platformserver.Arrival{{At: at(5 * time.Second), Limited: true, Limit: before}}
+	for range count {
+		sends = append(sends, platformserver.Arrival{At: at(6 * time.Second), Limited: true})
+	}
+	for number, send := range sends {
+		again := *outcome
+		again.ID = fmt.Sprintf("limited-%d", number)
+		send.ID, send.Instance = again.ID, outcome.Seal
+		evidence.outcomes = append(evidence.outcomes, again)
+		evidence.arrivals = append(evidence.arrivals, send)
+	}
+}
+
 // reaches notes when the request reached its server.
 func (evidence *evidence) reaches(moment time.Time) {
 	evidence.arrivals = append(evidence.arrivals, platformserver.Arrival{ID: "r", Instance: "i-1", At: moment})
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -221,6 +221,23 @@
 	world.operator.rewrite()
 }
 
+// Limits that a server names: from limitLeast on in limitSteps steps, in requests a second.
+const (
+	limitLeast = 0.3
+	limitStep  = 0.9
+	limitSteps = 6
+)
+
+// nameLimits lets a server name one limit for half of a fault and another one for the rest.
+func (backend *backend) nameLimits(ctx context.Context, event Event) {
+	for half := range 2 {
+		limit := limitLeast + limitStep*float64((event.Target>>(4*half))%limitSteps)
+		backend.setFaults(platformserver.Faults{Limited: true, Limit: limit})
+		wait.For(ctx, event.For/2)
+	}
+	backend.setFaults(platformserver.Faults{})
+}
+
 // restAsked is the rest that a server asks for.
 const restAsked = 4 * time.Second
 
@@ -241,6 +258,10 @@
 		backend.link.set(modePass)
 		return
 	}
+	if event.Kind == KindServerLimit {
+		backend.nameLimits(ctx, event)
+		return
+	}
 	backend.setFaults(map[Kind]platformserver.Faults{
 		KindServerErrors: {Errors: faultPart}, KindServerRefuse: {Refused: faultPart}, KindServerLost: {Lost: faultPart},
 		KindServerCut: {Cut: faultPart}, KindServerExtra: {Extra: faultPart}, KindServerHang: {Hang: true},
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -47,6 +47,7 @@
 	KindServerSays   Kind = "server_says"   // says in its answers that it leaves, the store being away
 	KindStoreOlder   Kind = "store_older"   // it comes back from a copy; the others write again
 	KindBadEntry     Kind = "bad_entry"     // another writer spoils the entry of a server
+	KindServerLimit  Kind = "server_limit"  // names how many requests a second it takes from all VMs, and another number later
 )
 
 // Kinds returns all kinds in order, but for those that have runs of their own (see extra): a drawn plan stays what it
@@ -108,6 +109,8 @@
 	longestFault      = 3 * time.Second
 	longestStoreFault = 6500 * time.Millisecond
 	shortestFault     = 200 * time.Millisecond
+	// limitTime is how long a server names limits: some windows in which they count.
+	limitTime = 9 * time.Second
 	// oftenPerSecond is how many faults begin in a second, about, and
 	// seldomPerSecond in every third run, in which a server leaves, and VMs and the
 	// store are well: bounds that count only then are checked there.
@@ -117,6 +120,8 @@
 	// KindRequestCrash.
 	extraSeeds = 5
 	extraFrom  = 100
+	// limitFrom is the first seed in whose runs servers name limits.
+	limitFrom = 200
 	// extraEvents is how often each of them but KindRequestCrash comes in its runs.
 	extraEvents = 3
 	// followPart is the part of the faults of the store that last as long as they may
@@ -172,9 +177,7 @@
 	default:
 		for range extraEvents {
 			event := draw(kind, longestFault)
-			if kind != KindStoreOlder {
-				event.For = longestStoreFault // what comes long after it began is what shows
-			}
+			event.For = extraTime(kind, event.For)
 			events = append(events, event)
 		}
 	}
@@ -182,6 +185,18 @@
 	return events
 }
 
+// extraTime is how long a fault of an extra kind lasts that was drawn to last so long.
+func extraTime(kind Kind, drawn time.Duration) time.Duration {
+	switch kind {
+	case KindStoreOlder:
+		return drawn
+	case KindServerLimit:
+		return limitTime
+	default:
+		return longestStoreFault // what comes long after it began is what shows
+	}
+}
+
 // extra returns the kind that the run of a seed has beside those that are drawn, or nothing.
 func extra(seed uint64) Kind {
 	number := seed % extraSeeds
@@ -190,6 +205,8 @@
 		return KindRequestCrash
 	case seed < extraFrom:
 		return ""
+	case seed >= limitFrom && number == 0:
+		return KindServerLimit
 	default:
 		return []Kind{KindBadEntry, KindRequestCrash, KindServerRest, KindServerSays, KindStoreOlder}[number]
 	}
--- a/internal/standin/platformserver/record.go
+++ b/internal/standin/platformserver/record.go
@@ -30,6 +30,9 @@
 	// Leaving says that the server says that it leaves, and Rest for how long it turns the VM away, or zero.
 	Leaving bool
 	Rest    time.Duration
+	// Limited says that the server names a limit, of so many requests a second from all VMs.
+	Limited bool
+	Limit   float64
 }
 
 // Record has what all servers got and ran, in order.
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -28,6 +28,7 @@
 	headerKey          = "Authorization"
 	headerLeaving      = "Server-Leaving"
 	headerRetryAfter   = "Retry-After"
+	headerLimit        = "Server-Limit"
 )
 
 // maxBodyBytes bounds what is read of a request.
@@ -41,6 +42,9 @@
 	Refused float64
 	// Rest is for how long a server that refuses wants nothing from the VM, or zero for no word of it.
 	Rest time.Duration
+	// Limited says that the server names a limit in all its answers, of so many requests a second from all VMs.
+	Limited bool
+	Limit   float64
 	// Lost ran and get no answer, Cut break off within the answer, Extra get a
 	// second answer, to no request.
 	Lost  float64
@@ -115,7 +119,13 @@
 	if front.leaving {
 		writer.Header().Set(headerLeaving, "1")
 	}
-	return Arrival{Instance: front.identity.Instance, At: time.Now(), Leaving: front.leaving, Rest: front.faults.Rest}
+	if front.faults.Limited {
+		writer.Header().Set(headerLimit, strconv.FormatFloat(front.faults.Limit, 'f', -1, 64))
+	}
+	return Arrival{
+		Instance: front.identity.Instance, At: time.Now(), Leaving: front.leaving, Rest: front.faults.Rest,
+		Limited: front.faults.Limited, Limit: front.faults.Limit,
+	}
 }
 
 // Identity returns which server this is.
