backpressure: answers without a limit are counted, not timed

After a limit came back within 30 s of its end it was lifted only when it was not named for some time. That time bears no relation to the answers that come: at 0.2 a second none fits into it, at 5 a second a server that lies was limited for 16 s after each word. Now more than 2, 4, 8 or 16 answers in a row without the limit lift it, and VMs tell of each.

--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -18,12 +18,14 @@
 	owedTime = 4 * time.Second
 	// forgetTime is after how long without a look those who use a part of a limit begin anew.
 	forgetTime = time.Minute
-	// relapseTime is for how long after a limit was lifted its return is a relapse. After one the limit is lifted only
-	// when it was not named for relapseLeast, and for twice as long after each other one, up to relapseMost: a server
-	// that names it in some answers only would else get as much as one that names none.
+	// relapseTime is for how long after a limit was lifted its return is a relapse. After one the limit is lifted only by
+	// more than relapseLeast answers in a row without it, and by more than twice as many after each other one, up to
+	// relapseMost: a server that names it in some answers only would else get as much as one that names none.
 	relapseTime  = 30 * time.Second
-	relapseLeast = time.Second
-	relapseMost  = 16 * time.Second
+	relapseLeast = 2
+	relapseMost  = 16
+	// answersApart is the least time between answers that count as two. VMs tell of one several times.
+	answersApart = 100 * time.Millisecond
 	// stepTime is the time between the steps in which load comes back once a limit is lifted. In each of them it
 	// doubles, so that a server which was in need a moment ago does not get all at once from all VMs.
 	stepTime = 250 * time.Millisecond
@@ -40,8 +42,11 @@
 	saidAt time.Time
 	// liftedAt is when it was known that the limit is lifted, or zero.
 	liftedAt time.Time
-	// quiet is for how long the server must not name a limit before it is lifted.
-	quiet time.Duration
+	// unnamed is how many answers came without a limit since one with it, the last one asked for at unnamedAt. More than
+	// quiet of them lift the limit.
+	unnamed   int
+	unnamedAt time.Time
+	quiet     int
 	// tokens is how many requests the server could take at countedAt. It is below zero after more than it takes.
 	tokens    float64
 	countedAt time.Time
@@ -70,11 +75,12 @@
 	limit.perSecond = perSecond
 	limit.saidAt = at
 	limit.liftedAt = time.Time{}
+	limit.unnamed = 0
 	return limit, changed
 }
 
-// quietAfter returns for how long the server must not name a limit, after it named one again so long after it was lifted.
-func (limit Limit) quietAfter(lifted time.Duration) time.Duration {
+// quietAfter returns how many answers without a limit do not lift it, after it was named again so long after it was lifted.
+func (limit Limit) quietAfter(lifted time.Duration) int {
 	if lifted > relapseTime {
 		return 0
 	}
@@ -84,7 +90,16 @@
 // WithLifted returns the limit after an answer without it, and reports whether that differs from what was known. The answer
 // was asked for at a moment: one that was asked for before the limit was heard may have been made before it.
 func (limit Limit) WithLifted(askedAt, now time.Time) (Limit, bool) {
-	if limit.saidAt.IsZero() || !limit.liftedAt.IsZero() || !askedAt.After(limit.saidAt.Add(limit.quiet)) {
+	last := limit.saidAt
+	if limit.unnamed > 0 {
+		last = limit.unnamedAt.Add(answersApart)
+	}
+	if !limit.Named() || !askedAt.After(last) {
+		return limit, false
+	}
+	limit.unnamed++
+	limit.unnamedAt = askedAt
+	if limit.unnamed <= limit.quiet {
 		return limit, false
 	}
 	limit.saidAt = askedAt
--- a/internal/coordinator/limits_test.go
+++ b/internal/coordinator/limits_test.go
@@ -251,3 +251,51 @@
 	}
 	return inTime, slowest
 }
+
+// TestServersThatLie has servers that name limits while they are idle: what callers lose is no more than what those servers
+// would have done, and nobody is refused while another server takes more.
+func TestServersThatLie(t *testing.T) {
+	const turn = 2 * time.Second
+	for name, test := range map[string]struct {
+		lies func(fleet *fleet, round int)
+		// least is the part of all requests that must be served in time.
+		least float64
+	}{
+		"one names hardly any": {lies: func(fleet *fleet, _ int) { fleet.servers[0].setLimit(0.1) }, least: 1},
+		"two name none":        {lies: func(fleet *fleet, _ int) { fleet.servers[0].setLimit(0); fleet.servers[1].setLimit(0) }, least: 1},
+		"one names none for a moment, again and again": {lies: func(fleet *fleet, round int) {
+			fleet.servers[0].setLimit(float64(round%2) - 1)
+		}, least: 1},
+		"all in turn name one that is above what they get": {lies: func(fleet *fleet, round int) {
+			for number, server := range fleet.servers {
+				server.setLimit(-1)
+				if number == round%len(fleet.servers) {
+					server.setLimit(30)
+				}
+			}
+		}, least: 0.99},
+		"all in turn name five a second": {lies: func(fleet *fleet, round int) {
+			for number, server := range fleet.servers {
+				server.setLimit(-1)
+				if number == round%len(fleet.servers) {
+					server.setLimit(5)
+				}
+			}
+		}, least: 0.9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			inFleet(t, 6, 3, func(fleet *fleet) {
+				for round := range 15 {
+					test.lies(fleet, round)
+					fleet.play(60, turn)
+				}
+				inTime, slowest := fleet.outcome(time.Time{})
+				part := float64(inTime) / float64(len(fleet.results))
+				t.Logf("%.3f in time", part)
+				assert.Check(t, part >= test.least, "%.3f in time", part)
+				assert.Check(t, slowest <= plainObjective)
+			})
+		})
+	}
+}
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -54,28 +54,28 @@
 	if server == nil {
 		return
 	}
-	news := pool.unlimited(id, pool.vm, asked) || server.watched
-	if !news {
+	statement, _ := server.limit.Statement()
+	says := statement.Named && asked.After(statement.At)
+	if !says && !server.watched {
 		return
 	}
+	pool.unlimited(id, pool.vm, asked)
 	server.watched = false
 	pool.publisher.Publish(Report{
 		Server: id, Phase: PhaseOver, Health: HealthUnlimited, Age: pool.now().Sub(asked),
 	})
 }
 
-// unlimited reports whether that is new.
-func (pool *Pool) unlimited(id, toldBy string, asked time.Time) bool {
+func (pool *Pool) unlimited(id, toldBy string, asked time.Time) {
 	server := pool.servers[id]
 	if server == nil {
-		return false
+		return
 	}
 	limit, changed := server.limit.WithLifted(asked, pool.now())
 	server.limit = limit
 	if changed {
 		pool.logger.Info("server not limited any more", "server", id, "told_by", toldBy)
 	}
-	return changed
 }
 
 // WatchLimit notes that a server is limited as the VM that decides knows, so that an answer without a limit is to be told.
