--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -52,7 +52,7 @@
 
 // wake is a call after a suspension.
 type wake struct {
-	call func()
+	call func(slept time.Duration)
 }
 
 // New returns a clock on a source.
@@ -90,7 +90,7 @@
 		return 0
 	}
 	for _, wake := range clock.waiting() {
-		wake.call()
+		wake.call(slept)
 	}
 	return slept
 }
@@ -105,8 +105,8 @@
 	return waiting
 }
 
-// AfterWake calls after each suspension until stop is called. The call must not block.
-func (clock *Clock) AfterWake(call func()) (stop func()) {
+// AfterWake calls after each suspension, with how long it was, until stop is called. The call must not block.
+func (clock *Clock) AfterWake(call func(slept time.Duration)) (stop func()) {
 	added := &wake{call: call}
 	clock.mu.Lock()
 	defer clock.mu.Unlock()
@@ -129,7 +129,7 @@
 func (clock *Clock) WithDeadline(parent context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
 	timer := time.AfterFunc(deadline.Sub(clock.Now()), func() { cancel(context.DeadlineExceeded) })
-	stop := clock.AfterWake(func() { timer.Reset(deadline.Sub(clock.Now())) })
+	stop := clock.AfterWake(func(time.Duration) { timer.Reset(deadline.Sub(clock.Now())) })
 	return ctx, func() {
 		stop()
 		timer.Stop()
--- a/internal/exchange/coordinators_test.go
+++ b/internal/exchange/coordinators_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,7 +43,7 @@
 	self := exchange.Member{
 		VM: conn.vm, Address: address(number), DataCentre: []string{"north", "south", "west"}[number%3], Capacity: capacity,
 	}
-	part := exchange.New(vms.settings, self, conn, vms.register, epoch.New(time.Now), slog.New(slog.DiscardHandler), time.Now)
+	part := exchange.New(vms.settings, self, conn, vms.register, epoch.New(vms.clock), slog.New(slog.DiscardHandler), vms.clock)
 	sink := &sink{told: make(map[string][]pool.Report)}
 	ctx, stop := context.WithCancel(t.Context())
 	go func() { _ = part.Run(ctx, sink) }()
@@ -364,3 +365,47 @@
 		}
 	})
 }
+
+// sleeper is the clock of a VM that can be suspended.
+type sleeper struct {
+	asleep atomic.Int64
+}
+
+func (sleeper *sleeper) now() time.Time {
+	return time.Now().Add(time.Duration(sleeper.asleep.Load()))
+}
+
+// TestVMThatWakesUpAsks has a VM that was suspended: it asks who decided before, and decides by itself only when nobody
+// answers for a moment.
+func TestVMThatWakesUpAsks(t *testing.T) {
+	for _, slept := range []time.Duration{time.Second, 5 * time.Second, time.Minute} {
+		for name, alone := range map[string]bool{"others are there": false, "others are gone": true} {
+			t.Run(slept.String()+", "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					vms := newVMs(t, 0)
+					defer vms.end()
+					vms.addFleet(t, 5)
+					clock := &sleeper{}
+					vms.clock = clock.now
+					vms.addMember(t, 20)
+					time.Sleep(3100 * time.Millisecond)
+					woken := vms.parts[5]
+					before := woken.Coordinators()
+					assert.Assert(t, before[0] != "vm-20")
+					for number := range 5 {
+						vms.network.SetDark(address(number), alone)
+					}
+					clock.asleep.Add(int64(slept))
+					woken.WokeUp(slept)
+					assert.Equal(t, woken.Coordinators()[0], before[0], "it knows whom to ask")
+					time.Sleep(700 * time.Millisecond)
+					want := before[0]
+					if alone {
+						want = "vm-20"
+					}
+					assert.Equal(t, woken.Coordinators()[0], want)
+				})
+			})
+		}
+	}
+}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -141,6 +141,8 @@
 	parts    []*exchange.Exchange
 	sinks    []*sink
 	stop     []context.CancelFunc
+	// clock is that of VMs that are added from now on.
+	clock func() time.Time
 }
 
 func address(number int) string {
@@ -150,7 +152,7 @@
 
 func newVMs(t *testing.T, count int) *vms {
 	t.Helper()
-	vms := &vms{settings: exchange.DefaultSettings(), network: memnet.New(), register: &register{members: make(map[string]exchange.Member)}}
+	vms := &vms{settings: exchange.DefaultSettings(), network: memnet.New(), register: &register{members: make(map[string]exchange.Member)}, clock: time.Now}
 	for number := range count {
 		vms.add(t, number)
 	}
--- a/internal/exchange/register.go
+++ b/internal/exchange/register.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/mastwinch/mastwinch/internal/wait"
 )
@@ -83,9 +84,8 @@
 	exchange.send(targets{direct: exchange.greeted()}, nil, true)
 }
 
-// Greet tells the VMs that this one keeps in touch with that it is there: after a suspension it hears of none, and would decide
-// by itself until the next Repeat.
-func (exchange *Exchange) Greet() {
+// WokeUp greets the VMs that this one keeps in touch with after a suspension.
+func (exchange *Exchange) WokeUp(time.Duration) {
 	exchange.send(targets{direct: exchange.greeted()}, nil, true)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -262,10 +262,10 @@
 
 // wokeUp takes all that is kept for old after a suspension. Ages are by then, since they are measured by its
 // clock; questions to the store and to other VMs that were under way are asked again.
-func (gateway *Gateway) wokeUp() {
-	gateway.logger.Warn("machine was suspended")
+func (gateway *Gateway) wokeUp(slept time.Duration) {
+	gateway.logger.Warn("machine was suspended", "slept", slept)
 	gateway.renew()
-	gateway.exchange.Greet()
+	gateway.exchange.WokeUp(slept)
 }
 
 // keepHouse closes connections that were idle for too long, and brings limits
