exchange: a VM that wakes up asks before it decides

Cause: ages count the time asleep, so after 1.6 s of it nobody was live and the VM was the only one to decide, with servers, limits and queues as they were before. VMs that were live before count as such for 150 ms more, in which they are greeted and asked; those that do not answer lapse then.

--- a/internal/exchange/register.go
+++ b/internal/exchange/register.go
@@ -84,8 +84,22 @@
 	exchange.send(targets{direct: exchange.greeted()}, nil, true)
 }
 
-// WokeUp greets the VMs that this one keeps in touch with after a suspension.
-func (exchange *Exchange) WokeUp(time.Duration) {
+// wakeTime is for how long a VM that wakes up takes others to be there that it heard just before it was suspended: they
+// answer within milliseconds.
+const wakeTime = 150 * time.Millisecond
+
+// WokeUp greets the VMs that this one keeps in touch with after a suspension of so long. Until they had time to answer those
+// that were there before count as live: else the VM would decide by itself, by what it knew before.
+func (exchange *Exchange) WokeUp(slept time.Duration) {
+	exchange.mu.Lock()
+	now := exchange.now()
+	for _, peer := range exchange.peers {
+		wasLive := !peer.heard.IsZero() && now.Sub(peer.heard)-slept < exchange.settings.Silence
+		if wasLive && !exchange.live(peer) {
+			peer.heard = now.Add(wakeTime - exchange.settings.Silence)
+		}
+	}
+	exchange.mu.Unlock()
 	exchange.send(targets{direct: exchange.greeted()}, nil, true)
 }
 
