mastwinch, gateway: what a VM knows of each server, for operators

mastwinch servers asks a VM at the address of its metrics (GET /status) and shows, as a table or JSON: who decides, epoch of the store and when it rose, requests kept from servers, and per server its listing, who first said that it leaves, from whom it rests, its limit and what it takes now.

--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -171,6 +171,11 @@
 	return limit.rate(share, now), limit.Holds(now)
 }
 
+// Available is how many requests the server takes now of those who may use a share of the limit.
+func (limit Limit) Available(share float64, now time.Time) float64 {
+	return limit.level(share, now)
+}
+
 // level is how many requests the server could take now.
 func (limit Limit) level(share float64, now time.Time) float64 {
 	rate := limit.rate(share, now)
--- a/internal/cmd/mastwinchcmd.go
+++ b/internal/cmd/mastwinchcmd.go
@@ -42,6 +42,7 @@
 			newSessionCommand(),
 			newExplainCommand(),
 			newLossesCommand(),
+			newServersCommand(),
 		},
 	}
 }
@@ -171,9 +172,14 @@
 	return change(ctx, command, http.MethodDelete, path, query, nil)
 }
 
-// show gets what is at path and prints it as asked.
+// show gets what is at a path of an entry and prints it as asked.
 func show(ctx context.Context, command *cli.Command, path string, value any, table func(io.Writer)) error {
-	body, status, err := ask(ctx, command, http.MethodGet, path, nil)
+	return showAt(ctx, command, command.String(flagEntry)+path, value, table)
+}
+
+// showAt gets what is at an address and prints it as asked.
+func showAt(ctx context.Context, command *cli.Command, address string, value any, table func(io.Writer)) error {
+	body, status, err := askAt(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return err
 	}
@@ -216,11 +222,15 @@
 }
 
 func ask(ctx context.Context, command *cli.Command, method, path string, value any) ([]byte, int, error) {
+	return askAt(ctx, method, command.String(flagEntry)+path, value)
+}
+
+func askAt(ctx context.Context, method, address string, value any) ([]byte, int, error) {
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		return nil, 0, errors.WithStack(err)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, command.String(flagEntry)+path, bytes.NewReader(encoded))
+	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(encoded))
 	if err != nil {
 		return nil, 0, errors.WithStack(err)
 	}
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -1,6 +1,9 @@
 package gateway_test
 
 import (
+	"bufio"
+	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -9,6 +12,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/gateway"
 )
 
 // Bounds on what reaches a server that names a limit, from all VMs together, as the platform has them.
@@ -125,3 +130,26 @@
 		}
 	}
 }
+
+// TestStatusShowsLimits asks a VM at the address of its metrics what it knows of servers.
+func TestStatusShowsLimits(t *testing.T) {
+	fine := answers(http.StatusOK, "fine")
+	plains := map[string]backend{"one": names(1.4, fine), "two": fine}
+	inWorld(t, nil, plains, func(world *world) {
+		world.askFor(plain(http.MethodGet, "look"), 50*time.Millisecond, time.Second)
+		conn, err := world.network.Dial(world.t.Context(), readyAddress)
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, "GET /status HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\r\n")
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		defer func() { _ = response.Body.Close() }()
+		var status gateway.Status
+		assert.NilError(t, json.NewDecoder(response.Body).Decode(&status))
+		assert.Equal(t, status.VM, "vm-1")
+		assert.Equal(t, len(status.Servers), 2)
+		assert.Equal(t, status.Servers[0].ID, "plain-one")
+		assert.Equal(t, status.Servers[0].Limit.PerSecond, 1.4)
+		assert.Assert(t, status.Servers[1].Limit == nil)
+	})
+}
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -37,5 +37,6 @@
 		}
 	})
 	mux.Handle("GET /metrics", gateway.metrics.handler())
+	mux.HandleFunc("GET /status", gateway.serveStatus)
 	return mux
 }
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -76,6 +76,7 @@
 		return false
 	}
 	server.entry.Leaving = true
+	server.leavingToldBy = toldBy
 	pool.logger.Info("server leaves", "server", id, "told_by", toldBy)
 	return true
 }
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -86,12 +86,17 @@
 	pool.listed[change.Key] = entry.ID
 	known := pool.servers[entry.ID]
 	if known == nil {
-		pool.servers[entry.ID] = &server{entry: entry}
+		added := &server{entry: entry}
+		if entry.Leaving {
+			added.leavingToldBy = toldByList
+		}
+		pool.servers[entry.ID] = added
 		pool.logger.Debug("server listed", "server", entry.ID, "service", entry.Service,
 			"address", entry.Address, "leaving", entry.Leaving)
 		return
 	}
 	if entry.Leaving && !known.entry.Leaving {
+		known.leavingToldBy = toldByList
 		pool.logger.Info("server leaves", "server", entry.ID, "told_by", toldByList)
 	}
 	// A server that was leaving once never takes new work again.
