gateway, pool: one way to servers, the turns of VMs that each decided for themselves go

Since two VMs have one that decides, each VM decided for itself only where one VM is known: the turns of waiting requests over all VMs, taking servers back, and the time until others know stood for nobody. A VM alone asks its own coordinator now, so its queue, overload and limits are those of any other VM. The fallback of a VM that nobody answers stays (look).

--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -24,7 +24,6 @@
 			Tight:        report.Tight,
 			Helps:        report.Helps,
 			AgeMs:        uint32(report.Age.Milliseconds()), //nolint:gosec // minutes at most
-			DueMs:        int32(report.Due.Milliseconds()),  //nolint:gosec // minutes at most
 			PacePercent:  uint32(percent * report.Pace),
 			Health:       wire.Health(report.Health), //nolint:gosec // few values
 			Fingerprint:  uint64(report.Fingerprint),
@@ -48,7 +47,6 @@
 			Tight:  sending.GetTight(),
 			Helps:  sending.GetHelps(),
 			Age:    time.Duration(sending.GetAgeMs()) * time.Millisecond,
-			Due:    time.Duration(sending.GetDueMs()) * time.Millisecond,
 			Pace:   float64(sending.GetPacePercent()) / percent,
 			Health: pool.Health(sending.GetHealth()),
 			Rest:   time.Duration(sending.GetRestMs()) * time.Millisecond,
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -18,8 +18,6 @@
 	pause time.Duration
 	// last is when the caller got the last event.
 	last time.Time
-	// takenBack counts plans given up to another VM's request.
-	takenBack int
 }
 
 // place notes that the request was placed after a wait, with a prediction.
--- a/internal/gateway/elsewhere.go
+++ b/internal/gateway/elsewhere.go
@@ -23,7 +23,7 @@
 		changed := gateway.pool.Changed()
 		plan, use, placed := run.ask(ctx)
 		if !placed && !run.refused && ctx.Err() == nil {
-			plan, use, placed = run.look(ctx, nil)
+			plan, use, placed = run.look()
 		}
 		if placed {
 			return plan, use, true
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -7,21 +7,13 @@
 	"github.com/mastwinch/mastwinch/internal/catalog"
 	"github.com/mastwinch/mastwinch/internal/placement"
 	"github.com/mastwinch/mastwinch/internal/pool"
-	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
 // place waits for servers with room, and takes them. It reports false when ctx
 // ended first, or when the request is given up.
 func (run *run) place(ctx context.Context) (placement.Plan, *pool.Use, bool) {
 	asked := run.gateway.now()
-	var plan placement.Plan
-	var use *pool.Use
-	placed := false
-	if run.gateway.exchange.Coordinated() {
-		plan, use, placed = run.placeElsewhere(ctx)
-	} else {
-		plan, use, placed = run.placeHere(ctx)
-	}
+	plan, use, placed := run.placeElsewhere(ctx)
 	now := run.gateway.now()
 	if !placed {
 		run.account.waited += now.Sub(asked)
@@ -34,34 +26,8 @@
 	return plan, use, true
 }
 
-// placeHere looks for servers by what this VM knows, in turn with the others.
-func (run *run) placeHere(ctx context.Context) (placement.Plan, *pool.Use, bool) {
-	gateway := run.gateway
-	var turn *pool.Turn
-	if run.takesTurns() {
-		turn = gateway.pool.Wait(run.service.Name, run.service.Engine.ReadTime(run.tokens()), run.arrived.Add(run.route.Objective))
-		defer turn.End()
-		wait.For(ctx, gateway.settle())
-	}
-	for !run.restTooLong() {
-		changed := gateway.pool.Changed()
-		if run.comesNext(ctx, turn) {
-			plan, use, ok := run.look(ctx, turn)
-			if ok {
-				return plan, use, true
-			}
-		}
-		// It had a look after its objective was over, when what harms nobody is taken:
-		// so a prompt that is too long ever to be in time is read on a calm day.
-		if run.heldEnough() || run.limitTooLong() || !run.waitForRoom(ctx, changed) {
-			break
-		}
-	}
-	return placement.Plan{}, nil, false
-}
-
-// look asks the policy once, and takes the servers that it names.
-func (run *run) look(ctx context.Context, turn *pool.Turn) (placement.Plan, *pool.Use, bool) {
+// look asks the policy once by what this VM knows itself, and takes the servers that it names.
+func (run *run) look() (placement.Plan, *pool.Use, bool) {
 	gateway := run.gateway
 	servers := gateway.open(run.service, run.tried)
 	if len(servers) == 0 {
@@ -69,20 +35,11 @@
 	}
 	request := run.placementRequest()
 	plan, ok := gateway.policy.Place(servers, request)
-	if !ok && turn != nil {
-		turn.Block()
-	}
 	if !ok {
 		return placement.Plan{}, nil, false
 	}
 	use, within := gateway.pool.StartWithin(plan, request)
-	if !within {
-		return placement.Plan{}, nil, false
-	}
-	if turn != nil && !run.keeps(ctx, use) {
-		return placement.Plan{}, nil, false
-	}
-	return plan, use, true
+	return plan, use, within
 }
 
 // waitForRoom waits until a server may have room, or for a moment. It reports false
@@ -98,39 +55,6 @@
 	return ctx.Err() == nil
 }
 
-// comesNext reports whether the request may look for servers. Behind requests
-// that found none it waits a moment, since they look first.
-func (run *run) comesNext(ctx context.Context, turn *pool.Turn) bool {
-	if turn == nil {
-		return true
-	}
-	rank, next := turn.Rank()
-	if next && rank > 0 {
-		wait.For(ctx, min(time.Duration(rank)*run.gateway.settle(), run.gateway.settings.Request.Look))
-	}
-	return next
-}
-
-// keeps reports whether the servers that were taken are this request's. Two VMs
-// may take the same ones at the same moment; once each knows of the other, one
-// of them takes them back.
-func (run *run) keeps(ctx context.Context, use *pool.Use) bool {
-	wait.For(ctx, run.gateway.settle())
-	if !use.Contested() {
-		return true
-	}
-	use.Over()
-	run.account.takenBack++
-	run.gateway.logger.Info("servers taken back", "request_id", run.head.ID)
-	return false
-}
-
-// settle returns how long what one VM tells takes until all others know of it.
-func (gateway *Gateway) settle() time.Duration {
-	members, _ := gateway.exchange.Members()
-	return gateway.settings.Request.SettleTime(members)
-}
-
 // heldEnough reports whether a request that no server has seen is given up: its
 // caller has time left then to come back, and its place in the queue is free.
 func (run *run) heldEnough() bool {
@@ -147,12 +71,6 @@
 	return servers
 }
 
-// takesTurns reports whether the request waits in turn with those of other VMs.
-func (run *run) takesTurns() bool {
-	request := run.placementRequest()
-	return request.Engine != nil && request.Gap > 0 && !request.Tight()
-}
-
 func (run *run) logPlan(plan placement.Plan, waited time.Duration) {
 	helpers := make([]string, 0, len(plan.Helpers))
 	for _, helper := range plan.Helpers {
@@ -177,7 +95,6 @@
 	}
 	if run.head.Prompt != nil {
 		request.Engine = run.service.Engine
-		request.Waiting = run.gateway.pool.Waiting(run.service.Name)
 		request.Tokens = run.head.Prompt.Tokens
 		request.Memory = run.head.Prompt.Tokens + run.head.Prompt.MaxTokens
 	}
--- a/internal/gateway/rest.go
+++ b/internal/gateway/rest.go
@@ -22,19 +22,6 @@
 	return true
 }
 
-// limitTooLong reports whether the request will be late by the next look where all servers named limits, at a VM that
-// decides by itself: those that come later can still be in time.
-func (run *run) limitTooLong() bool {
-	now := run.gateway.now()
-	perSecond, limited := run.gateway.pool.TakesPerSecond(run.service.Name, run.gateway.site.VM)
-	next := now.Add(run.gateway.settings.Request.Look)
-	if !limited || next.Before(run.due(run.placementRequest().Tight())) {
-		return false
-	}
-	run.givenUp = givenUp{reason: ReasonLimited, until: now.Add(time.Duration(float64(time.Second) / perSecond))}
-	return true
-}
-
 // unplaced is why a request is given up that found no servers. Where nothing more is known it was held for long enough.
 func (run *run) unplaced() Reason {
 	return cmp.Or(run.givenUp.reason, ReasonBusy)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -247,6 +247,6 @@
 		"server", outcome.server, "broken", outcome.broken, "took", took,
 		"tokens", admitted.tokens(), "objective", route.Objective, "gap", route.Gap, "sends", run.sends,
 		"waited", run.account.waited, "placed", run.account.placed, "predicted", run.account.predicted,
-		"first", run.account.first, "pause", run.account.pause, "taken_back", run.account.takenBack,
+		"first", run.account.first, "pause", run.account.pause,
 		"version", version, "version_age", age)
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -50,15 +50,8 @@
 	Margin time.Duration `yaml:"margin" validate:"min=0,max=1s"`
 	// Look is the time between looks for a server that has room.
 	Look time.Duration `yaml:"look" validate:"min=1ms"`
-	// Settle is how long a request that takes turns waits until other VMs know
-	// of it: one datagram between data centres, and what gathers it.
-	Settle time.Duration `yaml:"settle" validate:"min=0,max=1s"`
-	// SettleVM is added for each other VM: a small one sends, and takes, that many
-	// datagrams one after the other.
-	SettleVM time.Duration `yaml:"settle_vm" validate:"min=0,max=100ms"`
-	// HoldObjectives is the multiple of its objective for which a request that takes
-	// turns is held while no server has room. Later it cannot be in time, and others
-	// wait behind it.
+	// HoldObjectives is the multiple of its objective for which a long prompt is held while no
+	// server has room. Later it cannot be in time, and others wait behind it.
 	HoldObjectives float64 `yaml:"hold_objectives" validate:"min=0.1"`
 	// HoldPart is the part of the time that its caller has for which it is held at
 	// most, so that one that came back is not held to its end for nothing.
@@ -98,11 +91,6 @@
 	RetryPart float64 `yaml:"retry_part" validate:"min=0,max=1"`
 }
 
-// SettleTime returns how long what one VM tells takes until all others know of it.
-func (settings RequestSettings) SettleTime(members int) time.Duration {
-	return settings.Settle + time.Duration(members)*settings.SettleVM
-}
-
 // silence returns after which pause a stream is given up of which shorter ones than
 // gap are in time.
 func (settings RequestSettings) silence(gap time.Duration) time.Duration {
@@ -152,8 +140,6 @@
 			RevokeMargin:   500 * time.Millisecond,
 			Margin:         20 * time.Millisecond,
 			Look:           20 * time.Millisecond,
-			Settle:         4 * time.Millisecond,
-			SettleVM:       100 * time.Microsecond,
 			HoldObjectives: 1,
 			HoldPart:       0.45,
 			LastLook:       60 * time.Millisecond,
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -39,8 +39,6 @@
 	// nextID starts anywhere, so that a VM that was started again is not taken
 	// for what it was before.
 	nextID uint64
-	// queue has the requests of all VMs that wait for servers.
-	queue []*waiting
 	// changed is closed, and replaced, when a server may have room again.
 	changed chan struct{}
 }
--- a/internal/pool/sending.go
+++ b/internal/pool/sending.go
@@ -12,8 +12,8 @@
 
 // Phases.
 const (
-	// PhaseWaiting: the request was not sent yet.
-	PhaseWaiting Phase = iota
+	// PhaseNone: nothing that this VM understands.
+	PhaseNone Phase = iota
 	// PhaseReading: no event has come yet.
 	PhaseReading
 	// PhaseWriting: events come.
@@ -26,7 +26,7 @@
 type Report struct {
 	// ID is unique to the VM that has the request.
 	ID uint64
-	// Server is the server's ID, or the service's name of a request that waits.
+	// Server is the server's ID.
 	Server string
 	Phase  Phase
 	// Work is the reading that the server does.
@@ -37,15 +37,11 @@
 	Gap time.Duration
 	// Tight says that the request counts as one with tight pauses.
 	Tight bool
-	// Helps says that the server only reads a part of the prompt. Of a request
-	// that waits it says that it fits nowhere now, so that others may go first.
+	// Helps says that the server only reads a part of the prompt.
 	Helps bool
 	// Age is how long ago the request was sent or, with HealthLost, the server was lost. It is zero where that
 	// is told for the first time. Healths of limits say what it is with them.
 	Age time.Duration
-	// Due is when a request that waits must have its first event, from now. It
-	// is below zero when that time is over.
-	Due time.Duration
 	// Pace is how long events took beside what was expected, or zero when none
 	// were seen.
 	Pace float64
@@ -95,8 +91,6 @@
 	// vm is the VM that sent it.
 	vm     string
 	sentAt time.Time
-	// learntAt is when this VM first knew of it.
-	learntAt time.Time
 	// toldAt is when the VM last told of it.
 	toldAt time.Time
 }
@@ -179,40 +173,18 @@
 func (pool *Pool) add(vm string, report Report, now time.Time) *sending {
 	server := pool.servers[report.Server]
 	if server == nil {
-		return &sending{Report: report, vm: vm, sentAt: now, learntAt: now, toldAt: now}
+		return &sending{Report: report, vm: vm, sentAt: now, toldAt: now}
 	}
 	for _, known := range server.sendings {
 		if known.vm == vm && known.ID == report.ID {
 			return known
 		}
 	}
-	added := &sending{Report: report, vm: vm, sentAt: now, learntAt: now, toldAt: now}
+	added := &sending{Report: report, vm: vm, sentAt: now, toldAt: now}
 	pool.place(server, added, now)
 	return added
 }
 
-// Contested reports whether another VM took one of the servers for a long prompt
-// at the same moment, without knowing of this one, and goes first.
-func (use *Use) Contested() bool {
-	pool := use.pool
-	pool.mu.Lock()
-	defer pool.mu.Unlock()
-	for _, id := range use.ids {
-		own := pool.own[id]
-		server := pool.servers[own.Server]
-		if server == nil {
-			continue
-		}
-		for _, other := range server.sendings {
-			if other.vm != pool.vm && other.Phase == PhaseReading && !other.Tight &&
-				!other.learntAt.Before(own.sentAt) && other.vm < own.vm {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // Read notes that the prompt is read: helpers are free, the server writes.
 func (use *Use) Read() {
 	use.pool.mu.Lock()
@@ -307,10 +279,5 @@
 		report.Age = now.Sub(own.sentAt)
 		reports = append(reports, report)
 	}
-	for _, waiting := range pool.queue {
-		if waiting.vm == pool.vm {
-			reports = append(reports, waiting.report(now))
-		}
-	}
 	return reports
 }
--- a/internal/pool/settings.go
+++ b/internal/pool/settings.go
@@ -31,9 +31,6 @@
 	// up.
 	OverdueAfter time.Duration `yaml:"overdue_after" validate:"min=10ms"`
 	OverduePart  float64       `yaml:"overdue_part" validate:"min=0"`
-	// TurnTime is how long a request of another VM may take to look when its turn
-	// came, before others go.
-	TurnTime time.Duration `yaml:"turn_time" validate:"min=10ms"`
 	// HiddenMin is for how long memory counts that a server has in use and no VM told of. It
 	// doubles each time that it is so again, up to HiddenMax, which is as long as memory stays
 	// set aside without being renewed (reservation.Settings.Hold).
@@ -68,7 +65,6 @@
 		SlowTimes:    2.2,
 		OverdueAfter: 200 * time.Millisecond,
 		OverduePart:  0.3,
-		TurnTime:     60 * time.Millisecond,
 		HiddenMin:    100 * time.Millisecond,
 		HiddenMax:    3500 * time.Millisecond,
 		RemoteTime:   1600 * time.Millisecond,
--- a/internal/pool/told.go
+++ b/internal/pool/told.go
@@ -18,8 +18,7 @@
 
 // told takes over one report, and tells whether it may have made room.
 func (pool *Pool) told(vm string, report Report, now time.Time) bool {
-	if report.Phase == PhaseWaiting {
-		pool.toldWaiting(vm, report, now)
+	if report.Phase == PhaseNone {
 		return false
 	}
 	if report.Health != HealthUntold {
@@ -28,9 +27,7 @@
 	}
 	server := pool.servers[report.Server]
 	if server == nil {
-		// A request that waited, or a server that this VM does not know.
-		pool.leaveQueue(func(waiting *waiting) bool { return waiting.vm == vm && waiting.id == report.ID })
-		return report.Phase == PhaseOver
+		return false
 	}
 	for _, known := range server.sendings {
 		if known.vm != vm || known.ID != report.ID {
@@ -57,7 +54,7 @@
 	}
 	if report.Phase != PhaseOver {
 		pool.place(server, &sending{
-			Report: report, vm: vm, sentAt: now.Add(-report.Age), learntAt: now, toldAt: now,
+			Report: report, vm: vm, sentAt: now.Add(-report.Age), toldAt: now,
 		}, now)
 	}
 	return false
