exchange: VMs tell those that decide, the other way to tell goes

From two VMs on some decide for all, and a VM alone tells nobody: that all live VMs tell each other, through one of each data centre where there are many, was used behind the setting coordinate_from only. It goes, with relay_from, hello (its other use, the time of the register's answer, is called patience) and two test settings. The datagram's mark for relays is reserved.

--- a/internal/exchange/coordinators.go
+++ b/internal/exchange/coordinators.go
@@ -14,23 +14,12 @@
 // coordinatorOrder names the order of VMs that decide for others.
 const coordinatorOrder = "coordinator"
 
-// Coordinated reports whether some VMs decide for all.
-func (exchange *Exchange) Coordinated() bool {
-	exchange.mu.Lock()
-	defer exchange.mu.Unlock()
-	return exchange.coordinated()
-}
-
-func (exchange *Exchange) coordinated() bool {
-	return exchange.known() >= exchange.settings.CoordinateFrom
-}
-
 // Judges reports whether this VM is told what all others see of servers: it is one of those that
-// decide, or hears of none.
+// decide, as one alone is.
 func (exchange *Exchange) Judges() bool {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
-	return !exchange.coordinated() || exchange.decides(exchange.self.VM)
+	return exchange.decides(exchange.self.VM)
 }
 
 // Coordinators returns the VMs that may be asked for servers, the best one first. This
@@ -193,15 +182,11 @@
 	return peers, uint32(exchange.known()), uint32(exchange.members()) //nolint:gosec // VMs
 }
 
-// watched returns the VMs that this one keeps in touch with where some decide for all:
-// these, those that read the store in its own data centre, and some before them in the
-// order that are away. It reports false where all VMs tell each other.
-func (exchange *Exchange) watched() ([]net.Addr, bool) {
+// watched returns the VMs that this one keeps in touch with: those that decide, those that
+// read the store in its own data centre, and some before them in the order that are away.
+func (exchange *Exchange) watched() []net.Addr {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
-	if !exchange.coordinated() {
-		return nil, false
-	}
 	watched := make(map[string]bool)
 	chosen, away := exchange.survey()
 	readers, awayHere := exchange.readers()
@@ -214,7 +199,7 @@
 	for vm := range watched {
 		addresses = append(addresses, exchange.peers[vm].address)
 	}
-	return addresses, true
+	return addresses
 }
 
 // readers returns the first VMs of this data centre that are live and read the store, with
@@ -265,11 +250,10 @@
 // greeted returns the VMs that are told of this one when it starts. One that others may
 // ask, or read the store through, must be known to all.
 func (exchange *Exchange) greeted() []net.Addr {
-	watched, coordinated := exchange.watched()
-	if !coordinated || exchange.prominent() {
+	if exchange.prominent() {
 		return exchange.everyone()
 	}
-	return watched
+	return exchange.watched()
 }
 
 // prominent reports whether others may ask this VM: it is among the first in the order,
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -127,10 +127,6 @@
 // Publish implements pool.Publisher. It never blocks.
 func (exchange *Exchange) Publish(report pool.Report) {
 	exchange.mu.Lock()
-	if report.Health != pool.HealthUntold && !exchange.coordinated() {
-		exchange.mu.Unlock()
-		return // where each VM decides for itself it goes by what it saw itself
-	}
 	exchange.pending = append(exchange.pending, report)
 	exchange.mu.Unlock()
 	select {
@@ -216,7 +212,7 @@
 	return group.Wait()
 }
 
-// tellChanges tells live VMs of changes as they come.
+// tellChanges tells the VMs that decide of changes as they come.
 func (exchange *Exchange) tellChanges(ctx context.Context) {
 	for {
 		select {
@@ -229,28 +225,13 @@
 		reports := exchange.pending
 		exchange.pending = nil
 		exchange.mu.Unlock()
-		exchange.send(exchange.route(), reports, false)
+		exchange.send(exchange.deciding(), reports, false)
 	}
 }
 
-// tellAll tells of all that is under way at intervals, and greets VMs that are
-// away less often.
+// tellAll tells of all that is under way at intervals, and greets some VMs that are away.
 func (exchange *Exchange) tellAll(ctx context.Context, sink Sink) {
-	greeted := exchange.now()
 	for wait.For(ctx, exchange.settings.Repeat) {
-		now := exchange.now()
-		greet := now.Sub(greeted) >= exchange.settings.Hello
-		if greet {
-			greeted = now
-		}
-		reports := sink.Own()
-		if watched, coordinated := exchange.watched(); coordinated {
-			exchange.sendAll(watched, reports, sink.Quarantined())
-			continue
-		}
-		exchange.send(exchange.route(), reports, false)
-		if greet {
-			exchange.send(targets{direct: exchange.away()}, reports, false)
-		}
+		exchange.sendAll(exchange.watched(), sink.Own(), sink.Quarantined())
 	}
 }
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -52,10 +52,6 @@
 	exchange.epochs.Hint(epoch.Number(update.GetEpoch()))
 	exchange.reply(update, address, returned, sink)
 	exchange.greetNamed(update.GetPeers())
-	if update.GetRelay() {
-		update.Relay = false
-		exchange.sendTo(exchange.neighbours(update.GetVm()), update)
-	}
 	if len(update.GetSendings()) > 0 {
 		sink.Told(update.GetVm(), decode(update.GetSendings()))
 	}
@@ -97,7 +93,7 @@
 		addresses = append(addresses, known.address)
 	}
 	exchange.mu.Unlock()
-	exchange.send(targets{direct: addresses}, nil, true)
+	exchange.send(addresses, nil, true)
 }
 
 // located is a VM as a datagram names it.
@@ -159,14 +155,10 @@
 // started again before its silence was noticed: it is told of all at once, since it knows nothing.
 func (exchange *Exchange) reply(update *wire.LoadUpdate, address net.Addr, returned bool, sink Sink) {
 	exchange.mu.Lock()
-	coordinated := exchange.coordinated()
-	decides := coordinated && (returned || update.GetHello()) && exchange.decides(update.GetVm())
+	decides := (returned || update.GetHello()) && exchange.decides(update.GetVm())
 	exchange.mu.Unlock()
-	switch {
-	case update.GetPing(), coordinated && update.GetHello():
+	if update.GetPing() || update.GetHello() {
 		exchange.pong(address, sink)
-	case !coordinated && (returned || update.GetHello()):
-		exchange.send(targets{direct: []net.Addr{address}}, sink.Own(), false)
 	}
 	if decides {
 		exchange.sendAll([]net.Addr{address}, sink.Own(), sink.Quarantined())
--- a/internal/exchange/register.go
+++ b/internal/exchange/register.go
@@ -46,7 +46,7 @@
 // would take turns for a second. One that enters lists again, since others may do so at
 // the same time.
 func (exchange *Exchange) enterOnce(ctx context.Context) error {
-	bounded, cancel := context.WithTimeout(ctx, exchange.settings.Hello)
+	bounded, cancel := context.WithTimeout(ctx, exchange.settings.Patience)
 	defer cancel()
 	entered := false
 	if !exchange.self.First {
@@ -81,7 +81,7 @@
 	exchange.mu.Unlock()
 	current, told := exchange.epochs.Current()
 	exchange.logger.Info("register read", "members", len(members), "epoch", current, "epoch_told", told)
-	exchange.send(targets{direct: exchange.greeted()}, nil, true)
+	exchange.send(exchange.greeted(), nil, true)
 }
 
 // wakeTime is for how long a VM that wakes up takes others to be there that it heard just before it was suspended: they
@@ -100,7 +100,7 @@
 		}
 	}
 	exchange.mu.Unlock()
-	exchange.send(targets{direct: exchange.greeted()}, nil, true)
+	exchange.send(exchange.greeted(), nil, true)
 }
 
 // know takes a VM into the peers.
@@ -147,7 +147,7 @@
 
 // enterAgain lists the VMs, and enters this one if it is not there.
 func (exchange *Exchange) enterAgain(ctx context.Context) error {
-	bounded, cancel := context.WithTimeout(ctx, exchange.settings.Hello)
+	bounded, cancel := context.WithTimeout(ctx, exchange.settings.Patience)
 	defer cancel()
 	members, err := exchange.register.List(bounded)
 	if err != nil {
--- a/internal/exchange/role.go
+++ b/internal/exchange/role.go
@@ -84,12 +84,12 @@
 	)
 }
 
-// neighbourhood returns the other VMs of this data centre: the live ones or, where some
-// VMs decide for all and most others are not heard, all that are known.
+// neighbourhood returns the other VMs of this data centre that are known. Most of them are not heard, since VMs tell those
+// that decide.
 func (exchange *Exchange) neighbourhood() []*peer {
 	var neighbours []*peer
 	for _, peer := range exchange.peers {
-		if peer.DataCentre == exchange.self.DataCentre && (exchange.coordinated() || exchange.live(peer)) {
+		if peer.DataCentre == exchange.self.DataCentre {
 			neighbours = append(neighbours, peer)
 		}
 	}
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -13,8 +13,8 @@
 )
 
 // send sends reports, in as many datagrams as they take.
-func (exchange *Exchange) send(targets targets, reports []pool.Report, hello bool) {
-	if targets.empty() {
+func (exchange *Exchange) send(addresses []net.Addr, reports []pool.Report, hello bool) {
+	if len(addresses) == 0 {
 		return
 	}
 	for _, update := range exchange.updates(reports) {
@@ -23,11 +23,7 @@
 			update.DataCentre = exchange.self.DataCentre
 			update.Capacity = uint32(exchange.self.Capacity) //nolint:gosec // a link's
 		}
-		exchange.sendTo(targets.direct, update)
-		if len(targets.relays) > 0 {
-			update.Relay = true
-			exchange.sendTo(targets.relays, update)
-		}
+		exchange.sendTo(addresses, update)
 	}
 }
 
--- a/internal/exchange/settings.go
+++ b/internal/exchange/settings.go
@@ -10,21 +10,12 @@
 	Repeat time.Duration `yaml:"repeat" validate:"min=10ms"`
 	// Silence is after how long without a datagram a VM counts as away.
 	Silence time.Duration `yaml:"silence" validate:"min=10ms"`
-	// Hello is the time between datagrams to VMs that are away.
-	Hello time.Duration `yaml:"hello" validate:"min=10ms"`
+	// Patience is how long the register may take to answer.
+	Patience time.Duration `yaml:"patience" validate:"min=10ms"`
 	// Register is the time between tries to enter the register.
 	Register time.Duration `yaml:"register" validate:"min=10ms"`
 	// Reenter is the time over which all VMs look whether the register still has them, after it came back older.
 	Reenter time.Duration `yaml:"reenter" validate:"min=10ms"`
-	// RelayFrom is how many live VMs another data centre must have for one of
-	// them to pass on there what it is told, so that what goes between data
-	// centres does not grow with the VMs. With the two or three of a data centre
-	// today a relay would save nothing and could lose something.
-	RelayFrom int `yaml:"relay_from" validate:"min=2"`
-	// CoordinateFrom is from how many known VMs on some of them decide for all: what
-	// each VM tells goes to these only. Told to all it grows with the square of the VMs, and
-	// no VM knows what waits at the others, so that under overload each lets too many wait.
-	CoordinateFrom int `yaml:"coordinate_from" validate:"min=2"`
 	// Coordinators is how many VMs are told of all that is under way, so that one
 	// decides and the others can go on for it.
 	Coordinators int `yaml:"coordinators" validate:"min=1"`
@@ -43,17 +34,15 @@
 // DefaultSettings returns settings for today's six to eight VMs.
 func DefaultSettings() Settings {
 	return Settings{
-		Gather:         time.Millisecond,
-		Repeat:         500 * time.Millisecond,
-		Silence:        1600 * time.Millisecond,
-		Hello:          2 * time.Second,
-		Register:       500 * time.Millisecond,
-		Reenter:        10 * time.Second,
-		RelayFrom:      5,
-		CoordinateFrom: 2,
-		Coordinators:   3,
-		Warm:           1200 * time.Millisecond,
-		Readers:        3,
-		Greet:          4,
+		Gather:       time.Millisecond,
+		Repeat:       500 * time.Millisecond,
+		Silence:      1600 * time.Millisecond,
+		Patience:     2 * time.Second,
+		Register:     500 * time.Millisecond,
+		Reenter:      10 * time.Second,
+		Coordinators: 3,
+		Warm:         1200 * time.Millisecond,
+		Readers:      3,
+		Greet:        4,
 	}
 }
