--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -149,10 +149,14 @@
 	loses func(to string) bool
 	// frozen is closed when the VM wakes up, or nil.
 	frozen chan struct{}
+	// sent counts the datagrams that it sent, and bytes what they have.
+	sent, bytes int
 }
 
 func (strikableconn *strikableConn) WriteTo(data []byte, to net.Addr) (int, error) {
 	strikableconn.mu.Lock()
+	strikableconn.sent++
+	strikableconn.bytes += len(data)
 	lost := strikableconn.frozen != nil || (strikableconn.loses != nil && strikableconn.loses(to.String()))
 	strikableconn.mu.Unlock()
 	if lost {
--- a/internal/coordinator/limits_test.go
+++ b/internal/coordinator/limits_test.go
@@ -299,3 +299,44 @@
 		})
 	}
 }
+
+// TestCostOfLimits compares what VMs tell each other while one of three servers is limited with what they tell without:
+// the load is the same, and so is about all that is told.
+func TestCostOfLimits(t *testing.T) {
+	for _, vms := range []int{6, 76, 295} {
+		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
+			t.Parallel()
+			sent, bytes := toldBy(t, vms, -1)
+			limitedSent, limitedBytes := toldBy(t, vms, 1.4)
+			t.Logf("%.1f datagrams and %.0f bytes a second of each VM, %.1f and %.0f with a limit", sent, bytes, limitedSent, limitedBytes)
+			const more = 1.1
+			assert.Check(t, limitedSent <= more*sent && limitedBytes <= more*bytes)
+		})
+	}
+}
+
+// toldBy returns how many datagrams and bytes each VM sends a second while one of three servers names a limit, or none does.
+func toldBy(t *testing.T, vms int, limit float64) (sent, bytes float64) {
+	t.Helper()
+	inFleet(t, vms, 3, func(fleet *fleet) {
+		fleet.servers[0].setLimit(limit)
+		const long = 10 * time.Second
+		datagrams, size := fleet.told()
+		fleet.play(60, long)
+		after, sizeAfter := fleet.told()
+		each := float64(vms) * long.Seconds()
+		sent, bytes = float64(after-datagrams)/each, float64(sizeAfter-size)/each
+	})
+	return sent, bytes
+}
+
+// told returns how many datagrams and bytes all VMs sent.
+func (fleet *fleet) told() (datagrams, bytes int) {
+	for _, vm := range fleet.vms {
+		vm.conn.mu.Lock()
+		datagrams += vm.conn.sent
+		bytes += vm.conn.bytes
+		vm.conn.mu.Unlock()
+	}
+	return datagrams, bytes
+}
