--- a/internal/dispatch/limited.go
+++ b/internal/dispatch/limited.go
@@ -34,8 +34,8 @@
 	return count
 }
 
-// refusal returns that of a request at servers which take so many requests a second. Callers are told to return in turns, as far apart as servers take
-// requests, so that each finds a place if no others come.
+// refusal returns that of a request at servers which take so many requests a second. Callers are told to return in turns,
+// as far apart as servers take requests, so that each finds a place if no others come.
 func (queue *Queue) refusal(request *Request, perSecond float64, now time.Time) Refusal {
 	earliest := now.Add(request.untilPlaced(now))
 	next := queue.returns[request.Service]
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -48,6 +48,11 @@
 	return world
 }
 
+// Start notes that a request goes to the servers of a plan.
+func (world *world) Start(plan placement.Plan, request placement.Request) *pool.Use {
+	return world.StartAs(world.ReserveID(), plan, request)
+}
+
 func (world *world) pass(duration time.Duration) {
 	world.now = world.now.Add(duration)
 }
--- a/internal/pool/sending.go
+++ b/internal/pool/sending.go
@@ -108,20 +108,15 @@
 	expected time.Duration
 }
 
-// Start notes that a request goes to the servers of a plan.
-func (pool *Pool) Start(plan placement.Plan, request placement.Request) *Use {
-	return pool.StartAs(pool.ReserveID(), plan, request)
-}
-
-// StartAs is Start for a request with a number that was reserved.
+// StartAs notes that a request with a number that was reserved goes to the servers of a plan.
 func (pool *Pool) StartAs(id uint64, plan placement.Plan, request placement.Request) *Use {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	return pool.start(id, plan, request)
 }
 
-// StartWithin is Start for a plan of a VM that decides by itself. It reports false if a server of the plan got as much as
-// its limit lets through since the VM looked: requests that look in the same moment all see the same room.
+// StartWithin notes that a request goes to the servers of a plan that a VM made by itself. It reports false if one of them got
+// as much as its limit lets through since the VM looked: requests that look in the same moment all see the same room.
 func (pool *Pool) StartWithin(plan placement.Plan, request placement.Request) (*Use, bool) {
 	id := pool.ReserveID()
 	pool.mu.Lock()
