pool: what limits a service has costs nothing where there is none

For each request that waits, in each pass, the VM that decides asks what the servers take; it reckoned its share of limits, over all VMs, before it looked whether a server is limited at all. The answers are the same.

--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -165,10 +165,9 @@
 	return limit
 }
 
-// PerSecond is how many requests a second the server gets now of those who may use a share of the limit, and false where
-// that is as many as it can.
-func (limit Limit) PerSecond(share float64, now time.Time) (float64, bool) {
-	return limit.rate(share, now), limit.Holds(now)
+// PerSecond is how many requests a second a server whose limit holds gets now of those who may use a share of it.
+func (limit Limit) PerSecond(share float64, now time.Time) float64 {
+	return limit.rate(share, now)
 }
 
 // Available is how many requests the server takes now of those who may use a share of the limit.
--- a/internal/pool/bench_test.go
+++ b/internal/pool/bench_test.go
@@ -57,3 +57,24 @@
 		servers.Open(service, nil)
 	}
 }
+
+// busyFleet takes as long to tell the share as it does among many VMs.
+type busyFleet struct{ unheard }
+
+func (busyFleet) Share() float64 {
+	heard := make(map[int]time.Time)
+	for vm := range 300 {
+		heard[vm] = time.Now()
+	}
+	return float64(len(heard)) / 300
+}
+
+// BenchmarkTakesPerSecond asks what servers take of which none is limited, as it is asked for each request that waits.
+func BenchmarkTakesPerSecond(b *testing.B) {
+	servers := pool.New(pool.DefaultSettings(), "vm-1", busyFleet{}, slog.New(slog.DiscardHandler), time.Now)
+	servers.Replace(listedUpTo(600))
+	b.ReportAllocs()
+	for b.Loop() {
+		servers.TakesPerSecond("engines", "vm-1")
+	}
+}
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -157,11 +157,10 @@
 		if !pool.takes(server, now) || rests {
 			continue
 		}
-		perSecond, limited := server.limit.PerSecond(share(), now)
-		if !limited {
+		if !server.limit.Holds(now) {
 			return 0, false
 		}
-		total += perSecond
+		total += server.limit.PerSecond(share(), now)
 	}
 	return total, total > 0
 }
