exchange: how many VMs are heard is counted with one look at the clock

Each VM that asks whether it is heard is told how many VMs the one that decides hears, since limits are shared; the count read the clock for each of them. The count is the same.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -166,9 +166,10 @@
 
 // heardWithin returns how many VMs were heard within a time, this one among them.
 func (exchange *Exchange) heardWithin(within time.Duration) int {
+	oldest := exchange.now().Add(-within)
 	count := 1
 	for _, peer := range exchange.peers {
-		if !peer.heard.IsZero() && exchange.now().Sub(peer.heard) < within {
+		if peer.heard.After(oldest) {
 			count++
 		}
 	}
