pool: VMs tell of limits without a look at all servers

Twice a second each VM looked through all servers for limits to tell of. The servers that named limits are kept by themselves now. What is told is the same.

--- a/internal/pool/bench_test.go
+++ b/internal/pool/bench_test.go
@@ -78,3 +78,13 @@
 		servers.TakesPerSecond("engines", "vm-1")
 	}
 }
+
+// BenchmarkOwnLimits tells of limits where there are none, as each VM does twice a second.
+func BenchmarkOwnLimits(b *testing.B) {
+	servers := pool.New(pool.DefaultSettings(), "vm-1", unheard{}, slog.New(slog.DiscardHandler), time.Now)
+	servers.Replace(listedUpTo(3000))
+	b.ReportAllocs()
+	for b.Loop() {
+		servers.OwnLimits(false)
+	}
+}
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -40,6 +40,7 @@
 		return false
 	}
 	server.limit = limit
+	pool.limits[id] = server
 	if changed {
 		pool.logger.Info("server limited", "server", id, "per_second", perSecond, "told_by", toldBy)
 	}
@@ -93,13 +94,16 @@
 	defer pool.mu.Unlock()
 	now := pool.now()
 	var reports []Report
-	for id, server := range pool.servers {
-		statement, known := server.limit.Statement()
+	for id, server := range pool.limits {
+		statement, _ := server.limit.Statement()
 		age := now.Sub(statement.At)
 		lately := age <= limitToldFor
-		if known && (lately || (all && statement.Named)) {
+		if lately || (all && statement.Named) {
 			reports = append(reports, reportOf(id, statement, age))
 		}
+		if !lately && !statement.Named {
+			delete(pool.limits, id)
+		}
 	}
 	return reports
 }
@@ -118,7 +122,7 @@
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	limited := 0
-	for _, server := range pool.servers {
+	for _, server := range pool.limits {
 		if server.limit.Named() {
 			limited++
 		}
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -144,6 +144,7 @@
 	for id, server := range pool.servers {
 		if (server.replaced || pool.gone(server, now)) && len(server.sendings) == 0 {
 			delete(pool.servers, id)
+			delete(pool.limits, id)
 			continue
 		}
 		service := server.entry.Service
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -36,6 +36,8 @@
 	returned   time.Time
 	own        map[uint64]*sending
 	rests      backpressure.Rests
+	// limits has the servers that named limits, by their IDs, so that no look at all of them is needed to tell of these.
+	limits map[string]*server
 	// nextID starts anywhere, so that a VM that was started again is not taken
 	// for what it was before.
 	nextID uint64
@@ -63,6 +65,7 @@
 		byService: make(map[string][]*server),
 		own:       make(map[uint64]*sending),
 		rests:     make(backpressure.Rests),
+		limits:    make(map[string]*server),
 		nextID:    rand.Uint64(), //nolint:gosec // no secret
 		changed:   make(chan struct{}),
 	}
