gateway, pool, platform: servers of a data centre that is evacuated get nothing

What callers and servers saw: the operator's wish that a data centre's servers get nothing was read by no VM; they went on getting requests as before.

Cause: the operator's topic was read for one key, the configuration. All other keys were passed over.

Change: what the operator states under a key is one type, a configuration or an evacuation, read by one follower, so that an evacuation has what a configuration has: the epoch of the store, reading through other VMs, proof of its age. Where no other server is left callers are told at once (servers_evacuated). The bound within which VMs hear is the least of those on configurations and evacuations.

Ruled out: a follower of its own for evacuations would read the store twice.

Left: a request that waits already when all data centres are evacuated is held until its time.

--- a/internal/gateway/elsewhere.go
+++ b/internal/gateway/elsewhere.go
@@ -19,7 +19,7 @@
 		defer cancel()
 		ctx = bounded
 	}
-	for !run.restTooLong() {
+	for !run.hopeless() {
 		changed := gateway.pool.Changed()
 		plan, use, placed := run.ask(ctx)
 		if !placed && !run.refused && ctx.Err() == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,7 +52,7 @@
 
 // Sources are where a gateway learns what it believes.
 type Sources struct {
-	Configuration follower.Source[*catalog.Catalog]
+	Configuration follower.Source[catalog.Statement]
 	Servers       follower.Source[directory.Entry]
 	Register      exchange.Register
 	Quarantine    quarantine.Store
@@ -76,7 +76,7 @@
 	started time.Time
 
 	belief        *belief
-	configuration *follower.Follower[*catalog.Catalog]
+	configuration *follower.Follower[catalog.Statement]
 	directory     *follower.Follower[directory.Entry]
 	exchange      *exchange.Exchange
 	// tails has what is read, by the names of the sources, for other VMs.
@@ -130,6 +130,7 @@
 		First: site.First,
 	}
 	exchange := exchange.New(settings.Exchange, self, packets, sources.Register, sources.Epochs, logger, now)
+	servers := pool.New(settings.Pool, site.VM, exchange, logger, now)
 	life, end := context.WithCancelCause(context.Background())
 	gateway := &Gateway{
 		settings: settings,
@@ -139,10 +140,10 @@
 		logger:   logger,
 		clock:    clock,
 		now:      now,
-		belief:   newBelief(logger),
+		belief:   newBelief(servers, logger),
 		started:  now(),
 		exchange: exchange,
-		pool:     pool.New(settings.Pool, site.VM, exchange, logger, now),
+		pool:     servers,
 		policy:   newPolicy(settings),
 		idle:     newIdleConnections(now),
 		returns:  newReturns(now),
@@ -160,7 +161,7 @@
 	gateway.metrics = newMetrics(gateway)
 	gateway.bounds.Store(&site.Bounds)
 	transport := network.NewTransport(system)
-	bound := func() time.Duration { return gateway.bounds.Load().Apply }
+	bound := func() time.Duration { return gateway.bounds.Load().Known() }
 	reading := settings.Feed
 	if site.First {
 		reading.Meet = reading.MeetFirst
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -31,6 +31,7 @@
 	ReasonBusy            Reason = "servers_busy"
 	ReasonResting         Reason = "servers_rest"
 	ReasonLimited         Reason = "servers_limited"
+	ReasonEvacuated       Reason = "servers_evacuated"
 	ReasonStopping        Reason = "stopping"
 	ReasonCrashesServers  Reason = "crashes_servers"
 	ReasonCallerGone      Reason = "caller_gone"
--- a/internal/gateway/rest.go
+++ b/internal/gateway/rest.go
@@ -22,6 +22,16 @@
 	return true
 }
 
+// hopeless reports whether no server will take the request in time, so that it is given up at once. Servers of data
+// centres that the operator empties take nothing for longer than callers wait.
+func (run *run) hopeless() bool {
+	if run.gateway.pool.AllEvacuated(run.service) {
+		run.givenUp = givenUp{reason: ReasonEvacuated}
+		return true
+	}
+	return run.restTooLong()
+}
+
 // unplaced is why a request is given up that found no servers. Where nothing more is known it was held for long enough.
 func (run *run) unplaced() Reason {
 	return cmp.Or(run.givenUp.reason, ReasonBusy)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -286,6 +286,8 @@
 		return run.gateway.quarantine.Kept(run.fingerprint)
 	case ReasonResting:
 		return run.givenUp.until.Sub(run.gateway.now()) + run.gateway.retryAfter()
+	case ReasonEvacuated:
+		return run.gateway.storeRetryAfter() // as the store's, the operator's work takes seconds
 	case ReasonLimited:
 		return max(run.givenUp.until.Sub(run.gateway.now()), run.gateway.settings.Request.RetryAfterMin)
 	default:
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -29,6 +29,8 @@
 type Bounds struct {
 	// Apply is how long after it was accepted a configuration must be in force.
 	Apply time.Duration
+	// Evacuate is the same for the wish that a data centre's servers get nothing, or zero where that is not told.
+	Evacuate time.Duration
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
 	// Revoke is how long after its removal a key may still be served.
@@ -43,3 +45,11 @@
 	// HoldMax is the longest time for which memory may be set aside at once.
 	HoldMax time.Duration
 }
+
+// Known is within what time all that the operator states must be known.
+func (bounds Bounds) Known() time.Duration {
+	if bounds.Evacuate == 0 {
+		return bounds.Apply
+	}
+	return min(bounds.Apply, bounds.Evacuate)
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -135,9 +135,14 @@
 
 // list puts a server's entry into the store.
 func (world *world) list(id, service, address, state string) {
-	value, err := json.Marshal(map[string]any{
+	world.listWith(id, map[string]any{
 		"service": service, "address": address, "zone": "north", "slots": 16, "state": state,
 	})
+}
+
+// listWith puts a server's entry with these fields into the store.
+func (world *world) listWith(id string, fields map[string]any) {
+	value, err := json.Marshal(fields)
 	assert.NilError(world.t, err)
 	world.store.Put("keyed.servers", id, value)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -34,8 +34,10 @@
 	// when it last came back.
 	sourceLost bool
 	returned   time.Time
-	own        map[uint64]*sending
-	rests      backpressure.Rests
+	// evacuated has the data centres whose servers get nothing, as the operator wishes.
+	evacuated []string
+	own       map[uint64]*sending
+	rests     backpressure.Rests
 	// limits has the servers that named limits, by their IDs, so that no look at all of them is needed to tell of these.
 	limits map[string]*server
 	// nextID starts anywhere, so that a VM that was started again is not taken
@@ -134,6 +136,11 @@
 
 // takes reports whether a server may get requests.
 func (pool *Pool) takes(server *server, now time.Time) bool {
+	return !pool.isEvacuated(server) && pool.stays(server, now)
+}
+
+// stays reports whether a server may get requests but for an evacuation.
+func (pool *Pool) stays(server *server, now time.Time) bool {
 	out := server.entry.Leaving || server.closed || server.replaced || server.spoilt
 	return !out && !pool.gone(server, now)
 }
--- a/internal/pool/status.go
+++ b/internal/pool/status.go
@@ -35,6 +35,8 @@
 	ListingReplaced = "replaced"
 	ListingSpoilt   = "entry is bad"
 	ListingClosed   = "address is another's"
+	// ListingEvacuated is that of a listed server whose data centre is evacuated.
+	ListingEvacuated = "evacuated"
 )
 
 // RestStatus is a rest of a server from one VM.
@@ -64,7 +66,7 @@
 		view := server.view(now, pool.settings)
 		list = append(list, ServerStatus{
 			ID: id, Service: server.entry.Service, Address: server.entry.Address, DataCentre: server.entry.DataCentre,
-			Listing: server.listing(), Running: view.Running, Suspect: view.Suspect, LeavingToldBy: server.leavingToldBy,
+			Listing: pool.listing(server), Running: view.Running, Suspect: view.Suspect, LeavingToldBy: server.leavingToldBy,
 			Rests: pool.restsOf(id, now), Limit: limitStatus(server.limit, pool.publisher.Share(), now),
 		})
 	}
@@ -74,7 +76,7 @@
 	return list
 }
 
-func (server *server) listing() string {
+func (pool *Pool) listing(server *server) string {
 	switch {
 	case server.replaced:
 		return ListingReplaced
@@ -84,6 +86,8 @@
 		return ListingSpoilt
 	case !server.missingSince.IsZero():
 		return ListingMissing
+	case pool.isEvacuated(server):
+		return ListingEvacuated
 	default:
 		return ListingListed
 	}
