pool: what cold servers bear is kept over all VMs

Cause: how long a server is cold stood in its entry and was decoded for its type alone; how many requests a second it bears then, in the configuration, was not decoded.

Change: a cold server has a second backpressure.Limit beside the one that it may name, kept by the VM that decides, with its parts for VMs that are cut off; both must let a request through, so the smaller one binds. Its end is the VM's own clock's, from when the entry was heard; an entry that is read anew in a whole list does not make the server cold again. A nil pointer stands for a warm one, so that a look at warm servers reads nothing more.

Left: health answers, which tell the same, are not asked for; how much slower a cold engine reads is learnt from its pace alone.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -90,6 +90,11 @@
 	return service, ok
 }
 
+// Services returns all services.
+func (catalog *Catalog) Services() []Service {
+	return catalog.configuration.Services
+}
+
 // Organisation returns the organisation that holds key.
 func (catalog *Catalog) Organisation(key string) (*Organisation, bool) {
 	organisation, ok := catalog.byKey[sha256.Sum256([]byte(key))]
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -8,6 +8,9 @@
 	// MaxConnections is how many connections one server takes from all VMs
 	// together.
 	MaxConnections int
+	// ColdPerSecond is how many requests a second one server takes from all VMs together while it is cold, or zero for as
+	// many as ever.
+	ColdPerSecond float64
 	// ShortestGap is the shortest pause between events that is in time among the routes
 	// to the service, or zero when none states one. New reckons it.
 	ShortestGap time.Duration
--- a/internal/cmd/serverscmd.go
+++ b/internal/cmd/serverscmd.go
@@ -39,10 +39,10 @@
 	fmt.Fprintf(w, "VM\t%s\nVMs heard\t%d\ndecides\t%s\nepoch of the store\t%d%s\n\n",
 		status.VM, status.Members, cmp.Or(strings.Join(status.Coordinators, ", "), "nobody"),
 		status.Epoch, ago(", rose %.0f s ago", status.EpochSeconds))
-	fmt.Fprintln(w, "SERVER\tSERVICE\tLISTING\tRUNNING\tSUSPECT\tLEAVING\tRESTS FROM\tLIMIT")
+	fmt.Fprintln(w, "SERVER\tSERVICE\tLISTING\tRUNNING\tSUSPECT\tLEAVING\tRESTS FROM\tLIMIT\tCOLD")
 	for _, server := range status.Servers {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%t\t%s\t%s\t%s\n", server.ID, server.Service, server.Listing, server.Running, server.Suspect,
-			leavingText(server), restsText(server.Rests), limitText(server.Limit))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%t\t%s\t%s\t%s\t%s\n", server.ID, server.Service, server.Listing, server.Running, server.Suspect,
+			leavingText(server), restsText(server.Rests), limitText(server.Limit), cmp.Or(ago("%.1f s more", server.ColdSeconds), nothing))
 	}
 	if len(status.Kept) == 0 {
 		return
--- a/internal/cmd/serverscmd_test.go
+++ b/internal/cmd/serverscmd_test.go
@@ -22,6 +22,7 @@
 			{ID: "s1", Service: "engines", Listing: pool.ListingListed, Running: 4, Limit: &pool.LimitStatus{PerSecond: 1.4, SaidSeconds: 7, Available: 0.5}},
 			{ID: "s2", Service: "engines", Listing: pool.ListingMissing, LeavingToldBy: "vm-3"},
 			{ID: "s3", Service: "plain", Listing: pool.ListingListed, Rests: []pool.RestStatus{{VM: "vm-1", Seconds: 2.5}}},
+			{ID: "s4", Service: "plain", Listing: pool.ListingEvacuated, ColdSeconds: 1.25},
 		},
 		Kept: []gateway.KeptStatus{{Fingerprint: "17", Seconds: 540, Times: 1}},
 	}
@@ -45,10 +46,11 @@
 decides             vm-2, vm-1
 epoch of the store  2, rose 61 s ago
 
-SERVER  SERVICE  LISTING  RUNNING  SUSPECT  LEAVING  RESTS FROM  LIMIT
-s1      engines  listed   4        false    -        -           1.4/s, takes 0.5, said 7 s ago
-s2      engines  missing  0        false    by vm-3  -           -
-s3      plain    listed   0        false    -        vm-1 2.5 s  -
+SERVER  SERVICE  LISTING    RUNNING  SUSPECT  LEAVING  RESTS FROM  LIMIT                           COLD
+s1      engines  listed     4        false    -        -           1.4/s, takes 0.5, said 7 s ago  -
+s2      engines  missing    0        false    by vm-3  -           -                               -
+s3      plain    listed     0        false    -        vm-1 2.5 s  -                               -
+s4      plain    evacuated  0        false    -        -           -                               1.2 s more
 
 REQUEST KEPT FROM SERVERS  FOR    FOUND
 17                         540 s  1 times
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -18,6 +18,8 @@
 	Slots int
 	// Leaving says that nothing new may go there.
 	Leaving bool
+	// ColdLeft is for how much longer it was cold when that was written, or zero. A cold server bears few requests.
+	ColdLeft time.Duration
 }
 
 // Newer reports whether an entry is of a later moment than another one of its key: of a later start, or of the same one
--- a/internal/gateway/belief.go
+++ b/internal/gateway/belief.go
@@ -11,9 +11,12 @@
 	"github.com/mastwinch/mastwinch/internal/follower"
 )
 
-// evacuationListener is told which data centres' servers are to get nothing.
-type evacuationListener interface {
+// statementListener is told of what the operator states of servers.
+type statementListener interface {
+	// Evacuate takes the data centres whose servers are to get nothing.
 	Evacuate(dataCentres []string)
+	// Configure takes the services of the configuration in force.
+	Configure(services []catalog.Service)
 }
 
 // belief is what this VM takes to be in force of what the operator states. The configuration never goes back to an
@@ -24,11 +27,11 @@
 	known chan struct{}
 	// evacuated has the data centres whose servers are to get nothing, by the operator's keys.
 	evacuated map[string]string
-	listener  evacuationListener
+	listener  statementListener
 	logger    *slog.Logger
 }
 
-func newBelief(listener evacuationListener, logger *slog.Logger) *belief {
+func newBelief(listener statementListener, logger *slog.Logger) *belief {
 	return &belief{
 		known: make(chan struct{}), evacuated: make(map[string]string), listener: listener, logger: logger,
 	}
@@ -88,6 +91,7 @@
 	if current != nil && next.Version() <= current.Version() {
 		return
 	}
+	belief.listener.Configure(next.Services())
 	belief.current.Store(next)
 	if current == nil {
 		close(belief.known)
--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -37,7 +37,7 @@
 			ours := sending.vm == vm && sending.ID > id && sending.ID <= id+placement.MaxParts
 			if ours {
 				withdrawn = true
-				server.limit = server.limit.WithReturned()
+				server.takesBack()
 			}
 			return ours
 		})
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -130,26 +130,64 @@
 	return limited
 }
 
-// withinLimit reports whether a server takes a request now of those who may use a share of its limit.
-func (server *server) withinLimit(share func() float64, now time.Time) bool {
-	if !server.limit.Holds(now) {
-		return true
+// withinLimits reports whether a server takes a request now of those who may use a share of what it takes. Where it named
+// a limit and is cold the smaller one binds.
+func (pool *Pool) withinLimits(server *server, share func() float64, now time.Time) bool {
+	if server.limit.Holds(now) && !openWith(&server.limit, share(), now) {
+		return false
 	}
-	server.limit = server.limit.WithLook(share(), rand.Float64(), now) //nolint:gosec // no secret
-	return server.limit.Open(share(), now)
+	cold := pool.coldNow(server, now)
+	return cold == nil || openWith(&cold.limit, share(), now)
+}
+
+// openWith notes a look at a limit, and reports whether it lets a request through.
+func openWith(limit *backpressure.Limit, share float64, now time.Time) bool {
+	*limit = limit.WithLook(share, rand.Float64(), now) //nolint:gosec // no secret
+	return limit.Open(share, now)
 }
 
-// place puts a request at its server and counts it against the limit there, unless it was told of so late that it may
+// place puts a request at its server and counts it against what the server takes, unless it was told of so late that it may
 // have been counted before.
 func (pool *Pool) place(server *server, added *sending, now time.Time) {
 	server.add(added)
-	if server.limit.Holds(now) && now.Sub(added.sentAt) < pool.settings.RemoteTime {
+	if now.Sub(added.sentAt) >= pool.settings.RemoteTime {
+		return
+	}
+	if server.limit.Holds(now) {
 		server.limit = server.limit.WithTaken(pool.publisher.Share(), now)
 	}
+	if cold := pool.coldNow(server, now); cold != nil {
+		cold.limit = cold.limit.WithTaken(pool.publisher.Share(), now)
+	}
+}
+
+// takesBack notes that a request that counted does not go to the server.
+func (server *server) takesBack() {
+	server.limit = server.limit.WithReturned()
+	if server.cold != nil {
+		server.cold.limit = server.cold.limit.WithReturned()
+	}
+}
+
+// perSecond returns how many requests a second a server takes of those who may use a share, and reports false where
+// nothing bounds them.
+func (pool *Pool) perSecond(server *server, share float64, now time.Time) (float64, bool) {
+	cold := pool.coldNow(server, now)
+	limited := server.limit.Holds(now)
+	switch {
+	case cold != nil && limited:
+		return min(server.limit.PerSecond(share, now), cold.limit.PerSecond(share, now)), true
+	case cold != nil:
+		return cold.limit.PerSecond(share, now), true
+	case limited:
+		return server.limit.PerSecond(share, now), true
+	default:
+		return 0, false
+	}
 }
 
 // TakesPerSecond returns how many requests a second the servers of a service take that want some from a VM, and reports
-// whether there are such and all of them named limits.
+// whether there are such and all of them named limits or are cold.
 func (pool *Pool) TakesPerSecond(service, vm string) (float64, bool) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
@@ -161,10 +199,11 @@
 		if !pool.takes(server, now) || rests {
 			continue
 		}
-		if !server.limit.Holds(now) {
+		perSecond, bounded := pool.perSecond(server, share(), now)
+		if !bounded {
 			return 0, false
 		}
-		total += server.limit.PerSecond(share(), now)
+		total += perSecond
 	}
 	return total, total > 0
 }
--- a/internal/pool/limit_test.go
+++ b/internal/pool/limit_test.go
@@ -85,7 +85,11 @@
 
 // assign gives the first server to a request of another VM.
 func assign(world *world) {
-	world.Assign("vm-2", 100, placement.Plan{Server: placement.Server{ID: "s1"}}, placement.Request{})
+	assignAs(world, 100)
+}
+
+func assignAs(world *world, id uint64) {
+	world.Assign("vm-2", id, placement.Plan{Server: placement.Server{ID: "s1"}}, placement.Request{})
 }
 
 // listedNow returns the start of a server that is open now, or its first one.
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -27,7 +27,7 @@
 	listed := make(map[string]bool, len(values))
 	for _, value := range values {
 		listed[value.Key] = value.Value != nil || value.Bad
-		pool.apply(value)
+		pool.apply(value, false)
 	}
 	for key := range pool.listed {
 		if !listed[key] {
@@ -42,7 +42,7 @@
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	for _, change := range changes {
-		pool.apply(change)
+		pool.apply(change, true)
 	}
 	pool.arrange()
 }
@@ -62,7 +62,9 @@
 	pool.returned = pool.now()
 }
 
-func (pool *Pool) apply(change follower.Change[directory.Entry]) {
+// apply takes over an entry. One that is fresh was written a moment ago; others may have stood there for long, and how long
+// the server is cold counts from when it was first heard.
+func (pool *Pool) apply(change follower.Change[directory.Entry], fresh bool) {
 	if change.Bad {
 		pool.spoil(change.Key)
 		return
@@ -91,10 +93,14 @@
 			added.leavingToldBy = toldByList
 		}
 		pool.servers[entry.ID] = added
+		pool.chill(added, entry.ColdLeft)
 		pool.logger.Debug("server listed", "server", entry.ID, "service", entry.Service,
 			"address", entry.Address, "leaving", entry.Leaving)
 		return
 	}
+	if fresh || entry.ColdLeft != known.entry.ColdLeft {
+		pool.chill(known, entry.ColdLeft)
+	}
 	if entry.Leaving && !known.entry.Leaving {
 		known.leavingToldBy = toldByList
 		pool.logger.Info("server leaves", "server", entry.ID, "told_by", toldByList)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -38,6 +38,8 @@
 	evacuated []string
 	own       map[uint64]*sending
 	rests     backpressure.Rests
+	// coldPerSecond has how many requests a second a cold server takes, by its service.
+	coldPerSecond map[string]float64
 	// limits has the servers that named limits, by their IDs, so that no look at all of them is needed to tell of these.
 	limits map[string]*server
 	// nextID starts anywhere, so that a VM that was started again is not taken
@@ -91,7 +93,7 @@
 			continue
 		}
 		pool.forget(server, now)
-		if !server.withinLimit(share, now) {
+		if !pool.withinLimits(server, share, now) {
 			limited++
 			continue
 		}
--- a/internal/pool/sending.go
+++ b/internal/pool/sending.go
@@ -123,7 +123,7 @@
 	defer pool.mu.Unlock()
 	now := pool.now()
 	for _, planned := range plan.IDs() {
-		if server := pool.servers[planned]; server != nil && !server.withinLimit(pool.publisher.Share, now) {
+		if server := pool.servers[planned]; server != nil && !pool.withinLimits(server, pool.publisher.Share, now) {
 			return nil, false
 		}
 	}
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -28,6 +28,8 @@
 	sendings []*sending
 	// limit is how many requests it takes from all VMs together.
 	limit backpressure.Limit
+	// cold is nil for a server that is warm.
+	cold *cold
 	// leavingToldBy is who first said that it leaves, or empty.
 	leavingToldBy string
 	// watched says that another VM knows of a limit that this one does not.
--- a/internal/pool/status.go
+++ b/internal/pool/status.go
@@ -26,6 +26,8 @@
 	Rests []RestStatus `json:"rests,omitempty"`
 	// Limit is the limit that the server named, if it did.
 	Limit *LimitStatus `json:"limit,omitempty"`
+	// ColdSeconds is for how much longer it is cold, or zero.
+	ColdSeconds float64 `json:"cold_seconds,omitempty"`
 }
 
 // Values of ServerStatus.Listing.
@@ -68,6 +70,7 @@
 			ID: id, Service: server.entry.Service, Address: server.entry.Address, DataCentre: server.entry.DataCentre,
 			Listing: pool.listing(server), Running: view.Running, Suspect: view.Suspect, LeavingToldBy: server.leavingToldBy,
 			Rests: pool.restsOf(id, now), Limit: limitStatus(server.limit, pool.publisher.Share(), now),
+			ColdSeconds: server.coldSeconds(now),
 		})
 	}
 	slices.SortFunc(list, func(a, b ServerStatus) int {
@@ -93,6 +96,13 @@
 	}
 }
 
+func (server *server) coldSeconds(now time.Time) float64 {
+	if server.cold == nil {
+		return 0
+	}
+	return max(0, server.cold.until.Sub(now).Seconds())
+}
+
 func (pool *Pool) restsOf(id string, now time.Time) []RestStatus {
 	var list []RestStatus
 	for vm := range pool.rests {
