mw-gateway: a change of the settings while it stops does not end it

Cause: the hangup by which a change of the settings file is told was heard only until the process was told to stop. From then on it had its default effect, the end of the process.

Ruled out by the VM's log: the grace was not over (2.3 of 8 s), requests were two, no line of an end ('gateway ends') was written, and nothing else struck the VM but the planned change of settings files at that time.

Change: hangups are heard from the first line of the command until the process ends. The files are read again also while it stops, which brings new bounds.

Test: the command as a process that gets both signals; before 'signal: hangup', after it stops as planned, having read the settings again.

--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -49,6 +49,9 @@
 }
 
 func runGateway(ctx context.Context, command *cli.Command) error {
+	// Heard for as long as the process lives: it would end by a hangup that it does not hear, also while it stops.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	if command.String(flagSite) == "" {
 		return &exitError{code: exitUsage, err: errors.New("--site is needed")}
 	}
@@ -89,18 +92,17 @@
 	if err != nil {
 		return err
 	}
-	reloading, stop := context.WithCancel(ctx)
+	reloading, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	go reloadSite(reloading, command.String(flagSite), served, logger)
+	go reloadSite(reloading, hangups, command.String(flagSite), served, logger)
 	return served.Run(ctx)
 }
 
 // reloadSite reads the settings file again on SIGHUP and when it has changed. A
 // file with a problem changes nothing.
-func reloadSite(ctx context.Context, file string, served *gateway.Gateway, logger *slog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func reloadSite(
+	ctx context.Context, hangups <-chan os.Signal, file string, served *gateway.Gateway, logger *slog.Logger,
+) {
 	ticker := time.NewTicker(siteLook)
 	defer ticker.Stop()
 	changed := changeTime(file)
--- /dev/null
+++ b/internal/cmd/gatewaycmd_test.go
@@ -0,0 +1,59 @@
+package cmd_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// freePorts returns loopback addresses at which nobody listens now.
+func freePorts(t *testing.T, count int) []net.TCPAddr {
+	t.Helper()
+	var addresses []net.TCPAddr
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, *listener.Addr().(*net.TCPAddr))
+	}
+	return addresses
+}
+
+// TestSettingsChangeWhileItStops has a VM that is told to stop and, while it lets requests end, that its settings changed. It
+// ended at once by the second signal, and cut the answers that were under way.
+func TestSettingsChangeWhileItStops(t *testing.T) {
+	free := freePorts(t, 4)
+	site := filepath.Join(t.TempDir(), "site.json")
+	text := fmt.Sprintf(`{"node_name": "vm-1", "zone": "a", "ip": "127.0.0.1",
+		"listen_addrs": {"front": %q, "ready": %q}, "port_range": [%d, %d],
+		"bounds": {"grace_s": 8, "revoke_ms": 5000, "budget_window_s": 10}, "platform_config": {"address": %q}}`,
+		free[0].String(), free[1].String(), free[2].Port, free[2].Port, free[3].String())
+	assert.NilError(t, os.WriteFile(site, []byte(text), 0o600))
+	program, err := os.Executable()
+	assert.NilError(t, err)
+	command := &exec.Cmd{Path: program, Args: []string{"mw-gateway", "--site", site}}
+	output, err := command.StdoutPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, command.Start())
+	signals := map[string]syscall.Signal{`"gateway serves"`: syscall.SIGTERM, `"gateway drains"`: syscall.SIGHUP}
+	said := &strings.Builder{}
+	for lines := bufio.NewScanner(output); lines.Scan(); {
+		fmt.Fprintln(said, lines.Text())
+		for line, signal := range signals {
+			if strings.Contains(lines.Text(), line) {
+				assert.Check(t, command.Process.Signal(signal))
+			}
+		}
+	}
+	assert.NilError(t, command.Wait())
+	assert.Assert(t, strings.Contains(said.String(), `"settings read again"`), said.String())
+	assert.Assert(t, strings.Contains(said.String(), `"gateway stopped"`), said.String())
+}
