exchange: VMs find each other through the VMs that their settings name

What callers saw: with 985 VMs nothing was ever served. No VM had the list of servers or a configuration, since none knew another one.

Cause: each VM wrote itself into one partition of the store's register at its start, which takes an append in 4 ms and turns away what would wait over 2 s. 985 need 3.9 s. Who was turned away, or gave up after 2 s, tried again after a fixed 500 ms, though what it gave up was done all the same. From some 500 VMs on the queue stayed full of entries that nobody waited for, without end: what is offered grew with the number of VMs, what is taken did not. What each start reads there grew with it too.

Change: VMs greet the VMs that the settings name (their role serves the kind of address for which the platform names them), which need no store. One that decides answers a greeting with the VMs by which others are found: the first two of each data centre, and seven of the asker's own that may read the store for it. A VM asks again at growing intervals. The register has a few VMs only, those first in the order; it is read by who is answered by no seed, and waits there grow, with chance in them (wait.Backoff). Who reads the store is ranked the same by all in a data centre (two to three did before). The order of all VMs is kept by insertion instead of being made anew for each VM that is new.

Not built: the register spread over partitions, of which each start reads all.

--- a/internal/exchange/coordinators.go
+++ b/internal/exchange/coordinators.go
@@ -138,27 +138,45 @@
 
 // arrange brings the order of all VMs up to date: those with the greatest links first,
 // which have the most processor time too, and the same at all VMs. It is kept until a VM
-// is new or changed, since who decides is asked several times for each request.
+// changes, since who decides is asked several times for each request.
 func (exchange *Exchange) arrange() {
 	if exchange.order != nil {
 		return
 	}
-	names := slices.Collect(maps.Keys(exchange.peers))
-	names = rendezvous.Order(coordinatorOrder, append(names, exchange.self.VM))
-	slices.SortStableFunc(names, func(a, b string) int {
-		return cmp.Compare(exchange.capacity(b), exchange.capacity(a))
-	})
-	exchange.order = names
 	exchange.groups = nil
-	at := make(map[string]int)
-	for _, vm := range names {
-		dataCentre := exchange.dataCentre(vm)
-		if _, seen := at[dataCentre]; !seen {
-			at[dataCentre] = len(exchange.groups)
-			exchange.groups = append(exchange.groups, nil)
-		}
-		exchange.groups[at[dataCentre]] = append(exchange.groups[at[dataCentre]], vm)
+	exchange.byReader = make(map[string][]string)
+	exchange.rank(exchange.self.VM)
+	for vm := range exchange.peers {
+		exchange.rank(vm)
+	}
+}
+
+// rank puts a VM that is new into the order.
+func (exchange *Exchange) rank(vm string) {
+	dataCentre := exchange.dataCentre(vm)
+	exchange.order = with(exchange.order, vm, exchange.compareDeciders)
+	exchange.byReader[dataCentre] = with(exchange.byReader[dataCentre], vm, exchange.compareReaders)
+	own := func(group []string) bool { return exchange.dataCentre(group[0]) == dataCentre }
+	if at := slices.IndexFunc(exchange.groups, own); at >= 0 {
+		exchange.groups[at] = with(exchange.groups[at], vm, exchange.compareDeciders)
+	} else {
+		exchange.groups = append(exchange.groups, []string{vm})
 	}
+	slices.SortFunc(exchange.groups, func(a, b []string) int { return exchange.compareDeciders(a[0], b[0]) })
+}
+
+// with returns VMs in their order with one more.
+func with(vms []string, vm string, compare func(a, b string) int) []string {
+	at, _ := slices.BinarySearchFunc(vms, vm, compare)
+	return slices.Insert(vms, at, vm)
+}
+
+// compareDeciders orders VMs by who decides: the greatest capacity first, then by rendezvous.
+func (exchange *Exchange) compareDeciders(a, b string) int {
+	return cmp.Or(
+		cmp.Compare(exchange.capacity(b), exchange.capacity(a)),
+		rendezvous.Compare(coordinatorOrder, a, b),
+	)
 }
 
 // ordered returns all VMs in the order in which they are asked.
@@ -171,15 +189,19 @@
 func (exchange *Exchange) deciders() (deciders []*wire.Peer, known, heard uint32) {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
-	var peers []*wire.Peer
-	for _, vm := range exchange.chosen() {
+	return exchange.encodePeers(exchange.chosen()), uint32(exchange.known()), uint32(exchange.members()) //nolint:gosec // VMs
+}
+
+func (exchange *Exchange) encodePeers(vms []string) []*wire.Peer {
+	peers := make([]*wire.Peer, 0, len(vms))
+	for _, vm := range vms {
 		member := exchange.member(vm)
 		peers = append(peers, &wire.Peer{
 			Vm: member.VM, Address: member.Address, DataCentre: member.DataCentre,
 			Capacity: uint32(member.Capacity), //nolint:gosec // a link's
 		})
 	}
-	return peers, uint32(exchange.known()), uint32(exchange.members()) //nolint:gosec // VMs
+	return peers
 }
 
 // watched returns the VMs that this one keeps in touch with: those that decide, those that
@@ -206,9 +228,9 @@
 // the live ones before them that cannot, and those before them that are away.
 func (exchange *Exchange) readers() (readers, away []string) {
 	live, blind := 0, 0
-	for _, vm := range exchange.ordered() {
+	exchange.arrange()
+	for _, vm := range exchange.byReader[exchange.self.DataCentre] {
 		switch {
-		case exchange.dataCentre(vm) != exchange.self.DataCentre:
 		case live == exchange.settings.Readers, blind == 2*exchange.settings.Readers:
 			return readers, away // where all are turned away the store is away for all
 		case !exchange.isLive(vm):
@@ -261,16 +283,7 @@
 func (exchange *Exchange) prominent() bool {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
-	before, beforeHere := 0, 0
-	for _, vm := range exchange.ordered() {
-		if vm == exchange.self.VM {
-			break
-		}
-		before++
-		if exchange.dataCentre(vm) == exchange.self.DataCentre {
-			beforeHere++
-		}
-	}
-	return before < exchange.settings.Coordinators+exchange.settings.Greet ||
-		beforeHere < exchange.settings.Readers+exchange.settings.Greet
+	before := slices.Index(exchange.ordered(), exchange.self.VM)
+	beforeHere := slices.Index(exchange.byReader[exchange.self.DataCentre], exchange.self.VM)
+	return before < exchange.foundBy() || beforeHere < exchange.settings.Readers+exchange.settings.Greet
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -67,10 +67,12 @@
 	settings Settings
 	self     Member
 	register Register
-	epochs   *epoch.Watch
-	logger   *slog.Logger
-	now      func() time.Time
-	conn     net.PacketConn
+	// seeds has addresses of VMs to ask at the start, which may be away or gone.
+	seeds  []net.Addr
+	epochs *epoch.Watch
+	logger *slog.Logger
+	now    func() time.Time
+	conn   net.PacketConn
 
 	mu sync.Mutex
 	// peers has the other VMs by name.
@@ -83,6 +85,9 @@
 	// groups has those of each data centre in that order, data centres in the order of
 	// their first VMs. It is made with order.
 	groups [][]string
+	// byReader has the VMs of each data centre in the order in which they read the store for the others there. It is made
+	// with order.
+	byReader map[string][]string
 	// chosenSince has since when each of the VMs that decide does.
 	chosenSince map[string]time.Time
 	// turn counts those that were away and greeted.
@@ -92,8 +97,14 @@
 	// heardElsewhere is the most VMs that another one said it heard, and heardElsewhereAt when that was said last.
 	heardElsewhere   int
 	heardElsewhereAt time.Time
-	// listed says that the register was read once.
-	listed bool
+	// met says that this VM knows whom to ask: the register was read, or a VM that decides for others answered.
+	met bool
+	// metNow is closed then.
+	metNow chan struct{}
+	// entered says that this VM is in the register, as far as it knows.
+	entered bool
+	// counts has how many VMs were heard within times, as it was a moment ago.
+	counts map[time.Duration]heardCount
 	// started is since when this VM takes datagrams.
 	started time.Time
 	// wake has an element when there is something to tell.
@@ -102,15 +113,17 @@
 
 var _ pool.Publisher = (*Exchange)(nil)
 
-// New returns an exchange that takes datagrams on conn, the address of self.
+// New returns an exchange that takes datagrams on conn, the address of self. The VMs at the addresses of seeds, which may
+// be away or gone, are asked first who else is there, and the register where none of them answers.
 func New(
-	settings Settings, self Member, conn net.PacketConn, register Register,
+	settings Settings, self Member, conn net.PacketConn, seeds []string, register Register,
 	epochs *epoch.Watch, logger *slog.Logger, now func() time.Time,
 ) *Exchange {
 	return &Exchange{
 		settings: settings,
 		self:     self,
 		register: register,
+		seeds:    addressesOf(seeds, self, logger),
 		epochs:   epochs,
 		logger:   logger,
 		now:      now,
@@ -119,6 +132,8 @@
 		started:  now(),
 
 		chosenSince: make(map[string]time.Time),
+		metNow:      make(chan struct{}),
+		counts:      make(map[time.Duration]heardCount),
 
 		wake: make(chan struct{}, 1),
 	}
@@ -136,11 +151,11 @@
 }
 
 // Members returns how many VMs share limits: those heard of lately, this one
-// among them. It reports false when the register was not read yet.
+// among them. It reports false when this VM does not know yet whom to ask.
 func (exchange *Exchange) Members() (int, bool) {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
-	return exchange.members(), exchange.listed
+	return exchange.members(), exchange.met
 }
 
 func (exchange *Exchange) members() int {
@@ -164,15 +179,29 @@
 	return float64(live) / float64(all)
 }
 
+// heardCount is how many VMs were heard, as it was at a moment.
+type heardCount struct {
+	count int
+	at    time.Time
+}
+
+// countAge is for how long such a count is used: each of thousands of datagrams a second tells it.
+const countAge = 20 * time.Millisecond
+
 // heardWithin returns how many VMs were heard within a time, this one among them.
 func (exchange *Exchange) heardWithin(within time.Duration) int {
-	oldest := exchange.now().Add(-within)
+	now := exchange.now()
+	if known, found := exchange.counts[within]; found && now.Sub(known.at) < countAge {
+		return known.count
+	}
+	oldest := now.Add(-within)
 	count := 1
 	for _, peer := range exchange.peers {
 		if peer.heard.After(oldest) {
 			count++
 		}
 	}
+	exchange.counts[within] = heardCount{count: count, at: now}
 	return count
 }
 
@@ -208,6 +237,11 @@
 	})
 	group.Go(func() error {
 		exchange.enter(ctx)
+		exchange.stayFound(ctx)
+		return nil
+	})
+	group.Go(func() error {
+		exchange.refresh(ctx)
 		return nil
 	})
 	return group.Wait()
--- a/internal/exchange/main_test.go
+++ b/internal/exchange/main_test.go
@@ -10,6 +10,7 @@
 // line gives another seed.
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "1") // rapid has declared it
+	flag.Int(flagWhole, 0, "how many VMs whole fleets have")
 	flag.Parse()
 	os.Exit(m.Run())
 }
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,7 +52,9 @@
 	}
 	exchange.epochs.Hint(epoch.Number(update.GetEpoch()))
 	exchange.reply(update, address, returned, sink)
+	exchange.noteIntroduced(update)
 	exchange.greetNamed(update.GetPeers())
+	exchange.greetNamed(exchange.neighbours(update.GetIntroduced()))
 	if len(update.GetSendings()) > 0 {
 		sink.Told(update.GetVm(), decode(update.GetSendings()))
 	}
@@ -71,14 +74,14 @@
 	if update.GetHello() || !exchange.knows(update) {
 		exchange.know(memberOf(update))
 	}
-	for _, peer := range update.GetPeers() {
+	for _, peer := range slices.Concat(update.GetPeers(), update.GetIntroduced()) {
 		if !exchange.knows(peer) {
 			exchange.know(memberOf(peer))
 		}
 	}
 }
 
-// greetNamed greets VMs that another one says decide, and that were not heard here. In turns with all that are away VMs
+// greetNamed greets VMs that another one says decide, or may read the store for this one, and that were not heard here. In turns with all that are away VMs
 // which start together behind many that are gone would agree on who decides only after seconds.
 func (exchange *Exchange) greetNamed(named []*wire.Peer) {
 	exchange.mu.Lock()
@@ -158,7 +161,7 @@
 	decides := (returned || update.GetHello()) && exchange.decides(update.GetVm())
 	exchange.mu.Unlock()
 	if update.GetPing() || update.GetHello() {
-		exchange.pong(address, sink)
+		exchange.pong(update, address, sink)
 	}
 	if decides {
 		exchange.sendAll([]net.Addr{address}, sink.Own(), sink.Quarantined())
--- a/internal/exchange/register.go
+++ b/internal/exchange/register.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
@@ -23,47 +25,47 @@
 	First bool `json:"-"`
 }
 
-// Register is where VMs find each other.
+// Register is where VMs find each other that know no other way. A few of them are in it, through which all are found: if
+// each VM were, what all write at a start, and read there, would grow beyond what the store takes in the time for it.
 type Register interface {
 	Enter(ctx context.Context, member Member) error
 	List(ctx context.Context) ([]Member, error)
 }
 
-// enter puts this VM into the register and finds the others there.
+// enter finds the other VMs: through those that the settings name or, where none of them answers, through the register.
 func (exchange *Exchange) enter(ctx context.Context) {
-	for ctx.Err() == nil {
+	backoff := wait.NewBackoff(exchange.settings.Register, exchange.settings.RegisterMax)
+	for !exchange.askSeeds(ctx) && ctx.Err() == nil {
 		err := exchange.enterOnce(ctx)
 		if err == nil {
+			wait.For(ctx, exchange.gatheredIn())
+			exchange.noteMet()
 			return
 		}
 		exchange.logger.Warn("register not reached", "error", err)
-		wait.For(ctx, exchange.settings.Register)
+		backoff.Wait(ctx)
 	}
 }
 
-// enterOnce lists the VMs, and enters this one if it is not there yet. One that starts
-// again need not: so it knows the others at once, also when all start again and entering
-// would take turns for a second. One that enters lists again, since others may do so at
-// the same time.
+// enterOnce lists the VMs, and enters this one if there are few, or none of them answers.
 func (exchange *Exchange) enterOnce(ctx context.Context) error {
-	bounded, cancel := context.WithTimeout(ctx, exchange.settings.Patience)
-	defer cancel()
-	entered := false
-	if !exchange.self.First {
-		members, err := exchange.register.List(bounded)
-		if err != nil {
-			return err
-		}
-		entered = slices.Contains(members, exchange.self)
-		exchange.meetAll(members)
+	if exchange.self.First {
+		// All others do so too: most of them find those that came first.
+		wait.For(ctx, rand.N(exchange.settings.Register)) //nolint:gosec // no secret
 	}
-	if entered {
+	members, err := exchange.list(ctx)
+	if err != nil {
+		return err
+	}
+	exchange.meetAll(members)
+	if exchange.isEntered() || (len(members) >= exchange.foundBy() && exchange.isAnswered(ctx)) {
 		return nil
 	}
-	if err := exchange.register.Enter(bounded, exchange.self); err != nil {
+	if err := exchange.enterNow(ctx); err != nil {
 		return err
 	}
-	members, err := exchange.register.List(bounded)
+	// Others may have entered at the same time.
+	members, err = exchange.list(ctx)
 	if err != nil {
 		return err
 	}
@@ -71,19 +73,126 @@
 	return nil
 }
 
-// meetAll takes in the VMs of the register, and greets them.
-func (exchange *Exchange) meetAll(members []Member) {
+// foundBy is how many VMs in the register are enough to find all others.
+func (exchange *Exchange) foundBy() int {
+	return exchange.settings.Coordinators + exchange.settings.Greet
+}
+
+// list reads the register, takes in the VMs there, and notes whether this one is among them.
+func (exchange *Exchange) list(ctx context.Context) ([]Member, error) {
+	bounded, cancel := context.WithTimeout(ctx, exchange.settings.Patience)
+	defer cancel()
+	members, err := exchange.register.List(bounded)
+	if err != nil {
+		return nil, errors.Wrap(err, "list of VMs")
+	}
 	for _, member := range members {
 		exchange.know(member)
 	}
 	exchange.mu.Lock()
-	exchange.listed = true
-	exchange.mu.Unlock()
+	defer exchange.mu.Unlock()
+	exchange.entered = slices.Contains(members, exchange.record())
+	return members, nil
+}
+
+// enterNow writes this VM into the register.
+func (exchange *Exchange) enterNow(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, exchange.settings.Patience)
+	defer cancel()
+	if err := exchange.register.Enter(bounded, exchange.record()); err != nil {
+		return errors.Wrap(err, "entry of this VM")
+	}
+	exchange.mu.Lock()
+	defer exchange.mu.Unlock()
+	exchange.entered = true
+	return nil
+}
+
+// record is this VM as the register has it.
+func (exchange *Exchange) record() Member {
+	record := exchange.self
+	record.First = false
+	return record
+}
+
+func (exchange *Exchange) isEntered() bool {
+	exchange.mu.Lock()
+	defer exchange.mu.Unlock()
+	return exchange.entered
+}
+
+// isAnswered reports whether a VM of the register answers, which may be starting too.
+func (exchange *Exchange) isAnswered(ctx context.Context) bool {
+	until := exchange.now().Add(wait.Drawn(exchange.settings.Register))
+	for exchange.now().Before(until) {
+		if exchange.hearsOthers() {
+			return true
+		}
+		if !wait.For(ctx, answerTick) {
+			return false
+		}
+	}
+	return false
+}
+
+// answerTick is the time between looks whether a VM has answered.
+const answerTick = 10 * time.Millisecond
+
+func (exchange *Exchange) hearsOthers() bool {
+	exchange.mu.Lock()
+	defer exchange.mu.Unlock()
+	return exchange.members() > 1
+}
+
+// meetAll greets the VMs of the register.
+func (exchange *Exchange) meetAll(members []Member) {
 	current, told := exchange.epochs.Current()
 	exchange.logger.Info("register read", "members", len(members), "epoch", current, "epoch_told", told)
+	if exchange.gatheredIn() <= 0 {
+		exchange.noteMet()
+	}
 	exchange.send(exchange.greeted(), nil, true)
 }
 
+// stayFound keeps this VM in the register for as long as it is one through which others are found, and looks for the
+// others again while it hears none of them.
+func (exchange *Exchange) stayFound(ctx context.Context) {
+	backoff := wait.NewBackoff(exchange.settings.Enter, exchange.settings.RegisterMax)
+	for backoff.Wait(ctx) {
+		var err error
+		switch {
+		case exchange.isLost():
+			exchange.send(exchange.seeds, nil, true)
+			_, err = exchange.list(ctx)
+		case exchange.belongs() && !exchange.isEntered():
+			err = exchange.enterAgain(ctx)
+		default:
+			backoff.Reset()
+		}
+		if err != nil {
+			exchange.logger.Warn("register not reached", "error", err)
+		}
+	}
+}
+
+// isLost reports whether this VM knows others and hears none of them.
+func (exchange *Exchange) isLost() bool {
+	exchange.mu.Lock()
+	defer exchange.mu.Unlock()
+	return len(exchange.peers) > 0 && exchange.members() == 1
+}
+
+// belongs reports whether this VM is one through which others are found: it is among the first in the order.
+func (exchange *Exchange) belongs() bool {
+	exchange.mu.Lock()
+	defer exchange.mu.Unlock()
+	if !exchange.met {
+		return false
+	}
+	at := slices.Index(exchange.ordered(), exchange.self.VM)
+	return at < exchange.foundBy()
+}
+
 // wakeTime is for how long a VM that wakes up takes others to be there that it heard just before it was suspended: they
 // answer within milliseconds.
 const wakeTime = 150 * time.Millisecond
@@ -115,52 +224,48 @@
 	}
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
-	known := exchange.peers[member.VM]
-	if known == nil {
+	known, found := exchange.peers[member.VM]
+	if !found {
 		known = &peer{}
 		exchange.peers[member.VM] = known
-		exchange.order = nil
 	}
 	if member.DataCentre == "" {
 		member.DataCentre, member.Capacity = known.DataCentre, known.Capacity
 	}
-	if member.Capacity != known.Capacity || member.DataCentre != known.DataCentre {
-		exchange.order = nil
-	}
+	moved := member.Capacity != known.Capacity || member.DataCentre != known.DataCentre
 	known.Member = member
 	known.address = net.UDPAddrFromAddrPort(parsed)
+	switch {
+	case found && moved:
+		exchange.order = nil
+	case !found && exchange.order != nil:
+		exchange.rank(member.VM)
+	}
 }
 
 // Reenter enters this VM again if the register, which came back older, does not have it any more. VMs look at moments
 // of their own, so that the store is not asked by all at once.
 func (exchange *Exchange) Reenter(ctx context.Context) {
+	if !exchange.isEntered() {
+		return
+	}
+	backoff := wait.NewBackoff(exchange.settings.Register, exchange.settings.RegisterMax)
 	pause := rand.N(exchange.settings.Reenter) //nolint:gosec // no secret
-	for wait.For(ctx, pause) {
+	for again := wait.For(ctx, pause); again; again = backoff.Wait(ctx) {
 		err := exchange.enterAgain(ctx)
 		if err == nil {
 			return
 		}
 		exchange.logger.Warn("register not reached", "error", err)
-		pause = exchange.settings.Register
 	}
 }
 
 // enterAgain lists the VMs, and enters this one if it is not there.
 func (exchange *Exchange) enterAgain(ctx context.Context) error {
-	bounded, cancel := context.WithTimeout(ctx, exchange.settings.Patience)
-	defer cancel()
-	members, err := exchange.register.List(bounded)
-	if err != nil {
+	members, err := exchange.list(ctx)
+	if err != nil || exchange.isEntered() {
 		return err
 	}
-	for _, member := range members {
-		exchange.know(member)
-	}
-	self := exchange.self
-	self.First = false // is not in the register
-	if slices.Contains(members, self) {
-		return nil
-	}
-	exchange.logger.Info("entered again", "members", len(members))
-	return exchange.register.Enter(bounded, self)
+	exchange.logger.Info("entered", "members", len(members))
+	return exchange.enterNow(ctx)
 }
--- a/internal/exchange/role.go
+++ b/internal/exchange/role.go
@@ -19,7 +19,7 @@
 func (exchange *Exchange) Role(least int, avoid func(address string) bool) feed.Role {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
-	if !exchange.listed {
+	if !exchange.met {
 		return feed.Role{Unsettled: true}
 	}
 	neighbours := exchange.neighbourhood()
@@ -67,7 +67,7 @@
 	for _, peer := range live[:min(most, len(live))] {
 		addresses = append(addresses, peer.Address)
 	}
-	return addresses, exchange.listed && (len(live) > 0 || len(exchange.peers) == 0)
+	return addresses, exchange.met && (len(live) > 0 || len(exchange.peers) == 0)
 }
 
 // readsBefore reports whether a VM reads the store for others rather than another one.
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -83,13 +83,16 @@
 }
 
 // pong tells a VM that it is heard, who decides, and what is kept from servers: so all VMs learn that
-// from those that judge within one Repeat, and again after a loss.
-func (exchange *Exchange) pong(address net.Addr, sink Sink) {
+// from those that judge within one Repeat, and again after a loss. One that said hello is told too who else is to be known.
+func (exchange *Exchange) pong(asked *wire.LoadUpdate, address net.Addr, sink Sink) {
 	update := exchange.update()
 	update.UpMs = uint32(exchange.now().Sub(exchange.started).Milliseconds()) //nolint:gosec // weeks at most
 	update.Blind = sink.Blind()
 	update.Quarantined = encodeQuarantined(sink.Quarantined(), exchange.now())
 	update.Peers, update.Known, update.Heard = exchange.deciders()
+	if asked.GetHello() {
+		update.Introduced = exchange.introduced(asked.GetDataCentre())
+	}
 	exchange.sendTo([]net.Addr{address}, update)
 }
 
--- a/internal/exchange/settings.go
+++ b/internal/exchange/settings.go
@@ -12,8 +12,21 @@
 	Silence time.Duration `yaml:"silence" validate:"min=10ms"`
 	// Patience is how long the register may take to answer.
 	Patience time.Duration `yaml:"patience" validate:"min=10ms"`
-	// Register is the time between tries to enter the register.
-	Register time.Duration `yaml:"register" validate:"min=10ms"`
+	// Register is the time after the first failure to reach the register, which doubles up to RegisterMax.
+	Register    time.Duration `yaml:"register" validate:"min=10ms"`
+	RegisterMax time.Duration `yaml:"register_max" validate:"min=10ms,gtefield=Register"`
+	// Seeds is how long the VMs that the settings name may take to answer before the register is read, and SeedsFirst the
+	// same where all VMs start for the first time, so that the register is empty.
+	Seeds      time.Duration `yaml:"seeds" validate:"min=0"`
+	SeedsFirst time.Duration `yaml:"seeds_first" validate:"min=0"`
+	// Gathering is how long after its first start a system has not yet gathered: who is asked then knows few of the others.
+	Gathering time.Duration `yaml:"gathering" validate:"min=0"`
+	// Enter is the time between looks whether this VM belongs in the register.
+	Enter time.Duration `yaml:"enter" validate:"min=10ms"`
+	// Introduce is how many VMs of each data centre are made known to all.
+	Introduce int `yaml:"introduce" validate:"min=1"`
+	// Refresh is the time between questions who is to be known.
+	Refresh time.Duration `yaml:"refresh" validate:"min=10ms"`
 	// Reenter is the time over which all VMs look whether the register still has them, after it came back older.
 	Reenter time.Duration `yaml:"reenter" validate:"min=10ms"`
 	// Coordinators is how many VMs are told of all that is under way, so that one
@@ -39,6 +52,13 @@
 		Silence:      1600 * time.Millisecond,
 		Patience:     2 * time.Second,
 		Register:     500 * time.Millisecond,
+		RegisterMax:  8 * time.Second,
+		Seeds:        300 * time.Millisecond,
+		SeedsFirst:   3 * time.Second,
+		Gathering:    time.Second,
+		Enter:        2 * time.Second,
+		Introduce:    2,
+		Refresh:      5 * time.Second,
 		Reenter:      10 * time.Second,
 		Coordinators: 3,
 		Warm:         1200 * time.Millisecond,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,7 +129,7 @@
 		VM: site.VM, Address: site.PeerAddress, DataCentre: site.DataCentre, Capacity: site.Capacity,
 		First: site.First,
 	}
-	exchange := exchange.New(settings.Exchange, self, packets, sources.Register, sources.Epochs, logger, now)
+	exchange := exchange.New(settings.Exchange, self, packets, site.seeds(), sources.Register, sources.Epochs, logger, now)
 	servers := pool.New(settings.Pool, site.VM, exchange, logger, now)
 	life, end := context.WithCancelCause(context.Background())
 	gateway := &Gateway{
