gateway: a caller that reads slowly does not count against its server

What callers saw: one that did not read its stream for some seconds had it cut off by its VM and begun again on another server, reading the prompt once more.

Cause: the clock by which a server counts as silent ran on while the VM waited for the caller to take an event; and the server's pace was learnt from the time in which it was not read. Where the server itself cut the unread answer off, that counted as a crash under the request.

Change: the clock rests while an event is passed on; the next pause says nothing of the server's pace; a cut after a caller stalled for a second excuses the server and what was asked. The caller's own time to read (write_time) is as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -203,5 +203,22 @@
 	plan     placement.Plan
 	use      *pool.Use
 	response *upstream.Response
+	// watchdog ends the attempt when the server is silent for too long, or is nil for one that may be silent.
 	watchdog *time.Timer
+	// stalled says that the caller took long to read an event. What the server sent before is still read after that.
+	stalled bool
+}
+
+// expect lets the attempt end if the server is silent for so long from now on.
+func (attempted *attempted) expect(silence time.Duration) {
+	if attempted.watchdog != nil {
+		attempted.watchdog.Reset(silence)
+	}
+}
+
+// rest lets the server be silent for any time.
+func (attempted *attempted) rest() {
+	if attempted.watchdog != nil {
+		attempted.watchdog.Stop()
+	}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -23,7 +24,7 @@
 			return run.relayed(attempted)
 		}
 		if err != nil {
-			return run.cut(ctx, err, !first)
+			return run.cut(ctx, err, !first, attempted.stalled)
 		}
 		if first {
 			first = false
@@ -32,15 +33,16 @@
 			run.observeFirst(attempted)
 		}
 		attempted.use.Event()
-		if attempted.watchdog != nil {
-			attempted.watchdog.Reset(silence)
-		}
 		if !follows(event.ID, run.lastEvent) {
+			attempted.expect(silence)
 			continue
 		}
+		// While the caller does not read, the server is not read either: its silence then says nothing of it.
+		attempted.rest()
 		if err := run.pass(attempted, event); err != nil {
 			return result{kind: resultBroken, err: errors.Wrap(err, "caller")}
 		}
+		attempted.expect(silence)
 	}
 }
 
@@ -53,14 +55,16 @@
 		"took", took, "predicted", attempted.plan.Predicted)
 }
 
-// cut returns the result of a stream that broke off, after an event or before.
-func (run *run) cut(ctx context.Context, err error, ran bool) result {
+// cut returns the result of a stream that broke off, after an event or before. Where the caller had stalled it the server
+// may have cut it for that.
+func (run *run) cut(ctx context.Context, err error, ran, stalled bool) result {
 	cause := context.Cause(ctx)
 	if cause != nil {
 		err = errors.CombineErrors(cause, err)
 	}
 	return result{
-		kind: resultUncertain, status: http.StatusOK, lost: cause == nil, ran: ran, err: errors.Wrap(err, "stream"),
+		kind: resultUncertain, status: http.StatusOK, lost: cause == nil && !stalled, ran: ran, excused: stalled,
+		err: errors.Wrap(err, "stream"),
 	}
 }
 
@@ -80,6 +84,13 @@
 	run.writer.WriteHeader(attempted.response.Status)
 }
 
+const (
+	// slowPass is from how long on a caller has held the reading of its stream up.
+	slowPass = 20 * time.Millisecond
+	// stalledPass is from how long on the server may cut the answer off for that.
+	stalledPass = time.Second
+)
+
 // pass passes one event on at once.
 func (run *run) pass(attempted *attempted, event events.Event) error {
 	started := run.gateway.now()
@@ -95,6 +106,10 @@
 		run.lastEvent = event.ID
 	}
 	now := run.gateway.now()
+	if now.Sub(started) > slowPass {
+		attempted.use.Interrupted()
+	}
+	attempted.stalled = attempted.stalled || now.Sub(started) > stalledPass
 	run.account.pass(run.arrived, now)
 	run.gateway.metrics.eventDelay.Observe(now.Sub(started).Seconds())
 	return nil
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -110,6 +110,8 @@
 	lost bool
 	// ran says that an event came from the server.
 	ran bool
+	// excused says that the failure says nothing of the server.
+	excused bool
 	// answer is an answer of the server that may be passed on when no other
 	// attempt does better.
 	answer *plainAnswer
@@ -238,6 +240,7 @@
 	run.tried = append(run.tried, atFault)
 	suspect := false
 	switch {
+	case result.excused:
 	case result.closed:
 		run.gateway.pool.Closed(atFault)
 	case result.lost:
--- a/internal/pool/sending.go
+++ b/internal/pool/sending.go
@@ -229,6 +229,13 @@
 	use.expected = use.pass + server.reading()
 }
 
+// Interrupted notes that events were not read for a while, so that the time to the next one says nothing of the server.
+func (use *Use) Interrupted() {
+	use.pool.mu.Lock()
+	defer use.pool.mu.Unlock()
+	use.last = time.Time{}
+}
+
 // Over notes that the request is at its servers no more.
 func (use *Use) Over() {
 	use.pool.mu.Lock()
