gateway, coordinator: retries of many VMs are granted by the one that decides

Cause: each VM has an equal part of the retries that all may make beside those that requests earn, 0.59 of one. A budget below one holds no whole retry, so nothing was ever spent, nor what requests earned.

Change: where one VM's part holds no whole retry, the ask for servers says that the request had some before, and the VM that decides, which sees all asks, grants it out of all VMs' retries or refuses at once. One that begins to decide begins with none, since another one may just have granted all; parts of a fleet that is cut have parts by number, as limits have. Fleets whose parts hold whole retries keep to them.

Ruled out: rounding each VM's part up breaks the bound when all fail at once (985 and what comes back in ten seconds, of 1,040); by chance it leaves 41 of 100 without.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -38,6 +38,14 @@
 	Changed() <-chan struct{}
 }
 
+// Retries grants that requests go to servers once more, over all VMs that ask.
+type Retries interface {
+	// Earn notes a request for a service.
+	Earn(service string)
+	// Spend takes a grant, if there is one.
+	Spend(service string) bool
+}
+
 // Services finds a service in the configuration in force.
 type Services func(name string) (*catalog.Service, bool)
 
@@ -48,6 +56,7 @@
 	vm       string
 	servers  Servers
 	services Services
+	retries  Retries
 	network  Network
 	now      func() time.Time
 
@@ -82,13 +91,15 @@
 
 // New returns the part of the VM with that name.
 func New(
-	settings Settings, vm string, policy placement.Policy, servers Servers, services Services, network Network, now func() time.Time,
+	settings Settings, vm string, policy placement.Policy, servers Servers, services Services, retries Retries,
+	network Network, now func() time.Time,
 ) *Coordinator {
 	return &Coordinator{
 		settings: settings,
 		vm:       vm,
 		servers:  servers,
 		services: services,
+		retries:  retries,
 		network:  network,
 		now:      now,
 		queue:    dispatch.New(policy),
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -50,7 +50,11 @@
 		request.Work = service.Engine.ReadTime(ask.Tokens)
 		request.Least = request.Placement.Least()
 	}
+	_, known = coordinator.renewed[key]
 	coordinator.renewed[key] = now
+	if !known && !coordinator.grants(ask) {
+		return coordinator.refuse(dispatch.Refusal{Key: key}, now)
+	}
 	if waits := coordinator.queue.Find(key); waits != nil {
 		*waits = *request
 		return dispatch.Answer{ID: ask.ID, Decision: dispatch.DecisionHeld}
@@ -63,6 +67,16 @@
 	return coordinator.give(verdict, now)
 }
 
+// grants reports whether a request may go to servers: each may once, and again as far as retries are granted. One VM of
+// many has no whole retry of what all may have together.
+func (coordinator *Coordinator) grants(ask dispatch.Ask) bool {
+	if ask.Again {
+		return coordinator.retries.Spend(ask.Service)
+	}
+	coordinator.retries.Earn(ask.Service)
+	return true
+}
+
 // give notes a decision, and returns the answer that tells it.
 func (coordinator *Coordinator) give(verdict dispatch.Verdict, now time.Time) dispatch.Answer {
 	answer := verdict.Placed()
--- a/internal/coordinator/fleet_test.go
+++ b/internal/coordinator/fleet_test.go
@@ -241,7 +241,7 @@
 	}
 	vm.pool.Replace(entries)
 	services := func(name string) (*catalog.Service, bool) { return fleet.service, name == plainName }
-	vm.coordinator = coordinator.New(coordinator.DefaultSettings(), vm.name, vm.policy, vm.pool, services, vm.exchange, time.Now)
+	vm.coordinator = coordinator.New(coordinator.DefaultSettings(), vm.name, vm.policy, vm.pool, services, anyRetries{}, vm.exchange, time.Now)
 	ctx, stop := context.WithCancel(context.Background())
 	vm.stop = stop
 	go func() { _ = vm.exchange.Run(ctx, vm) }()
--- a/internal/coordinator/world_test.go
+++ b/internal/coordinator/world_test.go
@@ -109,7 +109,7 @@
 	added.pool.Replace(entries)
 	services := func(name string) (*catalog.Service, bool) { return world.service, name == serviceName }
 	added.coordinator = coordinator.New(coordinator.DefaultSettings(), added.name, placement.New(placement.DefaultSettings()),
-		added.pool, services, added, time.Now)
+		added.pool, services, anyRetries{}, added, time.Now)
 	world.vms = append(world.vms, added)
 }
 
--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -24,6 +24,8 @@
 	Tried []string
 	// Withdrawn says that the request wants no servers any more.
 	Withdrawn bool
+	// Again says that servers had the request before, and that it needs a grant to go to others.
+	Again bool
 }
 
 // Decision is what became of an ask.
--- a/internal/exchange/asks.go
+++ b/internal/exchange/asks.go
@@ -20,6 +20,7 @@
 		DataCentre:   ask.DataCentre,
 		Tried:        ask.Tried,
 		Withdrawn:    ask.Withdrawn,
+		Again:        ask.Again,
 	}
 }
 
@@ -38,6 +39,7 @@
 			DataCentre: ask.GetDataCentre(),
 			Tried:      ask.GetTried(),
 			Withdrawn:  ask.GetWithdrawn(),
+			Again:      ask.GetAgain(),
 		})
 	}
 	return list
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
+	"github.com/mastwinch/mastwinch/internal/coordinator"
 	"github.com/mastwinch/mastwinch/internal/retrybudget"
 )
 
@@ -37,11 +39,75 @@
 // divided by all VMs that were ever known, since one that is not heard may
 // still serve.
 func (gateway *Gateway) retryLimits() retrybudget.Limits {
+	return gateway.retryLimitsOf(1 / float64(gateway.exchange.Known()))
+}
+
+// retryLimitsOf is a part of the budget over all VMs.
+func (gateway *Gateway) retryLimitsOf(part float64) retrybudget.Limits {
 	bounds := gateway.bounds.Load()
-	share := gateway.settings.Request.RetryPart * bounds.RetrySlack / float64(gateway.exchange.Known())
+	used := gateway.settings.Request.RetryPart
 	return retrybudget.Limits{
-		Ratio:  gateway.settings.Request.RetryPart * bounds.RetryRatio,
-		Burst:  burstPart * share,
+		Ratio:  used * bounds.RetryRatio,
+		Burst:  burstPart * used * bounds.RetrySlack * part,
 		Refill: time.Duration(burstPart / (1 - burstPart) * float64(bounds.RetryWindow)),
 	}
 }
+
+// retriesGranted reports whether retries are granted by the VM that decides. They are where one VM's share has no whole
+// retry, so that none would ever be made.
+func (gateway *Gateway) retriesGranted() bool {
+	return gateway.retryLimits().Burst < 1
+}
+
+// mayRetry reports whether a request that has servers may go there, which some had before.
+func (run *run) mayRetry(budget *retrybudget.Budget) bool {
+	if run.gateway.retriesGranted() {
+		return run.granted
+	}
+	return budget.Spend()
+}
+
+// commonRetries are the retries of all VMs, where this one grants them.
+type commonRetries struct {
+	gateway *Gateway
+
+	mu sync.Mutex
+	// pots has those of each service for which retries are granted here.
+	pots map[string]*retryPot
+}
+
+// retryPot is what a service's retries are taken from.
+type retryPot struct {
+	budget *retrybudget.Budget
+	// asked is when a request for the service came last.
+	asked time.Time
+}
+
+var _ coordinator.Retries = (*commonRetries)(nil)
+
+// Earn implements coordinator.Retries.
+func (commonretries *commonRetries) Earn(service string) {
+	commonretries.pot(service).Earn()
+}
+
+// Spend implements coordinator.Retries.
+func (commonretries *commonRetries) Spend(service string) bool {
+	return commonretries.pot(service).Spend()
+}
+
+// pot returns that of a service. A VM that begins to decide begins with an empty one: another one may just have granted all.
+func (commonretries *commonRetries) pot(service string) *retrybudget.Budget {
+	commonretries.mu.Lock()
+	defer commonretries.mu.Unlock()
+	gateway := commonretries.gateway
+	now := gateway.now()
+	limits := gateway.retryLimitsOf(gateway.exchange.Share())
+	pot := commonretries.pots[service]
+	if pot == nil || now.Sub(pot.asked) > gateway.bounds.Load().RetryWindow {
+		pot = &retryPot{budget: retrybudget.NewEmpty(limits, gateway.now)}
+		commonretries.pots[service] = pot
+	}
+	pot.asked = now
+	pot.budget.SetLimits(limits)
+	return pot.budget
+}
--- a/internal/gateway/elsewhere.go
+++ b/internal/gateway/elsewhere.go
@@ -22,6 +22,7 @@
 	for !run.hopeless() {
 		changed := gateway.pool.Changed()
 		plan, use, placed := run.ask(ctx)
+		run.granted = placed
 		if !placed && !run.refused && ctx.Err() == nil {
 			plan, use, placed = run.look()
 		}
@@ -42,8 +43,11 @@
 		id := gateway.pool.ReserveID()
 		answer, placed := gateway.coordinator.Place(ctx, id, func() dispatch.Ask { return run.newAsk(id) })
 		run.refused = placed && answer.Decision == dispatch.DecisionRefused
-		if run.refused && answer.Return > 0 {
+		switch {
+		case run.refused && answer.Return > 0:
 			run.givenUp = givenUp{reason: ReasonLimited, until: gateway.now().Add(answer.Return)}
+		case run.refused && run.sends > 0:
+			run.givenUp = givenUp{reason: ReasonRefused}
 		}
 		if !placed || run.refused {
 			return placement.Plan{}, nil, false
@@ -74,7 +78,7 @@
 	return dispatch.Ask{
 		ID: id, Service: run.service.Name, Tokens: request.Tokens, Memory: request.Memory,
 		Gap: request.Gap, Objective: request.Objective, Due: request.Left, Stays: request.Stays,
-		DataCentre: request.DataCentre, Tried: run.tried,
+		DataCentre: request.DataCentre, Tried: run.tried, Again: run.sends > 0 && run.gateway.retriesGranted(),
 	}
 }
 
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mastwinch/mastwinch/internal/gateway"
 	"github.com/mastwinch/mastwinch/internal/memnet"
 	"github.com/mastwinch/mastwinch/internal/standin/metastore"
 )
@@ -38,6 +40,8 @@
 
 	// apply is the bound on new configurations, or zero for none: from some seconds on VMs read through each other.
 	apply time.Duration
+	// slack is that of retries over all VMs, or zero for the usual one.
+	slack float64
 	vms   []*fleetVM
 	// servers has those of both services.
 	servers []*fleetServer
@@ -46,10 +50,13 @@
 // fleetVM is one VM of a fleet.
 type fleetVM struct {
 	number  int
+	served  *gateway.Gateway
 	stop    context.CancelFunc
 	stopped chan error
 }
 
+func (vm *fleetVM) name() string { return fmt.Sprintf("vm-%d", vm.number) }
+
 func (vm *fleetVM) address() string { return fmt.Sprintf("10.0.1.%d:80", vm.number) }
 
 // inFleet runs a test before so many VMs and servers of each service.
@@ -60,11 +67,23 @@
 
 // inFleetBound is inFleet with a bound on new configurations.
 func inFleetBound(t *testing.T, vms, servers int, apply time.Duration, test func(fleet *fleet)) {
+	t.Helper()
+	runFleet(t, vms, servers, &fleet{apply: apply}, test)
+}
+
+// inFleetSlack is inFleet with so many retries beside those that requests earn.
+func inFleetSlack(t *testing.T, vms, servers int, slack float64, test func(fleet *fleet)) {
+	t.Helper()
+	runFleet(t, vms, servers, &fleet{slack: slack}, test)
+}
+
+// runFleet runs a test before so many VMs and servers of each service.
+func runFleet(t *testing.T, vms, servers int, fleet *fleet, test func(fleet *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		fleet := &fleet{apply: apply, world: &world{
+		fleet.world = &world{
 			t: t, network: memnet.New(), store: metastore.New(), seen: make(map[string][]seenRequest),
-		}}
+		}
 		store := fleet.listen(storeAddress, fleet.store)
 		defer func() { _ = store.Close() }()
 		fleet.configure(1, nil)
@@ -102,14 +121,15 @@
 
 func (fleet *fleet) start(vm *fleetVM) {
 	site := newSite()
-	site.VM = fmt.Sprintf("vm-%d", vm.number)
+	site.VM = vm.name()
 	site.DataCentre = fmt.Sprintf("centre-%d", vm.number%3)
 	site.Address = vm.address()
 	site.ReadyAddress = fmt.Sprintf("10.0.1.%d:81", vm.number)
 	site.PeerAddress = fmt.Sprintf("10.0.1.%d:82", vm.number)
 	site.Bounds.Apply = fleet.apply
+	site.Bounds.RetrySlack = cmp.Or(fleet.slack, site.Bounds.RetrySlack)
 	vm.stopped = make(chan error, 1)
-	_, vm.stop = fleet.startAt(site, vm.stopped)
+	vm.served, vm.stop = fleet.startAt(site, vm.stopped)
 }
 
 func (fleet *fleet) stop(vm *fleetVM) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -156,7 +156,8 @@
 		budgets: make(map[string]*retrybudget.Budget),
 	}
 	gateway.upstream = upstream.New(settings.Upstream, system, notices{gateway}, now)
-	gateway.coordinator = coordinator.New(settings.Coordinator, site.VM, gateway.policy, gateway.pool, gateway.service, exchange, now)
+	gateway.coordinator = coordinator.New(settings.Coordinator, site.VM, gateway.policy, gateway.pool, gateway.service,
+		&commonRetries{gateway: gateway, pots: make(map[string]*retryPot)}, exchange, now)
 	gateway.reservations = reservation.New(life, settings.Reservation.WithHoldAtMost(site.Bounds.HoldMax), orders, gateway.upstream, logger, now)
 	gateway.metrics = newMetrics(gateway)
 	gateway.bounds.Store(&site.Bounds)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -38,6 +38,8 @@
 	last result
 	// refused says that the VM that decides expects no place before the caller leaves.
 	refused bool
+	// granted says that the VM that decides chose the servers of the last plan, and so granted a retry where it does.
+	granted bool
 	// givenUp says why the request is given up without a place, where that is known.
 	givenUp givenUp
 	// begun says that the head of an answer was written, and hasEvents that events of it came.
@@ -135,7 +137,7 @@
 		if !ok {
 			return run.interrupted(ctx)
 		}
-		if run.sends > 0 && !budget.Spend() {
+		if run.sends > 0 && !run.mayRetry(budget) {
 			use.Over()
 			return run.fail(ReasonRefused)
 		}
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -36,6 +36,11 @@
 	return &Budget{now: now, limits: limits, tokens: limits.Burst, refilled: now()}
 }
 
+// NewEmpty returns an empty budget.
+func NewEmpty(limits Limits, now func() time.Time) *Budget {
+	return &Budget{now: now, limits: limits, refilled: now()}
+}
+
 // SetLimits changes what the budget allows. What was saved above the new burst
 // is lost.
 func (budget *Budget) SetLimits(limits Limits) {
