feed: how long a reader's question waits follows from the bound on configurations

A VM that reads the store for its data centre asked at least each 600 ms, which suits a bound of 3 s. The wait is now the part of the age that others may have, 602 ms at 3 s, 1,462 ms at 5 s: fewer calls where the bound is wider, with the same margin. A change still answers the question at once.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -119,7 +119,7 @@
 		wait = 0 // much time is over since the last proof
 	}
 	if role.Serves {
-		wait = min(wait, log.settings.ReaderWait)
+		wait = min(wait, log.readerWait())
 	}
 	if address := log.awaited(role); address != "" {
 		page, err = log.readThrough(ctx, address, from, log.settings.Wait, "&"+queryAwait)
@@ -200,12 +200,20 @@
 
 // role is the part of this VM.
 func (log *Log) role() Role {
-	if log.maxAge() <= log.settings.ReaderWait {
+	if log.maxAge() <= leastAge {
 		return Role{}
 	}
 	return log.members.Role(log.settings.MinMembers, log.avoids)
 }
 
+// leastAge is the age that another VM's content must be allowed to have so that reading through it is worth it.
+const leastAge = 600 * time.Millisecond
+
+// readerWait bounds how long a question waits at the store when others depend on the answer.
+func (log *Log) readerWait() time.Duration {
+	return time.Duration(log.settings.ReaderPart * float64(log.maxAge()))
+}
+
 // maxAge is how old another VM's content may be, so that a change that it does
 // not have yet is known within the bound by the next question.
 func (log *Log) maxAge() time.Duration {
--- a/internal/feed/settings.go
+++ b/internal/feed/settings.go
@@ -10,9 +10,9 @@
 	// Margin is kept of the bound on new configurations. What another VM tells
 	// is taken only while it, and the next question, fit into the rest.
 	Margin time.Duration `yaml:"margin" validate:"min=0"`
-	// ReaderWait bounds how long a question waits at the store when others
-	// depend on the answer.
-	ReaderWait time.Duration `yaml:"reader_wait" validate:"min=0,max=30s"`
+	// ReaderPart is the part of the age that another VM's content may have for which a question may wait at the store when
+	// others depend on the answer: what they get is as old as that at times, and the rest is for their own questions.
+	ReaderPart float64 `yaml:"reader_part" validate:"min=0,max=0.9"`
 	// Avoid is how long a VM is not asked that did not answer, and AvoidLost how long
 	// one that said that it has nothing to tell: it tries to get it all the time.
 	Avoid     time.Duration `yaml:"avoid" validate:"min=10ms"`
@@ -43,7 +43,7 @@
 	return Settings{
 		MinMembers: 6,
 		Margin:     400 * time.Millisecond,
-		ReaderWait: 600 * time.Millisecond,
+		ReaderPart: 0.43,
 		Avoid:      3 * time.Second,
 		AvoidLost:  time.Second,
 		Tries:      2,
