dispatch: requests that wait for evacuated servers are refused at once

A request that waited already when the operator emptied all data centres of its service was held until its time. Test: six waiting requests, in time or late, none was refused before, all are now.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -33,6 +33,7 @@
 	Open(service *catalog.Service, tried []string) []placement.Server
 	Resting(vm string) []string
 	TakesPerSecond(service, vm string) (float64, bool)
+	AllEvacuated(service string) bool
 	Assign(vm string, id uint64, plan placement.Plan, request placement.Request)
 	Withdraw(vm string, id uint64)
 	Changed() <-chan struct{}
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -223,6 +223,11 @@
 	return view.servers.TakesPerSecond(service, vm)
 }
 
+// AllEvacuated implements dispatch.Servers.
+func (view *view) AllEvacuated(service string) bool {
+	return view.servers.AllEvacuated(service)
+}
+
 // Take implements dispatch.Servers.
 func (view *view) Take(request *dispatch.Request, plan placement.Plan) {
 	view.servers.Assign(request.VM, request.ID, plan, request.Placement)
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -60,13 +60,17 @@
 	return float64(ahead+1) <= float64(len(lateplaces.placed))*within.Seconds()/watchTime.Seconds()
 }
 
-// refuse takes the requests out of the queue that no place is expected for, and returns them: where
-// all servers are limited by what these take, else the late tight ones by the places that such got.
-// It goes by the order of the last pass.
+// refuse takes the requests out of the queue that no place is expected for, and returns them: all where the operator keeps
+// their servers from requests, where all servers are limited by what these take, else the late tight ones by the places
+// that such got. It goes by the order of the last pass.
 func (queue *Queue) refuse(servers Servers, now time.Time) []Refusal {
 	ahead := make(map[string]int)
 	var refused []Refusal
 	queue.waiting = slices.DeleteFunc(queue.waiting, func(request *Request) bool {
+		if servers.AllEvacuated(request.Service) {
+			refused = append(refused, Refusal{Key: request.Key})
+			return true
+		}
 		if perSecond, limited := servers.TakesPerSecond(request.Service, request.VM); limited {
 			if limitServes(request, ahead[request.Service], perSecond, now) {
 				ahead[request.Service]++
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -111,3 +111,18 @@
 		})
 	}
 }
+
+// TestRequestsForEvacuatedServersAreRefused has requests that wait, some of them late, when the operator keeps all servers of
+// their service from requests: none waits on.
+func TestRequestsForEvacuatedServersAreRefused(t *testing.T) {
+	for name, waited := range map[string]time.Duration{"in time": 0, "late": 900 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			queue, servers, now := crowd(t, waited, 6)
+			servers.evacuated = true
+			verdicts, refused := queue.Pass(servers, now)
+			assert.Equal(t, len(verdicts), 0)
+			assert.Equal(t, len(refused), 6)
+			assert.Equal(t, queue.Len(), 0)
+		})
+	}
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -26,6 +26,8 @@
 	// TakesPerSecond returns how many requests a second of all VMs the servers of a service take that want some from a
 	// VM, and reports whether all of these named limits.
 	TakesPerSecond(service, vm string) (float64, bool)
+	// AllEvacuated reports whether the operator keeps all servers of a service from requests.
+	AllEvacuated(service string) bool
 	// Take notes that a request got the servers of a plan.
 	Take(request *Request, plan placement.Plan)
 }
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -37,12 +37,16 @@
 	resting map[string][]string
 	// perSecond is how many requests a second all of them take, or zero for no limit.
 	perSecond float64
+	// evacuated says that all are kept from requests.
+	evacuated bool
 }
 
 var _ dispatch.Servers = (*believed)(nil)
 
 func (believed *believed) Resting(vm string) []string { return believed.resting[vm] }
 
+func (believed *believed) AllEvacuated(string) bool { return believed.evacuated }
+
 func (believed *believed) TakesPerSecond(string, string) (float64, bool) {
 	return believed.perSecond, believed.perSecond > 0
 }
--- a/internal/gateway/elsewhere.go
+++ b/internal/gateway/elsewhere.go
@@ -44,6 +44,7 @@
 		answer, placed := gateway.coordinator.Place(ctx, id, func() dispatch.Ask { return run.newAsk(id) })
 		run.refused = placed && answer.Decision == dispatch.DecisionRefused
 		switch {
+		case run.refused && run.hopeless():
 		case run.refused && answer.Return > 0:
 			run.givenUp = givenUp{reason: ReasonLimited, until: gateway.now().Add(answer.Return)}
 		case run.refused && run.sends > 0:
--- a/internal/gateway/rest.go
+++ b/internal/gateway/rest.go
@@ -25,7 +25,7 @@
 // hopeless reports whether no server will take the request in time, so that it is given up at once. Servers of data
 // centres that the operator empties take nothing for longer than callers wait.
 func (run *run) hopeless() bool {
-	if run.gateway.pool.AllEvacuated(run.service) {
+	if run.gateway.pool.AllEvacuated(run.service.Name) {
 		run.givenUp = givenUp{reason: ReasonEvacuated}
 		return true
 	}
--- a/internal/pool/evacuation.go
+++ b/internal/pool/evacuation.go
@@ -1,10 +1,6 @@
 package pool
 
-import (
-	"slices"
-
-	"github.com/mastwinch/mastwinch/internal/catalog"
-)
+import "slices"
 
 // Evacuate lets the servers of these data centres, and of no others, get nothing new. What they work on ends in peace.
 func (pool *Pool) Evacuate(dataCentres []string) {
@@ -20,12 +16,12 @@
 
 // AllEvacuated reports whether a service has servers that could get requests, and an evacuation keeps them from all of
 // these.
-func (pool *Pool) AllEvacuated(service *catalog.Service) bool {
+func (pool *Pool) AllEvacuated(service string) bool {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	now := pool.now()
 	kept := false
-	for _, server := range pool.byService[service.Name] {
+	for _, server := range pool.byService[service] {
 		if !pool.stays(server, now) {
 			continue
 		}
