--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -143,7 +143,7 @@
 		follower.listener.Lost()
 		follower.tail.Lose()
 	}
-	wait.For(ctx, wait.Drawn(state.pause))
+	wait.For(ctx, state.pause)
 	state.pause = min(2*state.pause, follower.settings.RetryMax)
 	return state
 }
