coordinator, backpressure: one type a test file, one name each

Limit.PerSecond and Limit.Available only called rate and level; they are these now. No behaviour changes.

--- a/internal/backpressure/limit.go
+++ b/internal/backpressure/limit.go
@@ -145,7 +145,7 @@
 
 // Open reports whether the server takes a request now of those who may use a share of the limit.
 func (limit Limit) Open(share float64, now time.Time) bool {
-	return !limit.Holds(now) || limit.level(share, now) >= 1
+	return !limit.Holds(now) || limit.Available(share, now) >= 1
 }
 
 // WithTaken returns the limit after a request went to the server.
@@ -153,8 +153,8 @@
 	if !limit.Holds(now) {
 		return limit
 	}
-	owed := -1 - owedTime.Seconds()*limit.rate(share, now)
-	limit.tokens = max(owed, limit.level(share, now)-1)
+	owed := -1 - owedTime.Seconds()*limit.PerSecond(share, now)
+	limit.tokens = max(owed, limit.Available(share, now)-1)
 	limit.countedAt = now
 	return limit
 }
@@ -165,29 +165,19 @@
 	return limit
 }
 
-// PerSecond is how many requests a second a server whose limit holds gets now of those who may use a share of it.
-func (limit Limit) PerSecond(share float64, now time.Time) float64 {
-	return limit.rate(share, now)
-}
-
 // Available is how many requests the server takes now of those who may use a share of the limit.
 func (limit Limit) Available(share float64, now time.Time) float64 {
-	return limit.level(share, now)
+	perSecond := limit.PerSecond(share, now)
+	most := 1 + savedTime.Seconds()*perSecond
+	return min(most, limit.tokens+perSecond*now.Sub(limit.countedAt).Seconds())
 }
 
-// level is how many requests the server could take now.
-func (limit Limit) level(share float64, now time.Time) float64 {
-	rate := limit.rate(share, now)
-	most := 1 + savedTime.Seconds()*rate
-	return min(most, limit.tokens+rate*now.Sub(limit.countedAt).Seconds())
-}
-
-// rate is how many requests a second the server gets now of those who may use a share of the limit.
-func (limit Limit) rate(share float64, now time.Time) float64 {
-	rate := share * max(leastPerSecond, limit.perSecond)
+// PerSecond is how many requests a second a server whose limit holds gets now of those who may use a share of it.
+func (limit Limit) PerSecond(share float64, now time.Time) float64 {
+	perSecond := share * max(leastPerSecond, limit.perSecond)
 	if limit.liftedAt.IsZero() {
-		return rate
+		return perSecond
 	}
 	step := 1 + now.Sub(limit.liftedAt)/stepTime
-	return math.Ldexp(max(1, rate), int(step))
+	return math.Ldexp(max(1, perSecond), int(step))
 }
--- /dev/null
+++ b/internal/coordinator/fleetregister_test.go
@@ -0,0 +1,33 @@
+package coordinator_test
+
+import (
+	"context"
+	"sync"
+
+	"github.com/mastwinch/mastwinch/internal/exchange"
+)
+
+// fleetRegister is a register in memory.
+type fleetRegister struct {
+	mu      sync.Mutex
+	members map[string]exchange.Member
+}
+
+var _ exchange.Register = (*fleetRegister)(nil)
+
+func (fleetregister *fleetRegister) Enter(_ context.Context, member exchange.Member) error {
+	fleetregister.mu.Lock()
+	defer fleetregister.mu.Unlock()
+	fleetregister.members[member.VM] = member
+	return nil
+}
+
+func (fleetregister *fleetRegister) List(context.Context) ([]exchange.Member, error) {
+	fleetregister.mu.Lock()
+	defer fleetregister.mu.Unlock()
+	list := make([]exchange.Member, 0, len(fleetregister.members))
+	for _, member := range fleetregister.members {
+		list = append(list, member)
+	}
+	return list, nil
+}
