exchange: the register is read soon where no seed answers

Change: seeds have 60 ms to answer before the register is read; those that are there answer within a few. It costs a call a VM where all start together.

--- a/internal/exchange/settings.go
+++ b/internal/exchange/settings.go
@@ -53,7 +53,7 @@
 		Patience:     2 * time.Second,
 		Register:     500 * time.Millisecond,
 		RegisterMax:  8 * time.Second,
-		Seeds:        300 * time.Millisecond,
+		Seeds:        60 * time.Millisecond,
 		SeedsFirst:   3 * time.Second,
 		Gathering:    time.Second,
 		Enter:        2 * time.Second,
