--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -114,20 +115,16 @@
 
 // askAll lets callers ask VMs in turn, one each pause for so long, and returns what they got.
 func (fleet *fleet) askAll(caller caller, pause, long time.Duration) []answer {
-	answers := make(chan answer, int(long/pause))
-	for number := range int(long / pause) {
+	answers := make([]answer, int(long/pause))
+	var asking sync.WaitGroup
+	for number := range answers {
 		again := caller
 		again.vm = fleet.vms[number%len(fleet.vms)].address()
-		go func() { answers <- fleet.ask(again) }()
+		asking.Go(func() { answers[number] = fleet.ask(again) })
 		time.Sleep(pause)
 	}
-	time.Sleep(5 * time.Second)
-	close(answers)
-	var all []answer
-	for answer := range answers {
-		all = append(all, answer)
-	}
-	return all
+	asking.Wait()
+	return answers
 }
 
 // stopDecider stops the VM that decides for all.
