--- a/internal/coordinator/cold_test.go
+++ b/internal/coordinator/cold_test.go
@@ -19,8 +19,8 @@
 	coldFor   = 8 * time.Second
 )
 
-// chill lets all VMs hear, within a moment of each other, that a server is cold for so long.
-func (fleet *fleet) chill(number int, left time.Duration) {
+// setCold lets all VMs hear, within a moment of each other, that a server is cold for so long.
+func (fleet *fleet) setCold(number int, left time.Duration) {
 	server := fleet.servers[number]
 	entry := directory.Entry{ID: server.id, Service: plainName, Address: server.id, Slots: 16, ColdLeft: left}
 	fleet.mu.Lock()
@@ -53,7 +53,7 @@
 	}{
 		"one of three":   {cold: 1, served: 1},
 		"all of three":   {cold: 3, used: true, served: 0.15},
-		"cold once more": {cold: 3, used: true, served: 0.15, then: func(fleet *fleet) { fleet.chill(0, coldFor) }},
+		"cold once more": {cold: 3, used: true, served: 0.15, then: func(fleet *fleet) { fleet.setCold(0, coldFor) }},
 		"who decides is killed": {cold: 3, used: true, served: 0.15, then: func(fleet *fleet) {
 			fleet.decider().kill()
 		}},
@@ -69,7 +69,7 @@
 				inFleet(t, vms, 3, func(fleet *fleet) {
 					fleet.bearCold(perSecond)
 					for number := range test.cold {
-						fleet.chill(number, coldFor)
+						fleet.setCold(number, coldFor)
 					}
 					time.Sleep(time.Second) // all VMs heard it
 					began := time.Now()
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -72,12 +72,12 @@
 	gateway *Gateway
 
 	mu sync.Mutex
-	// pots has those of each service for which retries are granted here.
-	pots map[string]*retryPot
+	// budgets has those of each service for which retries are granted here.
+	budgets map[string]*commonBudget
 }
 
-// retryPot is what a service's retries are taken from.
-type retryPot struct {
+// commonBudget is what a service's retries are taken from.
+type commonBudget struct {
 	budget *retrybudget.Budget
 	// asked is when a request for the service came last.
 	asked time.Time
@@ -87,27 +87,27 @@
 
 // Earn implements coordinator.Retries.
 func (commonretries *commonRetries) Earn(service string) {
-	commonretries.pot(service).Earn()
+	commonretries.of(service).Earn()
 }
 
 // Spend implements coordinator.Retries.
 func (commonretries *commonRetries) Spend(service string) bool {
-	return commonretries.pot(service).Spend()
+	return commonretries.of(service).Spend()
 }
 
-// pot returns that of a service. A VM that begins to decide begins with an empty one: another one may just have granted all.
-func (commonretries *commonRetries) pot(service string) *retrybudget.Budget {
+// of returns the budget of a service. A VM that begins to decide begins with an empty one: another one may just have granted all.
+func (commonretries *commonRetries) of(service string) *retrybudget.Budget {
 	commonretries.mu.Lock()
 	defer commonretries.mu.Unlock()
 	gateway := commonretries.gateway
 	now := gateway.now()
 	limits := gateway.retryLimitsOf(gateway.exchange.Share())
-	pot := commonretries.pots[service]
-	if pot == nil || now.Sub(pot.asked) > gateway.bounds.Load().RetryWindow {
-		pot = &retryPot{budget: retrybudget.NewEmpty(limits, gateway.now)}
-		commonretries.pots[service] = pot
+	common := commonretries.budgets[service]
+	if common == nil || now.Sub(common.asked) > gateway.bounds.Load().RetryWindow {
+		common = &commonBudget{budget: retrybudget.NewEmpty(limits, gateway.now)}
+		commonretries.budgets[service] = common
 	}
-	pot.asked = now
-	pot.budget.SetLimits(limits)
-	return pot.budget
+	common.asked = now
+	common.budget.SetLimits(limits)
+	return common.budget
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,7 +157,7 @@
 	}
 	gateway.upstream = upstream.New(settings.Upstream, system, notices{gateway}, now)
 	gateway.coordinator = coordinator.New(settings.Coordinator, site.VM, gateway.policy, gateway.pool, gateway.service,
-		&commonRetries{gateway: gateway, pots: make(map[string]*retryPot)}, exchange, now)
+		&commonRetries{gateway: gateway, budgets: make(map[string]*commonBudget)}, exchange, now)
 	gateway.reservations = reservation.New(life, settings.Reservation.WithHoldAtMost(site.Bounds.HoldMax), orders, gateway.upstream, logger, now)
 	gateway.metrics = newMetrics(gateway)
 	gateway.bounds.Store(&site.Bounds)
--- a/internal/pool/cold.go
+++ b/internal/pool/cold.go
@@ -27,8 +27,8 @@
 	pool.wake()
 }
 
-// chill notes for how much longer a server is cold, as was heard just now. What was counted against it holds on.
-func (pool *Pool) chill(server *server, left time.Duration) {
+// noteCold notes for how much longer a server is cold, as was heard just now. What was counted against it holds on.
+func (pool *Pool) noteCold(server *server, left time.Duration) {
 	if left <= 0 {
 		server.cold = nil
 		return
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -93,13 +93,13 @@
 			added.leavingToldBy = toldByList
 		}
 		pool.servers[entry.ID] = added
-		pool.chill(added, entry.ColdLeft)
+		pool.noteCold(added, entry.ColdLeft)
 		pool.logger.Debug("server listed", "server", entry.ID, "service", entry.Service,
 			"address", entry.Address, "leaving", entry.Leaving)
 		return
 	}
 	if fresh || entry.ColdLeft != known.entry.ColdLeft {
-		pool.chill(known, entry.ColdLeft)
+		pool.noteCold(known, entry.ColdLeft)
 	}
 	if entry.Leaving && !known.entry.Leaving {
 		known.leavingToldBy = toldByList
