pool: what bounds a server is looked at in one place

The limit that a server named and what it bears while it is cold stood beside each other in three functions, each with its own pair of cases. They go over one list now. What VMs may use of limits is asked for only where a server has one, as before cold servers came: it was reckoned for each request that waits.

Ruled out: one limit for both, since each has an end of its own.

--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -130,20 +131,28 @@
 	return limited
 }
 
-// withinLimits reports whether a server takes a request now of those who may use a share of what it takes. Where it named
-// a limit and is cold the smaller one binds.
-func (pool *Pool) withinLimits(server *server, share func() float64, now time.Time) bool {
-	if server.limit.Holds(now) && !openWith(&server.limit, share(), now) {
-		return false
+// limitsNow returns what bounds the requests to a server: the limit that it named, and what it bears while it is cold. All
+// of them must let a request through, so the smallest one binds.
+func (pool *Pool) limitsNow(server *server, now time.Time) []*backpressure.Limit {
+	var limits []*backpressure.Limit
+	if server.limit.Holds(now) {
+		limits = append(limits, &server.limit)
 	}
-	cold := pool.coldNow(server, now)
-	return cold == nil || openWith(&cold.limit, share(), now)
+	if cold := pool.coldNow(server, now); cold != nil {
+		limits = append(limits, &cold.limit)
+	}
+	return limits
 }
 
-// openWith notes a look at a limit, and reports whether it lets a request through.
-func openWith(limit *backpressure.Limit, share float64, now time.Time) bool {
-	*limit = limit.WithLook(share, rand.Float64(), now) //nolint:gosec // no secret
-	return limit.Open(share, now)
+// withinLimits reports whether a server takes a request now of those who may use a share of what it takes.
+func (pool *Pool) withinLimits(server *server, share func() float64, now time.Time) bool {
+	for _, limit := range pool.limitsNow(server, now) {
+		*limit = limit.WithLook(share(), rand.Float64(), now) //nolint:gosec // no secret
+		if !limit.Open(share(), now) {
+			return false
+		}
+	}
+	return true
 }
 
 // place puts a request at its server and counts it against what the server takes, unless it was told of so late that it may
@@ -153,11 +162,8 @@
 	if now.Sub(added.sentAt) >= pool.settings.RemoteTime {
 		return
 	}
-	if server.limit.Holds(now) {
-		server.limit = server.limit.WithTaken(pool.publisher.Share(), now)
-	}
-	if cold := pool.coldNow(server, now); cold != nil {
-		cold.limit = cold.limit.WithTaken(pool.publisher.Share(), now)
+	for _, limit := range pool.limitsNow(server, now) {
+		*limit = limit.WithTaken(pool.publisher.Share(), now)
 	}
 }
 
@@ -171,19 +177,13 @@
 
 // perSecond returns how many requests a second a server takes of those who may use a share, and reports false where
 // nothing bounds them.
-func (pool *Pool) perSecond(server *server, share float64, now time.Time) (float64, bool) {
-	cold := pool.coldNow(server, now)
-	limited := server.limit.Holds(now)
-	switch {
-	case cold != nil && limited:
-		return min(server.limit.PerSecond(share, now), cold.limit.PerSecond(share, now)), true
-	case cold != nil:
-		return cold.limit.PerSecond(share, now), true
-	case limited:
-		return server.limit.PerSecond(share, now), true
-	default:
-		return 0, false
+func (pool *Pool) perSecond(server *server, share func() float64, now time.Time) (float64, bool) {
+	limits := pool.limitsNow(server, now)
+	least := math.Inf(1)
+	for _, limit := range limits {
+		least = min(least, limit.PerSecond(share(), now))
 	}
+	return least, len(limits) > 0
 }
 
 // TakesPerSecond returns how many requests a second the servers of a service take that want some from a VM, and reports
@@ -199,7 +199,7 @@
 		if !pool.takes(server, now) || rests {
 			continue
 		}
-		perSecond, bounded := pool.perSecond(server, share(), now)
+		perSecond, bounded := pool.perSecond(server, share, now)
 		if !bounded {
 			return 0, false
 		}
