exchange: who reads and who is among the first is derived once

The VMs of a data centre stood in their reading order already, and each question who reads still went over all peers and ranked some of them again: it uses that order. That a VM is among the first in the order was reckoned in two places (prominent, belongs). In the test of the whole fleet one loop starts VMs instead of two. Comments that spoke of a register of all VMs are put right.

Ruled out: ending the ranking by readsBefore in Role too; who is blind or avoided is decided beside it. No behaviour changes; the tests of exchange and feed pass.

--- a/internal/exchange/coordinators.go
+++ b/internal/exchange/coordinators.go
@@ -283,7 +283,11 @@
 func (exchange *Exchange) prominent() bool {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
-	before := slices.Index(exchange.ordered(), exchange.self.VM)
 	beforeHere := slices.Index(exchange.byReader[exchange.self.DataCentre], exchange.self.VM)
-	return before < exchange.foundBy() || beforeHere < exchange.settings.Readers+exchange.settings.Greet
+	return exchange.amongFirst() || beforeHere < exchange.settings.Readers+exchange.settings.Greet
+}
+
+// amongFirst reports whether this VM is among the first in the order, through which all others are found.
+func (exchange *Exchange) amongFirst() bool {
+	return slices.Index(exchange.ordered(), exchange.self.VM) < exchange.foundBy()
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -205,8 +205,8 @@
 	return count
 }
 
-// Known returns how many VMs are or were in the register, this one among them, as far
-// as any that decides for others knows.
+// Known returns how many VMs were ever known, this one among them, as far as any that
+// decides for others knows.
 func (exchange *Exchange) Known() int {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
--- a/internal/exchange/found_test.go
+++ b/internal/exchange/found_test.go
@@ -59,12 +59,11 @@
 	}
 	storeregister.free = storeregister.free.Add(storeAppend)
 	storeregister.mu.Unlock()
-	done := time.AfterFunc(waits+storeAppend, func() {
+	time.AfterFunc(waits+storeAppend, func() { // also when its VM is gone
 		storeregister.mu.Lock()
 		defer storeregister.mu.Unlock()
 		storeregister.members[member.VM] = member
 	})
-	_ = done // goes on when its VM is gone
 	return storeregister.answer(ctx, waits+storeAppend+storeAnswer)
 }
 
@@ -160,8 +159,13 @@
 	for len(fleet.vms) < to {
 		fleet.vms = append(fleet.vms, nil)
 	}
+	fleet.startEach(from, to, 1, first)
+}
+
+// startEach starts one of each so many VMs of these numbers within startSpread of each other.
+func (fleet *wholeFleet) startEach(from, to, oneOf int, first bool) {
 	var starting sync.WaitGroup
-	for number := from; number < to; number++ {
+	for number := from; number < to; number += oneOf {
 		after := time.Duration(fleet.random.Int64N(int64(startSpread)))
 		starting.Go(func() {
 			time.Sleep(after)
@@ -287,15 +291,7 @@
 		fleet.kill(number, number+1)
 	}
 	time.Sleep(500 * time.Millisecond)
-	var starting sync.WaitGroup
-	for number := 0; number < count; number += oneOf {
-		after := time.Duration(fleet.random.Int64N(int64(startSpread)))
-		starting.Go(func() {
-			time.Sleep(after)
-			fleet.startOne(number, false)
-		})
-	}
-	starting.Wait()
+	fleet.startEach(0, count, oneOf, false)
 }
 
 // flagWhole is how many VMs the fleets of a test have, or zero for the usual ones. It is for runs by hand.
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -81,8 +81,9 @@
 	}
 }
 
-// greetNamed greets VMs that another one says decide, or may read the store for this one, and that were not heard here. In turns with all that are away VMs
-// which start together behind many that are gone would agree on who decides only after seconds.
+// greetNamed greets VMs that another one says decide, or may read the store for this one, and that were not heard here.
+// In turns with all that are away VMs which start together behind many that are gone would agree on who decides only
+// after seconds.
 func (exchange *Exchange) greetNamed(named []*wire.Peer) {
 	exchange.mu.Lock()
 	now := exchange.now()
--- a/internal/exchange/register.go
+++ b/internal/exchange/register.go
@@ -186,11 +186,7 @@
 func (exchange *Exchange) belongs() bool {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
-	if !exchange.met {
-		return false
-	}
-	at := slices.Index(exchange.ordered(), exchange.self.VM)
-	return at < exchange.foundBy()
+	return exchange.met && exchange.amongFirst()
 }
 
 // wakeTime is for how long a VM that wakes up takes others to be there that it heard just before it was suspended: they
--- a/internal/exchange/role.go
+++ b/internal/exchange/role.go
@@ -43,7 +43,6 @@
 		return feed.Role{Ask: exchange.peers[best].Address}
 	}
 	role := feed.Role{Serves: true, Unsettled: unheard}
-	slices.SortFunc(blind, exchange.compareReaders)
 	for _, vm := range blind {
 		role.Before = append(role.Before, exchange.peers[vm].Address)
 	}
@@ -84,13 +83,14 @@
 	)
 }
 
-// neighbourhood returns the other VMs of this data centre that are known. Most of them are not heard, since VMs tell those
-// that decide.
+// neighbourhood returns the other VMs of this data centre that are known, in the order in which they read the store. Most of
+// them are not heard, since VMs tell those that decide.
 func (exchange *Exchange) neighbourhood() []*peer {
+	exchange.arrange()
 	var neighbours []*peer
-	for _, peer := range exchange.peers {
-		if peer.DataCentre == exchange.self.DataCentre {
-			neighbours = append(neighbours, peer)
+	for _, vm := range exchange.byReader[exchange.self.DataCentre] {
+		if vm != exchange.self.VM {
+			neighbours = append(neighbours, exchange.peers[vm])
 		}
 	}
 	return neighbours
--- a/internal/feed/settings.go
+++ b/internal/feed/settings.go
@@ -27,8 +27,8 @@
 	Probe time.Duration `yaml:"probe" validate:"min=10ms"`
 	// Meet is how long after its start a VM waits at most until it knows whom to ask:
 	// each that reads the store meanwhile calls it more often. MeetFirst is the same
-	// where all VMs start for the first time: they enter the register in turn, which takes
-	// longer, and nobody calls yet.
+	// where all VMs start for the first time: nobody is asked before all are there, which
+	// takes longer, and nobody calls yet.
 	Meet      time.Duration `yaml:"meet" validate:"min=0,max=10s"`
 	MeetFirst time.Duration `yaml:"meet_first" validate:"min=0,max=10s"`
 	// Wait is how long a question to another VM waits.
