gateway, platform: seeds are a list

They were joined by commas in platform and split again in gateway, only so that a site could be compared with !=. Reload compares whole sites instead.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -129,7 +130,7 @@
 		VM: site.VM, Address: site.PeerAddress, DataCentre: site.DataCentre, Capacity: site.Capacity,
 		First: site.First,
 	}
-	exchange := exchange.New(settings.Exchange, self, packets, site.seeds(), sources.Register, sources.Epochs, logger, now)
+	exchange := exchange.New(settings.Exchange, self, packets, site.Seeds, sources.Register, sources.Epochs, logger, now)
 	servers := pool.New(settings.Pool, site.VM, exchange, logger, now)
 	life, end := context.WithCancelCause(context.Background())
 	gateway := &Gateway{
@@ -289,7 +290,7 @@
 	gateway.bounds.Store(&bounds)
 	gateway.shareBudgets()
 	site.Bounds = gateway.site.Bounds
-	gateway.logger.Info("settings read again", "bounds", bounds, "needs_restart", site != gateway.site)
+	gateway.logger.Info("settings read again", "bounds", bounds, "needs_restart", !reflect.DeepEqual(site, gateway.site))
 }
 
 // retryAfter returns when a refused caller may return.
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -1,9 +1,6 @@
 package gateway
 
-import (
-	"strings"
-	"time"
-)
+import "time"
 
 // Site is what a VM learns of its place from its settings.
 type Site struct {
@@ -15,8 +12,8 @@
 	ReadyAddress string
 	// PeerAddress is where other VMs send datagrams and calls.
 	PeerAddress string
-	// Seeds has the addresses at which some VMs take datagrams, joined by commas. They may be away or gone.
-	Seeds string
+	// Seeds has the addresses at which some VMs take datagrams. They may be away or gone.
+	Seeds []string
 	// Capacity is that of the VM's link, in Mbit/s.
 	Capacity int
 	// Heartbeat is how often backend servers write their entries, or zero where that is not told.
@@ -30,11 +27,6 @@
 	Bounds      Bounds
 }
 
-// seeds returns the addresses of Seeds.
-func (site Site) seeds() []string {
-	return strings.FieldsFunc(site.Seeds, func(sign rune) bool { return sign == ',' })
-}
-
 // Bounds are what the operator holds the system to.
 type Bounds struct {
 	// Apply is how long after it was accepted a configuration must be in force.
