--- a/internal/coordinator/cold_test.go
+++ b/internal/coordinator/cold_test.go
@@ -130,12 +130,9 @@
 func (plainserver *plainServer) most(within time.Duration) int {
 	plainserver.mu.Lock()
 	defer plainserver.mu.Unlock()
-	most, oldest := 0, 0
-	for last, arrival := range plainserver.arrivals {
-		for arrival.at.Sub(plainserver.arrivals[oldest].at) >= within {
-			oldest++
-		}
-		most = max(most, last-oldest+1)
+	moments := make([]time.Time, 0, len(plainserver.arrivals))
+	for _, arrival := range plainserver.arrivals {
+		moments = append(moments, arrival.at)
 	}
-	return most
+	return busiestWithin(moments, within)
 }
--- a/internal/coordinator/plainserver_test.go
+++ b/internal/coordinator/plainserver_test.go
@@ -80,9 +80,14 @@
 			counted = append(counted, arrival.at)
 		}
 	}
+	return busiestWithin(counted, limitWindow)
+}
+
+// busiestWithin returns the most of some moments, which are in order, within a time.
+func busiestWithin(moments []time.Time, within time.Duration) int {
 	most, oldest := 0, 0
-	for last, at := range counted {
-		for at.Sub(counted[oldest]) >= limitWindow {
+	for last, moment := range moments {
+		for moment.Sub(moments[oldest]) >= within {
 			oldest++
 		}
 		most = max(most, last-oldest+1)
--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"encoding/json"
 	"maps"
 	"net/http"
 	"testing"
@@ -20,9 +19,7 @@
 		"cold_left_ms": 0, "call_seq": 0,
 	}
 	maps.Copy(entry, fields)
-	value, err := json.Marshal(entry)
-	assert.NilError(world.t, err)
-	world.store.Put("keyed.servers", id, value)
+	world.listWith(id, entry)
 	time.Sleep(knownTimeOfEntries)
 }
 
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -44,15 +44,8 @@
 
 // busiest returns the most requests within any limitWindow, from a moment on.
 func busiest(reached []time.Time, from time.Time) int {
-	most := 0
-	for first, at := range reached {
-		if at.Before(from) {
-			continue
-		}
-		end, _ := slices.BinarySearchFunc(reached, at.Add(limitWindow), time.Time.Compare)
-		most = max(most, end-first)
-	}
-	return most
+	first, _ := slices.BinarySearchFunc(reached, from, time.Time.Compare)
+	return busiestWithin(reached[first:], limitWindow)
 }
 
 // Two engines named in each answer how many requests a second they take from all VMs together, 1.4 and 1.1, and got 19
