exchange: VMs look for their entry at moments apart, and wait less for an answer

Cause: the moments were drawn from the whole 10 s, so that three of six VMs may fall into the 0.7 s in which the register is away, and each tries again twice or three times within a second. Each VM has a part of the time to itself by its place in the order, so it holds for whoever is drawn. Ruled out: the pauses after a failure, which the fixed ones before had alike.

TestVMsAgreeSoon (KNOWN-RED): a VM that finds seven in the register waited 250 to 500 ms for one of them to answer before it entered. A VM that is there answers within milliseconds, as after a suspension, whose time it has now.

--- a/internal/exchange/reenter_test.go
+++ b/internal/exchange/reenter_test.go
@@ -55,6 +55,25 @@
 	}
 }
 
+// TestLooksAreApart has VMs that look whether the register still has them: no more than two do so in one second.
+func TestLooksAreApart(t *testing.T) {
+	for range 10 {
+		inFleet(t, 6, func(t *testing.T, vms *vms, _ []*countingConn) {
+			time.Sleep(5 * time.Second)
+			var reentering sync.WaitGroup
+			for _, part := range vms.parts {
+				reentering.Go(func() { part.Reenter(t.Context()) })
+			}
+			for range 12 {
+				before := vms.register.looks()
+				time.Sleep(time.Second)
+				assert.Assert(t, vms.register.looks()-before <= 2)
+			}
+			reentering.Wait()
+		})
+	}
+}
+
 // forget drops so many VMs.
 func (register *register) forget(count int) {
 	register.mu.Lock()
--- a/internal/exchange/register.go
+++ b/internal/exchange/register.go
@@ -123,7 +123,7 @@
 
 // isAnswered reports whether a VM of the register answers, which may be starting too.
 func (exchange *Exchange) isAnswered(ctx context.Context) bool {
-	until := exchange.now().Add(wait.Drawn(exchange.settings.Register))
+	until := exchange.now().Add(wait.Drawn(wakeTime))
 	for exchange.now().Before(until) {
 		if exchange.hearsOthers() {
 			return true
@@ -246,8 +246,7 @@
 		return
 	}
 	backoff := wait.NewBackoff(exchange.settings.Register, exchange.settings.RegisterMax)
-	pause := rand.N(exchange.settings.Reenter) //nolint:gosec // no secret
-	for again := wait.For(ctx, pause); again; again = backoff.Wait(ctx) {
+	for again := wait.For(ctx, exchange.reenterIn()); again; again = backoff.Wait(ctx) {
 		err := exchange.enterAgain(ctx)
 		if err == nil {
 			return
@@ -256,6 +255,17 @@
 	}
 }
 
+// reenterIn is when this VM looks whether the register still has it. The time is split among those through which all are
+// found, since moments drawn from the whole of it may fall together.
+func (exchange *Exchange) reenterIn() time.Duration {
+	exchange.mu.Lock()
+	defer exchange.mu.Unlock()
+	parts := exchange.foundBy()
+	part := exchange.settings.Reenter / time.Duration(parts)
+	place := slices.Index(exchange.ordered(), exchange.self.VM) % parts
+	return time.Duration(place)*part + rand.N(part) //nolint:gosec // no secret
+}
+
 // enterAgain lists the VMs, and enters this one if it is not there.
 func (exchange *Exchange) enterAgain(ctx context.Context) error {
 	members, err := exchange.list(ctx)
