catalog, gateway, dispatch: requests are kept to the regions that the operator allows

The configuration names regions of routes and of organisations; no code read them, nor the region of each data centre in the settings file. A server of any region got such requests, read parts of their prompts, and got their retries.

Where the lists leave no data centre, or its servers are evacuated, the request is refused at once and has not run. Dispatch has a test of its own: a kept request waits, lets others pass and is not sent elsewhere after a failure.

Why it holds: three looks go by the same list, when servers are chosen (for the decided ones and for a VM that looks alone), when they are told to the VM that asked, and before the request is sent. No VM gets another's bodies.

--- a/internal/catalog/organisation.go
+++ b/internal/catalog/organisation.go
@@ -8,6 +8,8 @@
 	Keys []string
 	// Priority goes before the route's. It is nil when none is set.
 	Priority *int
+	// Regions go beside the route's: both hold.
+	Regions Regions
 }
 
 // Limits bound what a client may send.
--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -41,6 +41,7 @@
 	Anonymous bool
 	// Resumable says that a stream may go on at another server.
 	Resumable bool
+	Regions   Regions
 	// Targets is never empty.
 	Targets []Target
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -32,8 +32,8 @@
 type Servers interface {
 	Open(service *catalog.Service, tried []string) []placement.Server
 	Resting(vm string) []string
-	TakesPerSecond(service, vm string) (float64, bool)
-	AllEvacuated(service string) bool
+	TakesPerSecond(service string, keptTo []string, vm string) (float64, bool)
+	AllEvacuated(service string, keptTo []string) bool
 	Assign(vm string, id uint64, plan placement.Plan, request placement.Request)
 	Withdraw(vm string, id uint64)
 	Changed() <-chan struct{}
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -36,7 +36,7 @@
 		return dispatch.Answer{ID: ask.ID, Decision: dispatch.DecisionUnknown}
 	}
 	request := &dispatch.Request{
-		Key: key, Service: ask.Service, Tried: ask.Tried,
+		Key: key, Service: ask.Service, Tried: ask.Tried, KeptTo: ask.KeptTo,
 		Due: now.Add(ask.Due), Leaves: now.Add(ask.Stays),
 		Placement: placement.Request{
 			DataCentre: ask.DataCentre, Engine: service.Engine, Tokens: ask.Tokens, Memory: ask.Memory,
@@ -219,13 +219,13 @@
 }
 
 // TakesPerSecond implements dispatch.Servers.
-func (view *view) TakesPerSecond(service, vm string) (float64, bool) {
-	return view.servers.TakesPerSecond(service, vm)
+func (view *view) TakesPerSecond(request *dispatch.Request) (float64, bool) {
+	return view.servers.TakesPerSecond(request.Service, request.KeptTo, request.VM)
 }
 
 // AllEvacuated implements dispatch.Servers.
-func (view *view) AllEvacuated(service string) bool {
-	return view.servers.AllEvacuated(service)
+func (view *view) AllEvacuated(request *dispatch.Request) bool {
+	return view.servers.AllEvacuated(request.Service, request.KeptTo)
 }
 
 // Take implements dispatch.Servers.
--- a/internal/coordinator/fleetvm_test.go
+++ b/internal/coordinator/fleetvm_test.go
@@ -98,7 +98,7 @@
 			return "", nil
 		}
 		if placed {
-			servers, missing := vm.pool.Find(plainName, answer.Servers)
+			servers, missing := vm.pool.Find(plainName, nil, answer.Servers)
 			assert.Check(vm.fleet.t, len(missing) == 0)
 			if answer.Limited {
 				vm.pool.WatchLimit(servers[0].ID)
--- a/internal/coordinator/world_test.go
+++ b/internal/coordinator/world_test.go
@@ -262,7 +262,7 @@
 	result.placed = true
 	result.expected = result.waited + answer.Predicted
 	result.servers = answer.Servers
-	servers, _ := testvm.pool.Find(serviceName, answer.Servers)
+	servers, _ := testvm.pool.Find(serviceName, nil, answer.Servers)
 	use := testvm.pool.StartAs(id, placement.Plan{
 		Server: servers[0], Helpers: servers[1:], Part: answer.Part, Shares: answer.Shares, Tight: answer.Tight,
 	}, placement.Request{Engine: testvm.world.service.Engine, Memory: kind.tokens + 500, Gap: kind.gap})
--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -22,6 +22,8 @@
 	DataCentre string
 	// Tried has the servers that failed the request.
 	Tried []string
+	// KeptTo has the data centres whose servers may get it, or none where any may.
+	KeptTo []string
 	// Withdrawn says that the request wants no servers any more.
 	Withdrawn bool
 	// Again says that servers had the request before, and that it needs a grant to go to others.
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -67,11 +67,11 @@
 	ahead := make(map[string]int)
 	var refused []Refusal
 	queue.waiting = slices.DeleteFunc(queue.waiting, func(request *Request) bool {
-		if servers.AllEvacuated(request.Service) {
+		if servers.AllEvacuated(request) {
 			refused = append(refused, Refusal{Key: request.Key})
 			return true
 		}
-		if perSecond, limited := servers.TakesPerSecond(request.Service, request.VM); limited {
+		if perSecond, limited := servers.TakesPerSecond(request); limited {
 			if limitServes(request, ahead[request.Service], perSecond, now) {
 				ahead[request.Service]++
 				return false
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -23,11 +23,11 @@
 	Open(service string) []placement.Server
 	// Resting returns the servers that want nothing from a VM now.
 	Resting(vm string) []string
-	// TakesPerSecond returns how many requests a second of all VMs the servers of a service take that want some from a
+	// TakesPerSecond returns how many requests a second of all VMs those servers take that may get a request and want some from its
 	// VM, and reports whether all of these named limits.
-	TakesPerSecond(service, vm string) (float64, bool)
-	// AllEvacuated reports whether the operator keeps all servers of a service from requests.
-	AllEvacuated(service string) bool
+	TakesPerSecond(request *Request) (float64, bool)
+	// AllEvacuated reports whether the operator evacuates all servers that may get a request.
+	AllEvacuated(request *Request) bool
 	// Take notes that a request got the servers of a plan.
 	Take(request *Request, plan placement.Plan)
 }
@@ -60,7 +60,7 @@
 	queue.Remove(request.Key)
 	queue.waiting = append(queue.waiting, request)
 	if queue.count(request.Service) > 1 {
-		if _, limited := servers.TakesPerSecond(request.Service, request.VM); limited {
+		if _, limited := servers.TakesPerSecond(request); limited {
 			return Verdict{}, false
 		}
 	}
@@ -121,8 +121,9 @@
 	queue.waiting = slices.DeleteFunc(queue.waiting, match)
 }
 
-// look asks the policy for one request, by a view of the servers that its VM may use.
+// look asks the policy for one request, by a view of the servers. Only those that it may get, and that its VM may use, count.
 func (queue *Queue) look(request *Request, servers Servers, view []placement.Server, now time.Time) (placement.Plan, bool) {
+	view = placement.In(view, request.KeptTo)
 	view = placement.Without(view, servers.Resting(request.VM))
 	open := placement.Without(view, request.Tried)
 	if len(open) == 0 {
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -45,9 +45,9 @@
 
 func (believed *believed) Resting(vm string) []string { return believed.resting[vm] }
 
-func (believed *believed) AllEvacuated(string) bool { return believed.evacuated }
+func (believed *believed) AllEvacuated(*dispatch.Request) bool { return believed.evacuated }
 
-func (believed *believed) TakesPerSecond(string, string) (float64, bool) {
+func (believed *believed) TakesPerSecond(*dispatch.Request) (float64, bool) {
 	return believed.perSecond, believed.perSecond > 0
 }
 
@@ -183,6 +183,29 @@
 	assert.Equal(t, verdict.Plan.Server.ID, "a")
 }
 
+// TestRequestsAreKeptToDataCentres has a request that only servers of some data centres may get. Where these have no room it
+// waits, lets others go before it, and goes to no other server, also when those that may get it failed it.
+func TestRequestsAreKeptToDataCentres(t *testing.T) {
+	now := time.Unix(1000, 0)
+	servers := &believed{servers: []placement.Server{
+		{ID: "a", DataCentre: "north", Slots: 10}, {ID: "b", DataCentre: "south", Slots: 10, Running: 10},
+	}}
+	queue := dispatch.New(slots{})
+	kept := newRequest(1, 1000, now.Add(time.Second), true)
+	kept.KeptTo = []string{"south", "west"}
+	kept.Tried = []string{"b"}
+	_, placed := queue.Offer(kept, servers, now)
+	assert.Assert(t, !placed)
+	verdict, placed := queue.Offer(newRequest(2, 1000, now.Add(2*time.Second), true), servers, now)
+	assert.Assert(t, placed)
+	assert.Equal(t, verdict.Plan.Server.ID, "a")
+	assert.Equal(t, len(pass(t, queue, servers, now)), 0)
+	servers.free("b", 1)
+	verdicts := pass(t, queue, servers, now)
+	assert.DeepEqual(t, ids(verdicts), []uint64{1})
+	assert.Equal(t, verdicts[0].Plan.Server.ID, "b")
+}
+
 // first returns the least key of a map.
 func first[V any](values map[uint64]V) (uint64, bool) {
 	if len(values) == 0 {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -21,6 +21,8 @@
 	Service string
 	// Tried has the servers that failed it.
 	Tried []string
+	// KeptTo has the data centres whose servers may get it, or none where any may.
+	KeptTo []string
 	// Due is when its first event is in time, and Leaves until when its caller waits
 	// for it.
 	Due    time.Time
--- a/internal/exchange/asks.go
+++ b/internal/exchange/asks.go
@@ -21,6 +21,7 @@
 		Tried:        ask.Tried,
 		Withdrawn:    ask.Withdrawn,
 		Again:        ask.Again,
+		KeptTo:       ask.KeptTo,
 	}
 }
 
@@ -40,6 +41,7 @@
 			Tried:      ask.GetTried(),
 			Withdrawn:  ask.GetWithdrawn(),
 			Again:      ask.GetAgain(),
+			KeptTo:     ask.GetKeptTo(),
 		})
 	}
 	return list
--- a/internal/exchange/asks_internal_test.go
+++ b/internal/exchange/asks_internal_test.go
@@ -35,6 +35,7 @@
 			Stays:      drawMilliseconds(t, -aMinute, "stays"),
 			DataCentre: rapid.StringMatching(`[a-z0-9]{0,12}`).Draw(t, "data centre"),
 			Tried:      names.Draw(t, "tried"),
+			KeptTo:     names.Draw(t, "kept to"),
 			Withdrawn:  rapid.Bool().Draw(t, "withdrawn"),
 		}
 		answer := dispatch.Answer{
@@ -63,12 +64,17 @@
 		for i := range ask.Tried {
 			assert.Equal(t, gotAsk.Tried[i], ask.Tried[i])
 		}
+		assert.Equal(t, len(gotAsk.KeptTo), len(ask.KeptTo))
+		for i := range ask.KeptTo {
+			assert.Equal(t, gotAsk.KeptTo[i], ask.KeptTo[i])
+		}
 		for i := range answer.Servers {
 			assert.Equal(t, gotAnswer.Servers[i], answer.Servers[i])
 		}
 		for i := range answer.Shares {
 			assert.Equal(t, gotAnswer.Shares[i], answer.Shares[i])
 		}
+		gotAsk.KeptTo = ask.KeptTo
 		gotAsk.Tried, gotAnswer.Servers, gotAnswer.Shares = ask.Tried, answer.Servers, answer.Shares
 		assert.DeepEqual(t, gotAsk, ask)
 		assert.DeepEqual(t, gotAnswer, answer)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -95,7 +95,7 @@
 // stillTaken returns an error if a server of a plan takes nothing more from this VM, as it may have said while memory
 // was set aside, which takes up to an order's time.
 func (run *run) stillTaken(plan placement.Plan) error {
-	if _, missing := run.gateway.pool.Find(run.service.Name, plan.IDs()); len(missing) > 0 {
+	if _, missing := run.gateway.pool.Find(run.service.Name, run.keptTo, plan.IDs()); len(missing) > 0 {
 		return errors.Newf("%v take nothing more", missing)
 	}
 	return nil
--- a/internal/gateway/elsewhere.go
+++ b/internal/gateway/elsewhere.go
@@ -53,7 +53,7 @@
 		if !placed || run.refused {
 			return placement.Plan{}, nil, false
 		}
-		servers, missing := gateway.pool.Find(run.service.Name, answer.Servers)
+		servers, missing := gateway.pool.Find(run.service.Name, run.keptTo, answer.Servers)
 		if len(missing) == 0 {
 			if answer.Limited {
 				gateway.pool.WatchLimit(servers[0].ID)
@@ -79,7 +79,7 @@
 	return dispatch.Ask{
 		ID: id, Service: run.service.Name, Tokens: request.Tokens, Memory: request.Memory,
 		Gap: request.Gap, Objective: request.Objective, Due: request.Left, Stays: request.Stays,
-		DataCentre: request.DataCentre, Tried: run.tried, Again: run.sends > 0 && run.gateway.retriesGranted(),
+		DataCentre: request.DataCentre, Tried: run.tried, KeptTo: run.keptTo, Again: run.sends > 0 && run.gateway.retriesGranted(),
 	}
 }
 
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -123,6 +123,7 @@
 	site := newSite()
 	site.VM = vm.name()
 	site.DataCentre = fmt.Sprintf("centre-%d", vm.number%3)
+	site.Regions = regionsOf()
 	site.Address = vm.address()
 	site.ReadyAddress = fmt.Sprintf("10.0.1.%d:81", vm.number)
 	site.PeerAddress = fmt.Sprintf("10.0.1.%d:82", vm.number)
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -32,6 +32,7 @@
 	ReasonResting         Reason = "servers_rest"
 	ReasonLimited         Reason = "servers_limited"
 	ReasonEvacuated       Reason = "servers_evacuated"
+	ReasonNoRegion        Reason = "no_region_allowed"
 	ReasonStopping        Reason = "stopping"
 	ReasonCrashesServers  Reason = "crashes_servers"
 	ReasonCallerGone      Reason = "caller_gone"
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -29,7 +29,7 @@
 // look asks the policy once by what this VM knows itself, and takes the servers that it names.
 func (run *run) look() (placement.Plan, *pool.Use, bool) {
 	gateway := run.gateway
-	servers := gateway.open(run.service, run.tried)
+	servers := placement.In(gateway.open(run.service, run.tried), run.keptTo)
 	if len(servers) == 0 {
 		run.tried = nil // all failed once: any may do better now
 	}
--- a/internal/gateway/rest.go
+++ b/internal/gateway/rest.go
@@ -14,7 +14,7 @@
 // restTooLong reports whether all servers want nothing from this VM until the request is late, so that it is given up
 // at once. Its caller's next try goes to another VM, which they may not have asked.
 func (run *run) restTooLong() bool {
-	over, resting := run.gateway.pool.RestOver(run.service)
+	over, resting := run.gateway.pool.RestOver(run.service, run.keptTo)
 	if !resting || !over.After(run.due(run.placementRequest().Tight())) {
 		return false
 	}
@@ -25,7 +25,7 @@
 // hopeless reports whether no server will take the request in time, so that it is given up at once. Servers of data
 // centres that the operator empties take nothing for longer than callers wait.
 func (run *run) hopeless() bool {
-	if run.gateway.pool.AllEvacuated(run.service.Name) {
+	if run.gateway.pool.AllEvacuated(run.service.Name, run.keptTo) {
 		run.givenUp = givenUp{reason: ReasonEvacuated}
 		return true
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -70,7 +70,9 @@
 	service  *catalog.Service
 	// organisation is nil for a request without a key.
 	organisation *catalog.Organisation
-	arrived      time.Time
+	// keptTo has the data centres whose servers may get it, or none where any may.
+	keptTo  []string
+	arrived time.Time
 	// since is when its caller first tried, as far as that can be told.
 	since time.Time
 	// deadline is when the caller must have an answer.
@@ -117,6 +119,9 @@
 		return result, failure(ReasonNoServer, false, gateway.retryAfter()), "service not configured"
 	}
 	result.service = service
+	if !result.keep(gateway.site.Regions) {
+		return result, failure(ReasonNoRegion, false, gateway.storeRetryAfter()), "regions: no data centre is in all that are allowed"
+	}
 	result.setDeadlines(gateway.settings.Request.Margin)
 	result.since = gateway.returns.since(route.Name, route.Timeout, result.callerDeadline.Sub(arrived))
 	return result, outcome{}, ""
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -6,6 +6,8 @@
 type Site struct {
 	VM         string
 	DataCentre string
+	// Regions has the region of each data centre, by its name.
+	Regions map[string]string
 	// Address is where callers connect.
 	Address string
 	// ReadyAddress is where the balancer asks whether the VM is ready.
--- a/internal/pool/assign_test.go
+++ b/internal/pool/assign_test.go
@@ -131,7 +131,7 @@
 				}
 			}
 			assert.Equal(t, found, !test.wantGone)
-			usable, missing := world.Find("engines", []string{"a", "b"})
+			usable, missing := world.Find("engines", nil, []string{"a", "b"})
 			assert.Equal(t, len(missing) == 1, test.wantGone)
 			assert.Equal(t, len(usable)+len(missing), 2)
 		})
--- a/internal/pool/bench_test.go
+++ b/internal/pool/bench_test.go
@@ -75,7 +75,7 @@
 	servers.Replace(listedUpTo(600))
 	b.ReportAllocs()
 	for b.Loop() {
-		servers.TakesPerSecond("engines", "vm-1")
+		servers.TakesPerSecond("engines", nil, "vm-1")
 	}
 }
 
--- a/internal/pool/evacuation.go
+++ b/internal/pool/evacuation.go
@@ -14,15 +14,15 @@
 	return slices.Contains(pool.evacuated, server.entry.DataCentre)
 }
 
-// AllEvacuated reports whether a service has servers that could get requests, and an evacuation keeps them from all of
-// these.
-func (pool *Pool) AllEvacuated(service string) bool {
+// AllEvacuated reports whether a service has servers in those data centres that could get requests, and an evacuation keeps
+// them from all of these.
+func (pool *Pool) AllEvacuated(service string, keptTo []string) bool {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	now := pool.now()
 	kept := false
 	for _, server := range pool.byService[service] {
-		if !pool.stays(server, now) {
+		if !server.in(keptTo) || !pool.stays(server, now) {
 			continue
 		}
 		if !pool.isEvacuated(server) {
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -188,7 +188,7 @@
 
 // TakesPerSecond returns how many requests a second the servers of a service take that want some from a VM, and reports
 // whether there are such and all of them named limits or are cold.
-func (pool *Pool) TakesPerSecond(service, vm string) (float64, bool) {
+func (pool *Pool) TakesPerSecond(service string, keptTo []string, vm string) (float64, bool) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	now := pool.now()
@@ -196,7 +196,7 @@
 	total := 0.0
 	for _, server := range pool.byService[service] {
 		_, rests := pool.rests.Over(vm, server.entry.ID, now)
-		if !pool.takes(server, now) || rests {
+		if !server.in(keptTo) || !pool.takes(server, now) || rests {
 			continue
 		}
 		perSecond, bounded := pool.perSecond(server, share, now)
--- a/internal/pool/limit_test.go
+++ b/internal/pool/limit_test.go
@@ -226,7 +226,7 @@
 			world.Limits("s2", 3)
 			test.also(world)
 			assert.DeepEqual(t, world.open(), test.open)
-			perSecond, limited := world.TakesPerSecond("engines", "vm-1")
+			perSecond, limited := world.TakesPerSecond("engines", nil, "vm-1")
 			assert.Equal(t, perSecond, test.takes)
 			assert.Equal(t, limited, test.takes > 0)
 		})
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -114,15 +114,15 @@
 	return open
 }
 
-// Find returns servers of a service by their IDs, and the IDs of those that are not known here or take nothing
-// from this VM. That a server rests is told again, since who named it has not heard.
-func (pool *Pool) Find(service string, ids []string) (found []placement.Server, missing []string) {
+// Find returns servers of a service by their IDs, and the IDs of those that are not known here, are not in the data centres
+// that are named, or take nothing from this VM. That a server rests is told again, since who named it has not heard.
+func (pool *Pool) Find(service string, keptTo, ids []string) (found []placement.Server, missing []string) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	now := pool.now()
 	for _, id := range ids {
 		server := pool.servers[id]
-		if server == nil || server.entry.Service != service || !pool.takes(server, now) {
+		if server == nil || server.entry.Service != service || !server.in(keptTo) || !pool.takes(server, now) {
 			missing = append(missing, id)
 			continue
 		}
--- a/internal/pool/rest.go
+++ b/internal/pool/rest.go
@@ -30,15 +30,15 @@
 	return pool.rests.Servers(vm, pool.now())
 }
 
-// RestOver returns when the first server of a service has rested, where all that may be used want nothing from this VM
-// now.
-func (pool *Pool) RestOver(service *catalog.Service) (time.Time, bool) {
+// RestOver returns when the first server of a service in those data centres has rested, where all that may be used want
+// nothing from this VM now.
+func (pool *Pool) RestOver(service *catalog.Service, keptTo []string) (time.Time, bool) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	now := pool.now()
 	var first time.Time
 	for _, server := range pool.byService[service.Name] {
-		if !pool.takes(server, now) {
+		if !server.in(keptTo) || !pool.takes(server, now) {
 			continue
 		}
 		until, rests := pool.rests.Over(pool.vm, server.entry.ID, now)
--- a/internal/pool/rest_test.go
+++ b/internal/pool/rest_test.go
@@ -56,7 +56,7 @@
 			world.pass(time.Second)
 			assert.DeepEqual(t, world.Resting("vm-1"), test.own)
 			assert.DeepEqual(t, world.Resting("vm-2"), test.other)
-			_, missing := world.Find("engines", []string{"s1", "s2"})
+			_, missing := world.Find("engines", nil, []string{"s1", "s2"})
 			assert.Equal(t, slices.Contains(missing, "s1"), slices.Contains(test.own, "s1") || slices.Contains(world.open(), "s1#later"))
 		})
 	}
@@ -68,7 +68,7 @@
 	world.Replace(listedUpTo(2))
 	world.Rests("s1", 3*time.Second)
 	world.pass(time.Second)
-	world.Find("engines", []string{"s1"})
+	world.Find("engines", nil, []string{"s1"})
 	told := pool.Report{Server: "s1", Phase: pool.PhaseOver, Health: pool.HealthResting, Rest: 3 * time.Second}
 	again := told
 	again.Rest = 2 * time.Second
@@ -98,7 +98,7 @@
 				}
 			}
 			assert.Equal(t, len(world.Resting("vm-1")), len(latest))
-			first, allRest := world.RestOver(engines())
+			first, allRest := world.RestOver(engines(), nil)
 			assert.Equal(t, allRest, len(latest) == 4)
 			for _, until := range latest {
 				assert.Assert(t, !allRest || !until.Before(first))
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -149,3 +149,8 @@
 func (server *server) remove(removed *sending) {
 	server.sendings = slices.DeleteFunc(server.sendings, func(sending *sending) bool { return sending == removed })
 }
+
+// in reports whether the server is in one of some data centres, or none is named.
+func (server *server) in(dataCentres []string) bool {
+	return len(dataCentres) == 0 || slices.Contains(dataCentres, server.entry.DataCentre)
+}
--- a/internal/pool/start_test.go
+++ b/internal/pool/start_test.go
@@ -88,7 +88,7 @@
 			late(world)
 			assert.DeepEqual(t, world.open(), []string{startID(2)})
 			assert.Equal(t, world.server(t, startID(2)).MemoryFree, memoryTokens)
-			_, missing := world.Find("engines", []string{startID(1)})
+			_, missing := world.Find("engines", nil, []string{startID(1)})
 			assert.DeepEqual(t, missing, []string{startID(1)})
 		})
 	}
