gateway: a server's refusal is passed on only where it says that nothing ran

A caller got 408, 429 or 503 of a server that had run its request: a whole answer with such a status was passed on as any other. To callers these say that the request has not run and never will, so one that must run once is sent again. Servers say so by a header alone.

Such an answer now counts as of a request that may have run: repeatable ones go to another server, others end with 502.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -155,6 +155,11 @@
 			atFault: answer.AtServer, err: errors.Newf("status %d, not run", response.Status),
 		}
 	}
+	if promisesNotRun(response.Status) {
+		return result{
+			kind: resultUncertain, status: response.Status, err: errors.Newf("status %d, but not said not to have run", response.Status),
+		}
+	}
 	whole := &plainAnswer{status: response.Status, header: response.Header, body: body}
 	if response.Status >= http.StatusInternalServerError {
 		if !answer.Whole {
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -62,6 +62,17 @@
 	server string
 }
 
+// promisesNotRun reports whether a status tells callers that the request has not run and never will. A server's own word for
+// that is another one, and without it such an answer isn't passed on: the caller would send again what may have run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // failure returns the outcome of a request that ends without an answer of a
 // server. Not run is promised only where it is certain.
 func failure(reason Reason, mayHaveRun bool, retryAfter time.Duration) outcome {
