gateway: bodies and answers of all requests together are bounded

A VM checked the memory for a body before it read it and counted it after, so callers of one moment all passed the check, and bodies whose length is not stated passed always. What is kept of plain answers was bounded one by one alone: a hundred slow callers of 4 MB answers held 400 MB.

Tests over one VM of 4 MB, red before: a hundred bodies of 60 kB at once with the length stated and not, 27 and 31 of them kept where 20 are allowed; the figure of answers did not exist. After: 20 bodies, the others refused at once and not run; a hundred answers of 60 kB to callers that read nothing for 0.3 s all arrive whole within a fifth of the memory, and short answers beside them take under 0.2 s.

Why it holds: bodies are counted as they are read. Answers up to 16 kB are read at once, as such lie in buffers anyway; longer ones wait for room, first come first served, before they are read on, and their server's silence says nothing meanwhile. Ruled out: to refuse answers for which there is no room, since they ran and are ready. Not bounded: the one failed answer of a server that each request may keep until its end.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,10 +67,11 @@
 	}
 	answer := gateway.codec.Answer(response.Status, response.Header)
 	defer func() { response.Close(answer.Idle) }()
+	attempted := &attempted{plan: plan, use: use, response: response, watchdog: watchdog, patience: patience}
 	if answer.Stream && answer.Whole && !answer.Encoded && response.Status/100 == 2 {
-		return run.relay(ctx, &attempted{plan: plan, use: use, response: response, watchdog: watchdog})
+		return run.relay(ctx, attempted)
 	}
-	return run.receive(ctx, response, answer)
+	return run.receive(ctx, attempted, answer)
 }
 
 // reserve sets memory aside at the servers of a plan that needs it.
@@ -140,8 +141,10 @@
 
 // receive reads a plain answer whole, and passes it on when it is the last
 // word.
-func (run *run) receive(ctx context.Context, response *upstream.Response, answer call.Answer) result {
-	body, err := io.ReadAll(io.LimitReader(response, run.gateway.settings.Request.MaxAnswerBytes+1))
+func (run *run) receive(ctx context.Context, attempted *attempted, answer call.Answer) result {
+	response := attempted.response
+	body, release, err := run.gateway.answers.read(ctx, attempted, run.gateway.settings.Request.MaxAnswerBytes)
+	defer release()
 	switch {
 	case err != nil:
 		return result{
@@ -210,6 +213,8 @@
 	response *upstream.Response
 	// watchdog ends the attempt when the server is silent for too long, or is nil for one that may be silent.
 	watchdog *time.Timer
+	// patience is how long it may be silent before its answer.
+	patience time.Duration
 	// stalled says that the caller took long to read an event. What the server sent before is still read after that.
 	stalled bool
 }
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -31,6 +31,8 @@
 	path   string
 	header map[string]string
 	body   string
+	// chunked says that the length of the body is not stated.
+	chunked bool
 	// vm is the address that the caller asks, or empty for that of the first VM.
 	vm string
 	// give is after how long the caller leaves, or zero for never.
@@ -76,7 +78,11 @@
 			fmt.Fprintf(raw, "%s: %s\r\n", name, value)
 		}
 	}
-	if caller.body != "" {
+	switch {
+	case caller.chunked:
+		fmt.Fprintf(raw, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n", len(caller.body), caller.body)
+		caller.body = ""
+	case caller.body != "":
 		fmt.Fprintf(raw, "Content-Length: %d\r\n", len(caller.body))
 	}
 	raw.WriteString("\r\n" + caller.body)
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -42,7 +42,9 @@
 	apply time.Duration
 	// slack is that of retries over all VMs, or zero for the usual one.
 	slack float64
-	vms   []*fleetVM
+	// memory is what each VM may use in bytes, or zero for the usual.
+	memory int64
+	vms    []*fleetVM
 	// servers has those of both services.
 	servers []*fleetServer
 }
@@ -128,6 +130,7 @@
 	site.ReadyAddress = fmt.Sprintf("10.0.1.%d:81", vm.number)
 	site.PeerAddress = fmt.Sprintf("10.0.1.%d:82", vm.number)
 	site.Bounds.Apply = fleet.apply
+	site.MemoryBytes = cmp.Or(fleet.memory, site.MemoryBytes)
 	site.Bounds.RetrySlack = cmp.Or(fleet.slack, site.Bounds.RetrySlack)
 	vm.stopped = make(chan error, 1)
 	vm.served, vm.stop = fleet.startAt(site, vm.stopped)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,8 +95,9 @@
 
 	// running counts requests in progress.
 	running atomic.Int64
-	// bodyBytes is the memory of the bodies of requests in progress.
-	bodyBytes atomic.Int64
+	// bodies has the bodies of requests in progress, and answers what servers sent that callers have not read.
+	bodies  memory
+	answers *answerRoom
 	// stopping says that the process was asked to stop.
 	stopping atomic.Bool
 	// closing says that new requests are refused, so that the process can end.
@@ -152,6 +153,8 @@
 		epochs:     sources.Epochs,
 		quarantine: quarantine.New(settings.Quarantine, sources.Quarantine, exchange, logger, now),
 
+		bodies:  memory{most: site.part(settings.Request.MaxBodyPart)},
+		answers: newAnswerRoom(site.part(settings.Request.MaxAnswersPart)),
 		life:    life,
 		end:     end,
 		budgets: make(map[string]*retrybudget.Budget),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -58,6 +58,12 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "mastwinch_running_requests", Help: "Requests in progress.",
 		}, func() float64 { return float64(gateway.running.Load()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "mastwinch_body_bytes", Help: "Bodies of requests in progress.",
+		}, func() float64 { return float64(gateway.bodies.used.Load()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "mastwinch_answer_bytes", Help: "Room taken for answers of servers that callers have not read.",
+		}, func() float64 { return float64(gateway.answers.used.Load()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "mastwinch_configuration_age_seconds", Help: "Age of the proof that the configuration is current.",
 		}, func() float64 {
--- a/internal/gateway/scripted_test.go
+++ b/internal/gateway/scripted_test.go
@@ -88,3 +88,11 @@
 	}
 	return body.String()
 }
+
+// after waits before it answers.
+func after(pause time.Duration, then backend) backend {
+	return func(world *world, nth int, writer http.ResponseWriter, request *http.Request) {
+		time.Sleep(pause)
+		then(world, nth, writer, request)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -28,13 +28,13 @@
 		gateway.ended(admitted, refused, &run{})
 		return
 	}
-	body, refused := gateway.readBody(writer, incoming, admitted)
+	body, release, refused := gateway.readBody(writer, incoming, admitted)
+	defer release()
 	if refused.status != 0 {
 		gateway.writeOutcome(writer, admitted.head.ID, refused, "")
 		gateway.ended(admitted, refused, &run{})
 		return
 	}
-	defer gateway.bodyBytes.Add(-int64(len(body)))
 	ctx, cancel := gateway.bound(incoming.Context(), admitted.deadline)
 	defer cancel()
 	run := newRun(gateway, admitted, body, writer)
@@ -201,36 +201,37 @@
 	return count
 }
 
-// readBody reads the whole body within the limits.
+// readBody reads the whole body within the limits. It counts as kept until release is called.
 func (gateway *Gateway) readBody(
 	writer http.ResponseWriter, incoming *http.Request, admitted *admitted,
-) ([]byte, outcome) {
+) (body []byte, release func(), refused outcome) {
 	limit := admitted.catalog.Limits().MaxBodyBytes
-	if incoming.ContentLength > limit {
-		return nil, refusal(http.StatusRequestEntityTooLarge, ReasonBodyTooLong)
-	}
-	if incoming.Body == nil || incoming.Body == http.NoBody {
-		return nil, outcome{}
-	}
-	known := max(0, incoming.ContentLength)
-	most := int64(gateway.settings.Request.MaxBodyPart * float64(gateway.site.MemoryBytes))
-	if most > 0 && gateway.bodyBytes.Load()+known > most {
-		return nil, failure(ReasonNoMemory, false, gateway.retryAfter())
+	nothing := func() {}
+	switch {
+	case incoming.ContentLength > limit:
+		return nil, nothing, refusal(http.StatusRequestEntityTooLarge, ReasonBodyTooLong)
+	case incoming.Body == nil || incoming.Body == http.NoBody:
+		return nil, nothing, outcome{}
+	case !gateway.bodies.fits(max(0, incoming.ContentLength)):
+		return nil, nothing, failure(ReasonNoMemory, false, gateway.retryAfter())
 	}
 	controller := http.NewResponseController(writer)
 	_ = controller.SetReadDeadline(gateway.clock.ForTimers(admitted.deadline)) // a connection that is gone fails the read
-	body, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, limit))
+	reader := &metered{Reader: http.MaxBytesReader(writer, incoming.Body, limit), memory: &gateway.bodies}
+	body, err := io.ReadAll(reader)
 	_ = controller.SetReadDeadline(time.Time{}) // as above
 	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
-		return nil, refusal(http.StatusRequestEntityTooLarge, ReasonBodyTooLong)
-	}
-	if err != nil {
+	switch {
+	case err == nil:
+		return body, reader.release, outcome{}
+	case errors.As(err, &tooLong):
+		return nil, reader.release, refusal(http.StatusRequestEntityTooLarge, ReasonBodyTooLong)
+	case errors.Is(err, errNoMemory):
+		return nil, reader.release, failure(ReasonNoMemory, false, gateway.retryAfter())
+	default:
 		gateway.logger.Info("body not read", "request_id", admitted.head.ID, "error", err)
-		return nil, refusal(http.StatusBadRequest, ReasonBodyNotRead)
+		return nil, reader.release, refusal(http.StatusBadRequest, ReasonBodyNotRead)
 	}
-	gateway.bodyBytes.Add(int64(len(body)))
-	return body, outcome{}
 }
 
 // ended logs and counts the end of a request. The run is empty for one that was
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -85,6 +85,8 @@
 	MaxAnswerBytes int64 `yaml:"max_answer_bytes" validate:"min=1024"`
 	// MaxBodyPart is the part of the memory for bodies of all requests.
 	MaxBodyPart float64 `yaml:"max_body_part" validate:"min=0.01,max=0.9"`
+	// MaxAnswersPart is the part of the memory for answers of plain services, of all requests.
+	MaxAnswersPart float64 `yaml:"max_answers_part" validate:"min=0.01,max=0.9"`
 	// WriteTime is how long a caller may take to read one event or answer.
 	WriteTime time.Duration `yaml:"write_time" validate:"min=100ms"`
 	// RetryPart is the part of the retry budget that is used.
@@ -154,6 +156,7 @@
 			StoreRetryMax:  3200 * time.Millisecond,
 			MaxAnswerBytes: 4 << 20,
 			MaxBodyPart:    0.3,
+			MaxAnswersPart: 0.2,
 			WriteTime:      5 * time.Second,
 			RetryPart:      0.8,
 		},
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -57,3 +57,8 @@
 	}
 	return min(bounds.Apply, bounds.Evacuate)
 }
+
+// part returns that part of the memory that the process may use, in bytes, or zero where that is not told.
+func (site Site) part(part float64) int64 {
+	return int64(part * float64(site.MemoryBytes))
+}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -31,6 +31,11 @@
 	return count, err //nolint:wrapcheck // io.Reader's own errors
 }
 
+// Size returns how many bytes the body has, and reports false where the server did not state it.
+func (response *Response) Size() (int64, bool) {
+	return response.answer.ContentLength, response.answer.ContentLength >= 0
+}
+
 // SetReadDeadline bounds how long a read may wait.
 func (response *Response) SetReadDeadline(deadline time.Time) error {
 	return errors.WithStack(response.connection.conn.SetReadDeadline(deadline))
