gateway: a send that reached no server costs no retry

The budget bounds what arrives at servers past the first time; a send without a connection arrives nowhere, and was charged as one.

Test TestUnreachableServersCostNoRetries: four of twelve servers can't be reached, no retries beside what requests earn; 7 and more of 60 refused at one VM and at six before, none after, and no server got a request twice. So that a request asked for again earns nothing twice where retries are granted by the VM that decides, its asks say that it was counted.

--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -73,7 +73,9 @@
 	if ask.Again {
 		return coordinator.retries.Spend(ask.Service)
 	}
-	coordinator.retries.Earn(ask.Service)
+	if !ask.Counted {
+		coordinator.retries.Earn(ask.Service)
+	}
 	return true
 }
 
--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -26,8 +26,10 @@
 	KeptTo []string
 	// Withdrawn says that the request wants no servers any more.
 	Withdrawn bool
-	// Again says that servers had the request before, and that it needs a grant to go to others.
+	// Again says that servers may have got the request before, and that it needs a grant to go to others.
 	Again bool
+	// Counted says that an ask for the same request was made before, so that it earns no retry again.
+	Counted bool
 }
 
 // Decision is what became of an ask.
--- a/internal/exchange/asks.go
+++ b/internal/exchange/asks.go
@@ -22,6 +22,7 @@
 		Withdrawn:    ask.Withdrawn,
 		Again:        ask.Again,
 		KeptTo:       ask.KeptTo,
+		Counted:      ask.Counted,
 	}
 }
 
@@ -42,6 +43,7 @@
 			Withdrawn:  ask.GetWithdrawn(),
 			Again:      ask.GetAgain(),
 			KeptTo:     ask.GetKeptTo(),
+			Counted:    ask.GetCounted(),
 		})
 	}
 	return list
--- a/internal/exchange/asks_internal_test.go
+++ b/internal/exchange/asks_internal_test.go
@@ -37,6 +37,8 @@
 			Tried:      names.Draw(t, "tried"),
 			KeptTo:     names.Draw(t, "kept to"),
 			Withdrawn:  rapid.Bool().Draw(t, "withdrawn"),
+			Again:      rapid.Bool().Draw(t, "again"),
+			Counted:    rapid.Bool().Draw(t, "counted"),
 		}
 		answer := dispatch.Answer{
 			ID:        rapid.Uint64().Draw(t, "answered"),
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -123,7 +123,7 @@
 func sendFailed(ctx context.Context, err error) result {
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
-		return result{kind: resultNotRun, err: err}
+		return result{kind: resultNotRun, notSent: true, err: err}
 	}
 	return result{kind: resultUncertain, lost: ctx.Err() == nil, err: err}
 }
--- a/internal/gateway/elsewhere.go
+++ b/internal/gateway/elsewhere.go
@@ -41,7 +41,10 @@
 	gateway := run.gateway
 	for ctx.Err() == nil {
 		id := gateway.pool.ReserveID()
-		answer, placed := gateway.coordinator.Place(ctx, id, func() dispatch.Ask { return run.newAsk(id) })
+		counted := run.asked
+		run.asked = true
+
+		answer, placed := gateway.coordinator.Place(ctx, id, func() dispatch.Ask { return run.newAsk(id, counted) })
 		run.refused = placed && answer.Decision == dispatch.DecisionRefused
 		switch {
 		case run.refused && run.hopeless():
@@ -73,13 +76,14 @@
 	return placement.Plan{}, nil, false
 }
 
-// newAsk describes the request to the VM that decides.
-func (run *run) newAsk(id uint64) dispatch.Ask {
+// newAsk describes the request to the VM that decides. Counted says that it was asked for before.
+func (run *run) newAsk(id uint64, counted bool) dispatch.Ask {
 	request := run.placementRequest()
 	return dispatch.Ask{
 		ID: id, Service: run.service.Name, Tokens: request.Tokens, Memory: request.Memory,
 		Gap: request.Gap, Objective: request.Objective, Due: request.Left, Stays: request.Stays,
-		DataCentre: request.DataCentre, Tried: run.tried, KeptTo: run.keptTo, Again: run.sends > 0 && run.gateway.retriesGranted(),
+		DataCentre: request.DataCentre, Tried: run.tried, KeptTo: run.keptTo, Again: run.arrivals > 0 && run.gateway.retriesGranted(),
+		Counted: counted,
 	}
 }
 
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -136,3 +136,32 @@
 		}
 	}
 }
+
+// TestUnreachableServersCostNoRetries has servers to which no connection can be made. What was meant for them has arrived
+// nowhere, so to send it elsewhere is its first send and takes no retry, of which there are none: all are served.
+func TestUnreachableServersCostNoRetries(t *testing.T) {
+	for name, vms := range map[string]int{"retries of its own": 1, "retries granted by the VM that decides": 6} {
+		t.Run(name, func(t *testing.T) {
+			inFleetSlack(t, vms, 6, 1, func(fleet *fleet) {
+				for _, server := range fleet.servers[:4] {
+					fleet.network.SetDark(server.address, true)
+				}
+				before := len(fleet.again("engines")) + len(fleet.again("plain"))
+				var asking sync.WaitGroup
+				for number := range 60 {
+					caller := plain(http.MethodGet, "open")
+					if number%2 == 0 {
+						caller = stream("chat")
+					}
+					caller.vm = fleet.vms[number%len(fleet.vms)].address()
+					asking.Go(func() {
+						got := fleet.ask(caller)
+						assert.Check(t, got.status == http.StatusOK && got.whole, "%d %s", got.status, got.body)
+					})
+				}
+				asking.Wait()
+				assert.Equal(t, len(fleet.again("engines"))+len(fleet.again("plain")), before)
+			})
+		})
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -28,6 +28,10 @@
 	writer      http.ResponseWriter
 	// sends counts the times that the request was sent to a server.
 	sends int
+	// arrivals counts the times that a server may have got it.
+	arrivals int
+	// asked says that servers were asked for, so that the request was counted where retries are granted.
+	asked bool
 	// looks counts the plans that were tried.
 	looks int
 	// runs counts the servers that may have run the request.
@@ -110,6 +114,8 @@
 	// lost says that the connection broke while the server had the request, as it does for
 	// all that is there when a server crashes.
 	lost bool
+	// notSent says that no connection to the server was made, so that nothing arrived there.
+	notSent bool
 	// ran says that an event came from the server.
 	ran bool
 	// excused says that the failure says nothing of the server.
@@ -137,7 +143,7 @@
 		if !ok {
 			return run.interrupted(ctx)
 		}
-		if run.sends > 0 && !run.mayRetry(budget) {
+		if run.arrivals > 0 && !run.mayRetry(budget) {
 			use.Over()
 			return run.fail(ReasonRefused)
 		}
@@ -154,6 +160,9 @@
 		case resultAnswered, resultNotRun, resultUncertain, resultBroken:
 		}
 		run.sends++
+		if !result.notSent {
+			run.arrivals++
+		}
 		if final, done := run.conclude(ctx, plan, result); done {
 			return final
 		}
