--- a/internal/gateway/elsewhere.go
+++ b/internal/gateway/elsewhere.go
@@ -43,7 +43,6 @@
 		id := gateway.pool.ReserveID()
 		counted := run.asked
 		run.asked = true
-
 		answer, placed := gateway.coordinator.Place(ctx, id, func() dispatch.Ask { return run.newAsk(id, counted) })
 		run.refused = placed && answer.Decision == dispatch.DecisionRefused
 		switch {
