upstream: a new connection is waited for as long as its server's take

While a cut lasts between data centres, or links lose packets, each request that is placed across waited 0.5 s for a connection before it was sent elsewhere, and short ones were late by that. What is lost is sent again only after a second, so the wait was in vain.

Now the time follows what the last connection to that server took (four times that, 0.15 s at least), and doubles with each miss up to the 0.5 s of before, so a server far away is reached in the end. Table of eight courses in virtual time (near, far, dark, in turns); a server dark after a near one is given up after 150 ms, 500 before.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -31,6 +31,13 @@
 	IdleTime time.Duration `yaml:"idle_time" validate:"min=10ms"`
 	// IdleMargin is taken off the time that a server names.
 	IdleMargin time.Duration `yaml:"idle_margin" validate:"min=0"`
+	// OpenMin is how long a new connection may take at least, OpenTimes the multiple of what the last one to its server
+	// took, and OpenMax how long it may take at most, however many took too long.
+	OpenMin   time.Duration `yaml:"open_min" validate:"min=10ms"`
+	OpenTimes float64       `yaml:"open_times" validate:"min=1"`
+	OpenMax   time.Duration `yaml:"open_max" validate:"min=10ms,gtefield=OpenMin"`
+	// OpenMemory is for how long it is known how long the last one took.
+	OpenMemory time.Duration `yaml:"open_memory" validate:"min=1s"`
 }
 
 // DefaultSettings returns settings for data centres of one city.
@@ -39,6 +46,10 @@
 		MaxIdle:    32,
 		IdleTime:   4 * time.Second,
 		IdleMargin: 700 * time.Millisecond,
+		OpenMin:    150 * time.Millisecond,
+		OpenTimes:  4,
+		OpenMax:    500 * time.Millisecond,
+		OpenMemory: time.Minute,
 	}
 }
 
@@ -79,8 +90,9 @@
 
 	mu sync.Mutex
 	// idle has the kept connections by address, the last used last.
-	idle   map[string][]*connection
-	opened int
+	idle     map[string][]*connection
+	opened   int
+	openings *openings
 }
 
 // Dialer opens connections.
@@ -102,6 +114,7 @@
 		listener: listener,
 		now:      now,
 		dialer:   dialer,
+		openings: newOpenings(settings, now),
 		idle:     make(map[string][]*connection),
 	}
 }
@@ -154,9 +167,9 @@
 		}
 		kept.close()
 	}
-	dialled, err := client.dialer.Dial(ctx, address)
+	dialled, err := client.openings.dial(ctx, client.dialer, address)
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return nil, err
 	}
 	client.mu.Lock()
 	client.opened++
@@ -217,6 +230,7 @@
 
 // Sweep closes kept connections whose time is over.
 func (client *Client) Sweep() {
+	client.openings.sweep()
 	now := client.now()
 	client.mu.Lock()
 	defer client.mu.Unlock()
