soak: the calm time at the end begins when the last fault is over

The trace showed two of five engines that say they leave until after the run's end. The calm time was reckoned 7 s after the last fault may begin, but a server that says that it leaves does so for up to 3 s, is listed as leaving for 5 s more and is away for another 1.5 s, and a limit that a server names lasts 9 s: such faults went on through it.

The check is as strict: nine in ten of at least 20 requests, over two seconds without faults.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -17,8 +17,12 @@
 // startTime is how long VMs have to be ready before the load starts.
 const startTime = 1500 * time.Millisecond
 
-// calmBefore is how long after the last fault began all must be well again.
-const calmBefore = 7 * time.Second
+const (
+	// calmBefore is how long after the last fault may begin all must be well again, if it is over by then.
+	calmBefore = 7 * time.Second
+	// calmTime is how long callers go on from then.
+	calmTime = quietEnd - calmBefore
+)
 
 // Result is what one run showed.
 type Result struct {
@@ -49,12 +53,12 @@
 	}
 	plan := NewPlan(settings.Seed, settings.Length)
 	start := time.Now()
-	outcomes := world.load(ctx, plan)
+	outcomes, calm := world.load(ctx, plan, start.Add(settings.Length-calmTime))
 	wait.For(ctx, boundFree)
 	evidence := &evidence{
 		outcomes: outcomes, harmful: world.harmful.all(), runs: make(map[string][]platformserver.Run), log: world.log, operator: world.operator,
 		arrivals: world.record.Arrivals(),
-		calm:     start.Add(settings.Length - quietEnd + calmBefore), life: world.life, down: world.down,
+		calm:     calm, life: world.life, down: world.down,
 	}
 	for _, run := range world.record.Runs() {
 		evidence.runs[run.ID] = append(evidence.runs[run.ID], run)
@@ -63,9 +67,10 @@
 	return newResult(settings.Seed, plan, outcomes, violations), nil
 }
 
-// load plays callers and faults side by side.
-func (world *world) load(ctx context.Context, plan []Event) []Outcome {
-	loading, stop := context.WithTimeout(ctx, world.settings.Length)
+// load plays callers and faults side by side. It returns what callers saw, and when all was calm: from a moment on, or later
+// where a fault lasted longer, as those of servers do that leave.
+func (world *world) load(ctx context.Context, plan []Event, calm time.Time) ([]Outcome, time.Time) {
+	loading, stop := context.WithCancel(ctx)
 	defer stop()
 	var all sync.WaitGroup
 	var mu sync.Mutex
@@ -78,9 +83,14 @@
 			outcomes = append(outcomes, seen...)
 		})
 	}
-	all.Go(func() { world.inject(ctx, plan) })
+	world.inject(ctx, plan)
+	if over := time.Now(); over.After(calm) {
+		calm = over
+	}
+	wait.For(ctx, time.Until(calm.Add(calmTime)))
+	stop()
 	all.Wait()
-	return outcomes
+	return outcomes, calm
 }
 
 func (world *world) vm(name string) *vm {
