configuration, entry, mastwinch: operators evacuate data centres of the own interface

It is a record of the log, so all entries know it, it outlasts them, and another change that came first is told (409).

What runs there ends in peace: only new decisions leave the servers out, as those that leave. An entry of an older version refuses the records, and sends there still; so all are to be replaced first.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -196,7 +196,7 @@
 	request := routing.Request{Model: model, Tokens: 1000, MaxTokens: 16, TimeLeft: time.Second}
 	return microseconds(func() {
 		for range decisions {
-			policy.Decide(servers.Snapshot(infra.KindEngine), request, random)
+			policy.Decide(servers.Snapshot(infra.KindEngine, func(string) bool { return false }), request, random)
 		}
 	}) / decisions
 }
--- /dev/null
+++ b/internal/cmd/evacuationcmd.go
@@ -0,0 +1,79 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/mastwinch/mastwinch/internal/entry"
+)
+
+// flagConfirm says that a change is made that was only shown without it.
+const flagConfirm = "confirm"
+
+const pathEvacuations = "/v1/admin/evacuations/"
+
+func newEvacuationCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "evacuation",
+		Usage: "keep what is new from the backend servers of a data centre",
+		Commands: []*cli.Command{
+			{Name: nameList, Usage: "list evacuations", Action: listEvacuations},
+			{
+				Name:      "begin",
+				Usage:     "show what an evacuation would do, and begin it with --" + flagConfirm,
+				ArgsUsage: "DATA-CENTRE",
+				Flags:     []cli.Flag{&cli.BoolFlag{Name: flagConfirm, Usage: "begin it"}},
+				Action:    beginEvacuation,
+			},
+			{
+				Name:      "end",
+				Usage:     "end an evacuation",
+				ArgsUsage: "DATA-CENTRE",
+				Flags:     []cli.Flag{&cli.Uint64Flag{Name: flagVersion, Usage: "the version that is to be ended", Required: true}},
+				Action: func(ctx context.Context, command *cli.Command) error {
+					return remove(ctx, command, pathEvacuations)
+				},
+			},
+		},
+	}
+}
+
+func listEvacuations(ctx context.Context, command *cli.Command) error {
+	var evacuations []entry.Evacuation
+	return show(ctx, command, "/v1/admin/evacuations", &evacuations, func(w io.Writer) {
+		fmt.Fprintln(w, "DATA CENTRE\tVERSION")
+		for _, evacuation := range evacuations {
+			fmt.Fprintf(w, "%s\t%d\n", evacuation.DataCentre, evacuation.Version)
+		}
+	})
+}
+
+func beginEvacuation(ctx context.Context, command *cli.Command) error {
+	if command.Bool(flagConfirm) {
+		return change(ctx, command, http.MethodPut, pathEvacuations, "", nil)
+	}
+	if command.NArg() != 1 {
+		return &exitError{code: exitUsage, err: errors.New("one argument is needed: " + command.ArgsUsage)}
+	}
+	var plan entry.EvacuationPlan
+	if err := show(ctx, command, pathEvacuations+url.PathEscape(command.Args().First()), &plan, func(w io.Writer) { writeEvacuationPlan(w, plan) }); err != nil {
+		return err
+	}
+	return &exitError{code: exitUsage, err: errors.Newf("nothing is changed without --%s", flagConfirm)}
+}
+
+func writeEvacuationPlan(w io.Writer, plan entry.EvacuationPlan) {
+	if plan.Version > 0 {
+		fmt.Fprintf(w, "in force\tversion %d\n", plan.Version)
+	}
+	fmt.Fprintln(w, "KIND\tGET NOTHING NEW\tLEFT")
+	for _, kind := range plan.Kinds {
+		fmt.Fprintf(w, "%s\t%d\t%d\n", kind.Kind, kind.There, kind.Left)
+	}
+}
--- a/internal/cmd/mastwinchcmd.go
+++ b/internal/cmd/mastwinchcmd.go
@@ -25,6 +25,9 @@
 	outputJSON  = "json"
 )
 
+// nameList is the command that lists all of a kind.
+const nameList = "list"
+
 // NewMastwinchCommand returns the command line of mastwinch, for operators.
 func NewMastwinchCommand() *cli.Command {
 	return &cli.Command{
@@ -40,6 +43,7 @@
 			newReadyCommand(),
 			newOrganisationCommand(),
 			newSessionCommand(),
+			newEvacuationCommand(),
 			newExplainCommand(),
 			newLossesCommand(),
 			newServersCommand(),
@@ -84,7 +88,7 @@
 		Name:  "organisation",
 		Usage: "list, put and remove organisations",
 		Commands: []*cli.Command{
-			{Name: "list", Usage: "list organisations", Action: listOrganisations},
+			{Name: nameList, Usage: "list organisations", Action: listOrganisations},
 			{
 				Name:      "put",
 				Usage:     "add an organisation, or change the one with the expected version",
@@ -114,7 +118,7 @@
 		Name:  "session",
 		Usage: "list, create and end sessions",
 		Commands: []*cli.Command{
-			{Name: "list", Usage: "list sessions", Action: listSessions},
+			{Name: nameList, Usage: "list sessions", Action: listSessions},
 			{
 				Name:      "create",
 				Usage:     "create a session",
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -1,5 +1,5 @@
 // Package configuration is the aggregate of what operators publish: the
-// organisations and their limits.
+// organisations with their limits, and data centres that are evacuated.
 package configuration
 
 import (
@@ -15,6 +15,8 @@
 type Configuration struct {
 	// organisations is never changed once the value is shared.
 	organisations map[string]Organisation
+	// evacuations has the version of the record that began each, by its data centre. It is never changed once the value is shared.
+	evacuations map[string]fold.Version
 	// version never decreases from one value to its successors.
 	version fold.Version
 }
@@ -32,7 +34,7 @@
 
 // New returns the empty configuration.
 func New() Configuration {
-	return Configuration{organisations: map[string]Organisation{}}
+	return Configuration{organisations: map[string]Organisation{}, evacuations: map[string]fold.Version{}}
 }
 
 // Version returns the version of the last accepted record.
@@ -67,7 +69,7 @@
 	}
 	organisations := maps.Clone(configuration.organisations)
 	organisations[organisation.GetName()] = newOrganisation(organisation, version)
-	return Configuration{organisations: organisations, version: version}, fold.Accept(version)
+	return configuration.withOrganisations(organisations, version), fold.Accept(version)
 }
 
 // WithoutOrganisation returns the configuration after remove, if it is
@@ -84,7 +86,15 @@
 	}
 	organisations := maps.Clone(configuration.organisations)
 	delete(organisations, remove.GetName())
-	return Configuration{organisations: organisations, version: version}, fold.Accept(version)
+	return configuration.withOrganisations(organisations, version), fold.Accept(version)
+}
+
+func (configuration Configuration) withOrganisations(
+	organisations map[string]Organisation, version fold.Version,
+) Configuration {
+	configuration.organisations = organisations
+	configuration.version = version
+	return configuration
 }
 
 // Encode writes the configuration into state, in a fixed order.
@@ -98,6 +108,11 @@
 			Version:       uint64(organisation.Version),
 		})
 	}
+	for _, evacuation := range configuration.Evacuations() {
+		state.Evacuations = append(state.Evacuations, &wire.Evacuation{
+			DataCentre: evacuation.DataCentre, Version: uint64(evacuation.Version),
+		})
+	}
 }
 
 // Decode returns the configuration that Encode wrote into state.
@@ -108,6 +123,9 @@
 		version := fold.Version(organisation.GetVersion())
 		configuration.organisations[organisation.GetName()] = newOrganisation(organisation, version)
 	}
+	for _, evacuation := range state.GetEvacuations() {
+		configuration.evacuations[evacuation.GetDataCentre()] = fold.Version(evacuation.GetVersion())
+	}
 	return configuration
 }
 
--- /dev/null
+++ b/internal/configuration/evacuation.go
@@ -0,0 +1,73 @@
+package configuration
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/mastwinch/mastwinch/internal/fold"
+	"github.com/mastwinch/mastwinch/internal/wire"
+)
+
+// Evacuation is a data centre whose backend servers get nothing new.
+type Evacuation struct {
+	DataCentre string
+	// Version is that of the record which began it.
+	Version fold.Version
+}
+
+// Evacuations returns all evacuations by their data centres.
+func (configuration Configuration) Evacuations() []Evacuation {
+	list := make([]Evacuation, 0, len(configuration.evacuations))
+	for dataCentre, version := range configuration.evacuations {
+		list = append(list, Evacuation{DataCentre: dataCentre, Version: version})
+	}
+	slices.SortFunc(list, func(a, b Evacuation) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
+	return list
+}
+
+// Evacuated reports whether the backend servers of a data centre get nothing new.
+func (configuration Configuration) Evacuated(dataCentre string) bool {
+	_, evacuated := configuration.evacuations[dataCentre]
+	return evacuated
+}
+
+// WithEvacuation returns the configuration after begin, if it is accepted.
+func (configuration Configuration) WithEvacuation(
+	version fold.Version, begin *wire.BeginEvacuation,
+) (Configuration, fold.Verdict) {
+	dataCentre := begin.GetDataCentre()
+	if dataCentre == "" {
+		return configuration, fold.Refuse(fold.ReasonMalformed)
+	}
+	if configuration.Evacuated(dataCentre) {
+		return configuration, fold.Refuse(fold.ReasonConflict)
+	}
+	evacuations := maps.Clone(configuration.evacuations)
+	evacuations[dataCentre] = version
+	return configuration.withEvacuations(evacuations, version), fold.Accept(version)
+}
+
+// WithoutEvacuation returns the configuration after end, if it is accepted.
+func (configuration Configuration) WithoutEvacuation(
+	version fold.Version, end *wire.EndEvacuation,
+) (Configuration, fold.Verdict) {
+	began, evacuated := configuration.evacuations[end.GetDataCentre()]
+	if !evacuated {
+		return configuration, fold.Refuse(fold.ReasonNotFound)
+	}
+	if uint64(began) != end.GetExpectedVersion() {
+		return configuration, fold.Refuse(fold.ReasonConflict)
+	}
+	evacuations := maps.Clone(configuration.evacuations)
+	delete(evacuations, end.GetDataCentre())
+	return configuration.withEvacuations(evacuations, version), fold.Accept(version)
+}
+
+func (configuration Configuration) withEvacuations(
+	evacuations map[string]fold.Version, version fold.Version,
+) Configuration {
+	configuration.evacuations = evacuations
+	configuration.version = version
+	return configuration
+}
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -62,8 +62,10 @@
 	// runs counts what the service really ran, by request and by key.
 	runsByRequest map[string]int
 	runsByKey     map[string]int
-	answers       []answer
-	calls         sync.WaitGroup
+	// called counts the calls of each service.
+	called  map[string]int
+	answers []answer
+	calls   sync.WaitGroup
 }
 
 // node is one incarnation of an entry.
@@ -96,6 +98,7 @@
 		mutant:        mutant,
 		runsByRequest: make(map[string]int),
 		runsByKey:     make(map[string]int),
+		called:        make(map[string]int),
 	}
 	for range nodeCount {
 		world.nodes = append(world.nodes, nil)
@@ -121,8 +124,8 @@
 	close(node.running)
 	servers := fleet.New(settings.Fleet, time.Now)
 	servers.SetFleet(&wire.Fleet{Servers: []*wire.Server{
-		{Id: "receipts-0", Address: "receipts-0", Kind: infra.KindService, Models: []string{testService}},
-		{Id: "receipts-1", Address: "receipts-1", Kind: infra.KindService, Models: []string{testService}},
+		{Id: "receipts-0", Address: "receipts-0", Kind: infra.KindService, Models: []string{testService}, DataCentre: "north"},
+		{Id: "receipts-1", Address: "receipts-1", Kind: infra.KindService, Models: []string{testService}, DataCentre: "south"},
 	}})
 	node.entry = NewWith(settings, node, node.replica, servers, world.mutant.proposer(node), logger)
 	world.mu.Lock()
@@ -272,6 +275,7 @@
 	}
 	world.mu.Lock()
 	mode := world.mode
+	world.called[address]++
 	if mode != serverRefuses && mode != serverUnreachable {
 		world.runsByRequest[dispatch.Request] += world.mutant.sendings()
 		world.runsByKey[dispatch.Key] += world.mutant.sendings()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -153,14 +153,17 @@
 	return found
 }
 
-// Snapshot returns the servers of that kind as they are known now.
-func (fleet *Fleet) Snapshot(kind string) routing.Snapshot {
+// Snapshot returns the servers of that kind as they are known now. Those of evacuated data centres take nothing new, as those
+// that leave.
+func (fleet *Fleet) Snapshot(kind string, evacuated func(dataCentre string) bool) routing.Snapshot {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
 	now := fleet.now()
 	servers := make([]routing.Server, 0, len(fleet.byKind[kind]))
 	for _, server := range fleet.byKind[kind] {
-		servers = append(servers, server.view(now, fleet.settings.ReportLag))
+		view := server.view(now, fleet.settings.ReportLag)
+		view.Leaving = view.Leaving || evacuated(view.DataCentre)
+		servers = append(servers, view)
 	}
 	return routing.NewSnapshot(servers)
 }
@@ -206,6 +209,26 @@
 	return list
 }
 
+// CountsIn returns how many of the servers of each kind are listed in a data centre, by kind.
+func (fleet *Fleet) CountsIn(dataCentre string) []KindCount {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	var list []KindCount
+	for kind, servers := range fleet.byKind {
+		count := 0
+		for _, server := range servers {
+			if server.listed.GetDataCentre() == dataCentre {
+				count++
+			}
+		}
+		if count > 0 {
+			list = append(list, KindCount{Kind: kind, Count: count})
+		}
+	}
+	slices.SortFunc(list, func(a, b KindCount) int { return cmp.Compare(a.Kind, b.Kind) })
+	return list
+}
+
 // KindCount is how many servers of a kind are listed.
 type KindCount struct {
 	Kind  string `json:"kind"`
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -35,7 +35,7 @@
 }
 
 func view(tested *fleet.Fleet) routing.Server {
-	return tested.Snapshot(infra.KindEngine).Servers[0]
+	return tested.Snapshot(infra.KindEngine, func(string) bool { return false }).Servers[0]
 }
 
 func decision(long bool) routing.Decision {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -85,6 +85,10 @@
 		state.Configuration, verdict = state.Configuration.WithOrganisation(version, body.PutOrganisation)
 	case *wire.Record_RemoveOrganisation:
 		state.Configuration, verdict = state.Configuration.WithoutOrganisation(version, body.RemoveOrganisation)
+	case *wire.Record_BeginEvacuation:
+		state.Configuration, verdict = state.Configuration.WithEvacuation(version, body.BeginEvacuation)
+	case *wire.Record_EndEvacuation:
+		state.Configuration, verdict = state.Configuration.WithoutEvacuation(version, body.EndEvacuation)
 	case *wire.Record_CreateSession:
 		state.Sessions, verdict = state.Sessions.With(version, body.CreateSession)
 	case *wire.Record_EndSession:
