soak: data centres are evacuated, and nothing may be sent there

The promise is checked by what servers saw, 3 s after each wish, while neither the store nor a VM is struck. The calm time begins 2 s after the last fault, the time in which VMs must know that it is over: servers of a data centre that is taken back are not known at once.

Cold servers are not drawn: with 12 callers no server gets what a cold one may get in a second, so the check would say nothing.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -27,6 +27,7 @@
 	PromiseSaid      Promise = "a server that says that it leaves gets nothing new"
 	PromiseRest      Promise = "a server that asks a VM for rest gets it"
 	PromiseLimit     Promise = "a server that names a limit gets no more from all VMs"
+	PromiseEvacuated Promise = "servers of an evacuated data centre get nothing"
 	PromiseBad       Promise = "a bad entry names no server"
 	PromiseForward   Promise = "a VM does not go back to an older configuration"
 	PromiseMemory    Promise = "memory of engines is given back"
@@ -91,6 +92,7 @@
 	}
 	evidence.checkLeaving(add)
 	evidence.checkBad(add)
+	evidence.checkEvacuated(add)
 	pairs := evidence.byPair()
 	evidence.checkSaid(pairs, add)
 	evidence.checkRests(pairs, add)
@@ -207,6 +209,23 @@
 	}
 }
 
+// checkEvacuated looks at what reached servers of evacuated data centres while everybody could know.
+func (evidence *evidence) checkEvacuated(add addFunc) {
+	for _, evacuated := range evidence.operator.evacuations() {
+		known := evacuated.from.Add(boundEvacuate + slackLeaving)
+		if evidence.disturbed(evacuated.from.Add(-boundContact), evacuated.to) {
+			continue
+		}
+		for _, arrival := range evidence.arrivals {
+			there := evidence.operator.dataCentreOf(arrival.Instance) == evacuated.dataCentre
+			if there && arrival.At.After(known) && arrival.At.Before(evacuated.to) {
+				add(PromiseEvacuated, "%s reached %s %s after %s was to be evacuated",
+					arrival.ID, arrival.Instance, arrival.At.Sub(evacuated.from), evacuated.dataCentre)
+			}
+		}
+	}
+}
+
 // disturbed reports whether a VM or the store was struck in a span.
 func (evidence *evidence) disturbed(from, to time.Time) bool {
 	return slices.ContainsFunc(evidence.log.between(from, to), func(span span) bool {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -159,6 +159,22 @@
 			made.evidence.operator.spoilt["i-1"] = []spoilt{{from: at(-5 * time.Second), to: at(0)}}
 			made.evidence.arrivals = []platformserver.Arrival{{ID: "r", Instance: "i-1", At: at(time.Second)}}
 		}},
+		"sent to an evacuated data centre": {route: routeStream, change: func(made made) {
+			made.evidence.sendWhile(evacuated{dataCentre: secondCentre, from: at(-3 * time.Second), to: at(3 * time.Second)})
+		}, want: []Promise{PromiseEvacuated}},
+		"sent to one before that had to be known": {route: routeStream, change: func(made made) {
+			made.evidence.sendWhile(evacuated{dataCentre: secondCentre, from: at(-time.Second), to: at(3 * time.Second)})
+		}},
+		"sent to one that is taken back": {route: routeStream, change: func(made made) {
+			made.evidence.sendWhile(evacuated{dataCentre: secondCentre, from: at(-5 * time.Second), to: at(0)})
+		}},
+		"sent while another one is evacuated": {route: routeStream, change: func(made made) {
+			made.evidence.sendWhile(evacuated{dataCentre: firstCentre, from: at(-3 * time.Second), to: at(3 * time.Second)})
+		}},
+		"sent to an evacuated one while the store is away": {route: routeStream, change: func(made made) {
+			made.evidence.sendWhile(evacuated{dataCentre: secondCentre, from: at(-3 * time.Second), to: at(3 * time.Second)})
+			made.evidence.log.add(span{from: at(-4 * time.Second), to: at(-2 * time.Second), kind: KindStoreBusy})
+		}},
 		"two sent in a rest": {route: routeStream, change: func(made made) {
 			made.evidence.sendAgain(made.outcome, time.Second, platformserver.Arrival{Rest: 2 * time.Second})
 			made.evidence.sendAgain(made.outcome, time.Second, platformserver.Arrival{})
@@ -215,6 +231,13 @@
 	}
 }
 
+// sendWhile has a request reach a server of the second data centre during an evacuation.
+func (evidence *evidence) sendWhile(evacuation evacuated) {
+	evidence.operator.centres["i-1"] = secondCentre
+	evidence.operator.evacuated = []evacuated{evacuation}
+	evidence.arrivals = []platformserver.Arrival{{ID: "r", Instance: "i-1", At: at(time.Second)}}
+}
+
 func TestPlanIsTheSameForASeed(t *testing.T) {
 	length := DefaultSettings().Length
 	first, again, other := NewPlan(7, length), NewPlan(7, length), NewPlan(8, length)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -102,10 +102,8 @@
 		world.playVMProxy(ctx, event, vm)
 	case KindStoreBusy, KindStoreSilent, KindStoreReset, KindStoreLost, KindStoreTrim, KindStoreStale:
 		world.playStore(ctx, event)
-	case KindConfigure:
-		world.operator.addRoute()
-	case KindRevoke:
-		world.operator.revoke()
+	case KindConfigure, KindRevoke, KindEvacuate:
+		world.playOperator(ctx, event)
 	case KindStoreOlder:
 		world.playOlder(ctx, event)
 	case KindServerKill, KindServerLeave, KindServerSays, KindBadEntry:
@@ -118,6 +116,20 @@
 	world.log.add(span{from: from, to: time.Now().Add(after), kind: event.Kind, vm: struck})
 }
 
+// playOperator plays what the operator does.
+func (world *world) playOperator(ctx context.Context, event Event) {
+	switch event.Kind {
+	case KindRevoke:
+		world.operator.revoke()
+	case KindEvacuate:
+		world.operator.evacuate(secondCentre, true)
+		wait.For(ctx, event.For)
+		world.operator.evacuate(secondCentre, false)
+	default:
+		world.operator.addRoute()
+	}
+}
+
 func (world *world) playVMProxy(ctx context.Context, event Event, vm *vm) {
 	proxy, mode := vm.front, modeReset
 	switch event.Kind {
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -48,6 +48,13 @@
 	written map[written][]byte
 	// spoilt has when the entry of each server was, by the server.
 	spoilt map[string][]spoilt
+	// evacuating counts the wishes in force, and evacuated has each time in which there were some.
+	evacuating int
+	evacuated  []evacuated
+	// centres has the data centre of each server that was listed.
+	centres map[string]string
+	// twoCentres says that servers are in two of them.
+	twoCentres bool
 	// left has when the leaving of each server was acknowledged.
 	left map[string]time.Time
 }
@@ -68,8 +75,8 @@
 func newOperator(store *metastore.Store) *operator {
 	return &operator{
 		store: store, left: make(map[string]time.Time), written: make(map[written][]byte),
-		spoilt: make(map[string][]spoilt),
-		keys:   []*key{{value: permanentKey}, {value: "key-1"}, {value: "key-2"}},
+		spoilt: make(map[string][]spoilt), centres: make(map[string]string),
+		keys: []*key{{value: permanentKey}, {value: "key-1"}, {value: "key-2"}},
 	}
 }
 
@@ -208,8 +215,9 @@
 	if identity.Service == servicePlain {
 		slots = plainSlots
 	}
+	dataCentre := operator.centre(identity)
 	value, err := json.Marshal(map[string]any{
-		"service": identity.Service, "address": identity.Address, "zone": "north", "slots": slots, "state": state,
+		"service": identity.Service, "address": identity.Address, "zone": dataCentre, "slots": slots, "state": state,
 		"version": "v1", "cold_left_ms": 0, "call_seq": 0, "born": identity.Born.UnixMilli(),
 	})
 	if err != nil {
@@ -218,6 +226,7 @@
 	operator.mu.Lock()
 	defer operator.mu.Unlock()
 	operator.put("keyed.servers", identity.Instance, value)
+	operator.centres[identity.Instance] = dataCentre
 	if last := len(operator.spoilt[identity.Instance]) - 1; last >= 0 && operator.spoilt[identity.Instance][last].to.IsZero() {
 		operator.spoilt[identity.Instance][last].to = time.Now()
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -47,6 +47,7 @@
 	KindServerSays   Kind = "server_says"   // says in its answers that it leaves, the store being away
 	KindStoreOlder   Kind = "store_older"   // it comes back from a copy; the others write again
 	KindBadEntry     Kind = "bad_entry"     // another writer spoils the entry of a server
+	KindEvacuate     Kind = "evacuate"      // the operator keeps requests from the servers of a data centre
 	KindServerLimit  Kind = "server_limit"  // names how many requests a second it takes from all VMs, and another number later
 )
 
@@ -64,7 +65,7 @@
 
 // planned reports whether a kind is planned work, which may cost no request.
 func (kind Kind) planned() bool {
-	return slices.Contains([]Kind{KindVMStop, KindVMReload, KindServerLeave, KindServerSays, KindBadEntry, KindConfigure, KindRevoke}, kind)
+	return slices.Contains([]Kind{KindVMStop, KindVMReload, KindServerLeave, KindServerSays, KindBadEntry, KindConfigure, KindRevoke, KindEvacuate}, kind)
 }
 
 // ofStore reports whether a kind strikes the store, or the way to it.
@@ -122,6 +123,9 @@
 	extraFrom  = 100
 	// limitFrom is the first seed in whose runs servers name limits.
 	limitFrom = 200
+	// evacuateFrom is the first seed in whose runs data centres are evacuated, and evacuateSeeds of how many one has that.
+	evacuateFrom  = 300
+	evacuateSeeds = 10
 	// extraEvents is how often each of them but KindRequestCrash comes in its runs.
 	extraEvents = 3
 	// followPart is the part of the faults of the store that last as long as they may
@@ -205,6 +209,8 @@
 		return KindRequestCrash
 	case seed < extraFrom:
 		return ""
+	case seed >= evacuateFrom && seed%evacuateSeeds == 2:
+		return KindEvacuate
 	case seed >= limitFrom && number == 0:
 		return KindServerLimit
 	default:
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -20,6 +20,8 @@
 const (
 	// calmBefore is how long after the last fault may begin all must be well again, if it is over by then.
 	calmBefore = 7 * time.Second
+	// settleTime is in what time VMs must know that a fault is over, as their bounds have it.
+	settleTime = 2 * time.Second
 	// calmTime is how long callers go on from then.
 	calmTime = quietEnd - calmBefore
 )
@@ -84,8 +86,8 @@
 		})
 	}
 	world.inject(ctx, plan)
-	if over := time.Now(); over.After(calm) {
-		calm = over
+	if settled := time.Now().Add(settleTime); settled.After(calm) {
+		calm = settled
 	}
 	wait.For(ctx, time.Until(calm.Add(calmTime)))
 	stop()
