--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -186,8 +186,8 @@
 	return least, len(limits) > 0
 }
 
-// TakesPerSecond returns how many requests a second the servers of a service take that want some from a VM, and reports
-// whether there are such and all of them named limits or are cold.
+// TakesPerSecond returns how many requests a second the servers of a service in those data centres take that want some from a
+// VM, and reports whether there are such and all of them named limits or are cold.
 func (pool *Pool) TakesPerSecond(service string, keptTo []string, vm string) (float64, bool) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
