configuration, entry, session, cmd, tests: what stood twice stands once

Behaviour is as it was, and no assertion of a test is changed.

- to remove what has a version stood three times (organisations, evacuations, sessions): fold.Remove;
- three readers of the configuration in force copied what entry.configuration does; the check of one argument stood in two commands;
- the name of the soak's data centre stood four times, the end of all entries in three tests, and a test read its answer by hand beside world.rawAt.

--- a/internal/cmd/evacuationcmd.go
+++ b/internal/cmd/evacuationcmd.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -16,7 +15,7 @@
 // flagConfirm says that a change is made that was only shown without it.
 const flagConfirm = "confirm"
 
-const pathEvacuations = "/v1/admin/evacuations/"
+const pathEvacuations = "/v1/admin/evacuations"
 
 func newEvacuationCommand() *cli.Command {
 	return &cli.Command{
@@ -37,7 +36,7 @@
 				ArgsUsage: "DATA-CENTRE",
 				Flags:     []cli.Flag{&cli.Uint64Flag{Name: flagVersion, Usage: "the version that is to be ended", Required: true}},
 				Action: func(ctx context.Context, command *cli.Command) error {
-					return remove(ctx, command, pathEvacuations)
+					return remove(ctx, command, pathEvacuations+"/")
 				},
 			},
 		},
@@ -46,7 +45,7 @@
 
 func listEvacuations(ctx context.Context, command *cli.Command) error {
 	var evacuations []entry.Evacuation
-	return show(ctx, command, "/v1/admin/evacuations", &evacuations, func(w io.Writer) {
+	return show(ctx, command, pathEvacuations, &evacuations, func(w io.Writer) {
 		fmt.Fprintln(w, "DATA CENTRE\tVERSION")
 		for _, evacuation := range evacuations {
 			fmt.Fprintf(w, "%s\t%d\n", evacuation.DataCentre, evacuation.Version)
@@ -56,13 +55,15 @@
 
 func beginEvacuation(ctx context.Context, command *cli.Command) error {
 	if command.Bool(flagConfirm) {
-		return change(ctx, command, http.MethodPut, pathEvacuations, "", nil)
+		return change(ctx, command, http.MethodPut, pathEvacuations+"/", "", nil)
 	}
-	if command.NArg() != 1 {
-		return &exitError{code: exitUsage, err: errors.New("one argument is needed: " + command.ArgsUsage)}
+	name, err := escapedName(command)
+	if err != nil {
+		return err
 	}
 	var plan entry.EvacuationPlan
-	if err := show(ctx, command, pathEvacuations+url.PathEscape(command.Args().First()), &plan, func(w io.Writer) { writeEvacuationPlan(w, plan) }); err != nil {
+	write := func(w io.Writer) { writeEvacuationPlan(w, plan) }
+	if err := show(ctx, command, pathEvacuations+"/"+name, &plan, write); err != nil {
 		return err
 	}
 	return &exitError{code: exitUsage, err: errors.Newf("nothing is changed without --%s", flagConfirm)}
--- a/internal/cmd/mastwinchcmd.go
+++ b/internal/cmd/mastwinchcmd.go
@@ -203,12 +203,21 @@
 	return errors.WithStack(writer.Flush())
 }
 
+// escapedName returns the only argument as a part of a path.
+func escapedName(command *cli.Command) (string, error) {
+	if command.NArg() != 1 {
+		return "", &exitError{code: exitUsage, err: errors.New("one argument is needed: " + command.ArgsUsage)}
+	}
+	return url.PathEscape(command.Args().First()), nil
+}
+
 // change orders a change of what the first argument names.
 func change(ctx context.Context, command *cli.Command, method, path, query string, value any) error {
-	if command.NArg() != 1 {
-		return &exitError{code: exitUsage, err: errors.New("one argument is needed: " + command.ArgsUsage)}
+	name, err := escapedName(command)
+	if err != nil {
+		return err
 	}
-	body, status, err := ask(ctx, command, method, path+url.PathEscape(command.Args().First())+query, value)
+	body, status, err := ask(ctx, command, method, path+name+query, value)
 	if err != nil {
 		return err
 	}
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -77,16 +77,12 @@
 func (configuration Configuration) WithoutOrganisation(
 	version fold.Version, remove *wire.RemoveOrganisation,
 ) (Configuration, fold.Verdict) {
-	current, exists := configuration.organisations[remove.GetName()]
-	if !exists {
-		return configuration, fold.Refuse(fold.ReasonNotFound)
+	put := func(organisation Organisation) fold.Version { return organisation.Version }
+	organisations, verdict := fold.Remove(configuration.organisations, remove.GetName(), put, remove.GetExpectedVersion(), version)
+	if !verdict.Accepted {
+		return configuration, verdict
 	}
-	if uint64(current.Version) != remove.GetExpectedVersion() {
-		return configuration, fold.Refuse(fold.ReasonConflict)
-	}
-	organisations := maps.Clone(configuration.organisations)
-	delete(organisations, remove.GetName())
-	return configuration.withOrganisations(organisations, version), fold.Accept(version)
+	return configuration.withOrganisations(organisations, version), verdict
 }
 
 func (configuration Configuration) withOrganisations(
--- a/internal/configuration/evacuation.go
+++ b/internal/configuration/evacuation.go
@@ -26,6 +26,11 @@
 	return list
 }
 
+// Evacuation returns the evacuation of a data centre, with version zero where there is none.
+func (configuration Configuration) Evacuation(dataCentre string) Evacuation {
+	return Evacuation{DataCentre: dataCentre, Version: configuration.evacuations[dataCentre]}
+}
+
 // Evacuated reports whether the backend servers of a data centre get nothing new.
 func (configuration Configuration) Evacuated(dataCentre string) bool {
 	_, evacuated := configuration.evacuations[dataCentre]
@@ -52,16 +57,12 @@
 func (configuration Configuration) WithoutEvacuation(
 	version fold.Version, end *wire.EndEvacuation,
 ) (Configuration, fold.Verdict) {
-	began, evacuated := configuration.evacuations[end.GetDataCentre()]
-	if !evacuated {
-		return configuration, fold.Refuse(fold.ReasonNotFound)
-	}
-	if uint64(began) != end.GetExpectedVersion() {
-		return configuration, fold.Refuse(fold.ReasonConflict)
+	itself := func(began fold.Version) fold.Version { return began }
+	evacuations, verdict := fold.Remove(configuration.evacuations, end.GetDataCentre(), itself, end.GetExpectedVersion(), version)
+	if !verdict.Accepted {
+		return configuration, verdict
 	}
-	evacuations := maps.Clone(configuration.evacuations)
-	delete(evacuations, end.GetDataCentre())
-	return configuration.withEvacuations(evacuations, version), fold.Accept(version)
+	return configuration.withEvacuations(evacuations, version), verdict
 }
 
 func (configuration Configuration) withEvacuations(
--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -9,7 +9,6 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
-	"github.com/mastwinch/mastwinch/internal/configuration"
 	"github.com/mastwinch/mastwinch/internal/fleet"
 	"github.com/mastwinch/mastwinch/internal/fold"
 	"github.com/mastwinch/mastwinch/internal/session"
@@ -73,8 +72,7 @@
 }
 
 func (entry *Entry) handleListOrganisations(w http.ResponseWriter, _ *http.Request) {
-	var organisations []configuration.Organisation
-	entry.replica.View(func(state *state.State) { organisations = state.Configuration.Organisations() })
+	organisations := entry.configuration().Organisations()
 	list := make([]Organisation, 0, len(organisations))
 	for _, organisation := range organisations {
 		list = append(list, Organisation{
@@ -140,11 +138,7 @@
 	if !entry.readBody(w, r, &created) {
 		return
 	}
-	var known bool
-	entry.replica.View(func(state *state.State) {
-		_, known = state.Configuration.Organisation(created.Organisation)
-	})
-	if !known {
+	if _, known := entry.configuration().Organisation(created.Organisation); !known {
 		writeProblem(w, http.StatusBadRequest, "organisation", "is not known")
 		return
 	}
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -165,11 +165,7 @@
 // organisation returns the organisation that the caller names.
 func (entry *Entry) organisation(w http.ResponseWriter, r *http.Request) (configuration.Organisation, bool) {
 	name := r.Header.Get(HeaderOrganisation)
-	var organisation configuration.Organisation
-	var ok bool
-	entry.replica.View(func(state *state.State) {
-		organisation, ok = state.Configuration.Organisation(name)
-	})
+	organisation, ok := entry.configuration().Organisation(name)
 	if !ok {
 		writeProblem(w, http.StatusForbidden, HeaderOrganisation, fmt.Sprintf("organisation %q is not known", name))
 	}
--- a/internal/entry/api_test.go
+++ b/internal/entry/api_test.go
@@ -21,12 +21,7 @@
 	world := newWorld(noMutant{})
 	tested := world.nodes[0].entry
 	change(&tested.settings)
-	t.Cleanup(func() {
-		for _, node := range world.nodes {
-			node.entry.end()
-			node.entry.background.Wait()
-		}
-	})
+	t.Cleanup(world.end)
 	return tested
 }
 
--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -21,23 +21,18 @@
 type EvacuationPlan struct {
 	DataCentre string `json:"data_centre"`
 	// Version is that of the evacuation, or zero where none is in force.
-	Version uint64      `json:"version"`
-	Kinds   []KindsPlan `json:"kinds"`
+	Version uint64     `json:"version"`
+	Kinds   []KindPlan `json:"kinds"`
 }
 
-// KindsPlan is what it would do to the backend servers of one kind.
-type KindsPlan struct {
+// KindPlan is what it would do to the backend servers of one kind.
+type KindPlan struct {
 	Kind string `json:"kind"`
 	// There is how many are listed in the data centre, and Left how many others get requests then.
 	There int `json:"there"`
 	Left  int `json:"left"`
 }
 
-// evacuated returns whether the backend servers of a data centre get nothing new now.
-func (entry *Entry) evacuated() func(dataCentre string) bool {
-	return entry.configuration().Evacuated
-}
-
 // configuration returns the configuration in force, which does not change any more.
 func (entry *Entry) configuration() configuration.Configuration {
 	var current configuration.Configuration
@@ -55,21 +50,19 @@
 }
 
 func (entry *Entry) handlePlanEvacuation(w http.ResponseWriter, r *http.Request) {
-	plan := entry.planEvacuation(mux.Vars(r)["name"])
-	if plan.Version == 0 && len(plan.Kinds) == 0 {
-		writeProblem(w, http.StatusNotFound, "name", "has no backend servers")
-		return
+	if plan, known := entry.planEvacuation(w, r); known {
+		writeJSON(w, http.StatusOK, plan)
 	}
-	writeJSON(w, http.StatusOK, plan)
 }
 
 func (entry *Entry) handleBeginEvacuation(w http.ResponseWriter, r *http.Request) {
-	name := mux.Vars(r)["name"]
-	if plan := entry.planEvacuation(name); plan.Version == 0 && len(plan.Kinds) == 0 {
-		writeProblem(w, http.StatusNotFound, "name", "has no backend servers")
+	plan, known := entry.planEvacuation(w, r)
+	if !known {
 		return
 	}
-	entry.change(w, r, &wire.Record{Body: &wire.Record_BeginEvacuation{BeginEvacuation: &wire.BeginEvacuation{DataCentre: name}}})
+	entry.change(w, r, &wire.Record{Body: &wire.Record_BeginEvacuation{BeginEvacuation: &wire.BeginEvacuation{
+		DataCentre: plan.DataCentre,
+	}}})
 }
 
 func (entry *Entry) handleEndEvacuation(w http.ResponseWriter, r *http.Request) {
@@ -82,26 +75,30 @@
 	}}})
 }
 
-func (entry *Entry) planEvacuation(dataCentre string) EvacuationPlan {
+// planEvacuation returns what an evacuation of the data centre that the request names would do. Where that has no backend
+// servers it answers so, and reports false.
+func (entry *Entry) planEvacuation(w http.ResponseWriter, r *http.Request) (EvacuationPlan, bool) {
 	current := entry.configuration()
-	plan := EvacuationPlan{DataCentre: dataCentre}
-	for _, evacuation := range current.Evacuations() {
-		if evacuation.DataCentre == dataCentre {
-			plan.Version = uint64(evacuation.Version)
-		}
-	}
-	for _, there := range entry.fleet.CountsIn(dataCentre) {
-		if there.Kind == infra.KindSystem {
-			continue
-		}
-		left := 0
-		others := func(at string) bool { return at == dataCentre || current.Evacuated(at) }
-		for _, server := range entry.fleet.Snapshot(there.Kind, others).Servers {
-			if !server.Leaving {
-				left++
+	plan := EvacuationPlan{DataCentre: mux.Vars(r)["name"]}
+	plan.Version = uint64(current.Evacuation(plan.DataCentre).Version)
+	evacuated := func(dataCentre string) bool { return dataCentre == plan.DataCentre || current.Evacuated(dataCentre) }
+	for _, kind := range []string{infra.KindEngine, infra.KindService} {
+		planned := KindPlan{Kind: kind}
+		for _, server := range entry.fleet.Snapshot(kind, evacuated).Servers {
+			switch {
+			case server.DataCentre == plan.DataCentre:
+				planned.There++
+			case !server.Leaving:
+				planned.Left++
 			}
 		}
-		plan.Kinds = append(plan.Kinds, KindsPlan{Kind: there.Kind, There: there.Count, Left: left})
+		if planned.There > 0 {
+			plan.Kinds = append(plan.Kinds, planned)
+		}
+	}
+	if plan.Version == 0 && len(plan.Kinds) == 0 {
+		writeProblem(w, http.StatusNotFound, "name", "has no backend servers")
+		return EvacuationPlan{}, false
 	}
-	return plan
+	return plan, true
 }
--- a/internal/entry/evacuation_test.go
+++ b/internal/entry/evacuation_test.go
@@ -63,12 +63,7 @@
 func TestEvacuation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		world := newWorld(noMutant{})
-		defer func() {
-			for _, node := range world.nodes {
-				node.entry.end()
-				node.entry.background.Wait()
-			}
-		}()
+		defer world.end()
 		operated := world.nodes[0]
 		called, completed := world.call(t, 30)
 		assert.Equal(t, completed, 30)
@@ -88,7 +83,7 @@
 		assert.Equal(t, status, http.StatusOK)
 		var plan EvacuationPlan
 		assert.NilError(t, json.Unmarshal([]byte(body), &plan))
-		assert.DeepEqual(t, plan, EvacuationPlan{DataCentre: "south", Kinds: []KindsPlan{{Kind: infra.KindService, There: 1}}})
+		assert.DeepEqual(t, plan, EvacuationPlan{DataCentre: "south", Kinds: []KindPlan{{Kind: infra.KindService, There: 1}}})
 		_, refused = operated.change(t, http.MethodPut, "/v1/admin/evacuations/south")
 		assert.Equal(t, refused, 0)
 		called, completed = world.call(t, 3)
--- a/internal/entry/promises_test.go
+++ b/internal/entry/promises_test.go
@@ -128,10 +128,7 @@
 		world.calls.Wait()
 		time.Sleep(time.Minute)
 		broken = world.check()
-		for _, node := range world.nodes {
-			node.entry.end()
-			node.entry.background.Wait()
-		}
+		world.end()
 	})
 	return broken
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -138,7 +138,7 @@
 		policy = routing.LeastOutstanding{}
 	}
 	started := time.Now()
-	decision := policy.Decide(entry.fleet.Snapshot(kind, entry.evacuated()), run.routingRequest(), entry.random())
+	decision := policy.Decide(entry.fleet.Snapshot(kind, entry.configuration().Evacuated), run.routingRequest(), entry.random())
 	entry.metrics.decisionTime.Observe(time.Since(started).Seconds())
 	entry.logger.Info("routed", "request_id", run.request.ID, "attempt", run.attempts,
 		"organisation", run.request.Organisation, "model", run.request.Model, "tokens", run.request.Tokens(),
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -134,6 +134,14 @@
 	world.deliver(node)
 }
 
+// end ends all entries, and waits until they have ended.
+func (world *world) end() {
+	for _, node := range world.nodes {
+		node.entry.end()
+		node.entry.background.Wait()
+	}
+}
+
 func (world *world) setDead(node *node) {
 	world.mu.Lock()
 	node.dead = true
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -209,26 +209,6 @@
 	return list
 }
 
-// CountsIn returns how many of the servers of each kind are listed in a data centre, by kind.
-func (fleet *Fleet) CountsIn(dataCentre string) []KindCount {
-	fleet.mu.Lock()
-	defer fleet.mu.Unlock()
-	var list []KindCount
-	for kind, servers := range fleet.byKind {
-		count := 0
-		for _, server := range servers {
-			if server.listed.GetDataCentre() == dataCentre {
-				count++
-			}
-		}
-		if count > 0 {
-			list = append(list, KindCount{Kind: kind, Count: count})
-		}
-	}
-	slices.SortFunc(list, func(a, b KindCount) int { return cmp.Compare(a.Kind, b.Kind) })
-	return list
-}
-
 // KindCount is how many servers of a kind are listed.
 type KindCount struct {
 	Kind  string `json:"kind"`
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -1,9 +1,7 @@
 package gateway_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -28,15 +26,9 @@
 
 // metric reads a figure of a VM from its metrics page.
 func (fleet *fleet) metric(name string) float64 {
-	conn, err := fleet.network.Dial(fleet.t.Context(), "10.0.1.1:81")
-	assert.NilError(fleet.t, err)
-	defer func() { _ = conn.Close() }()
-	go func() { _, _ = io.WriteString(conn, "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n") }()
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	assert.NilError(fleet.t, err)
-	page, err := io.ReadAll(response.Body)
-	assert.NilError(fleet.t, err)
-	for line := range strings.SplitSeq(string(page), "\n") {
+	page := fleet.rawAt("10.0.1.1:81", "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 0)
+	assert.Equal(fleet.t, page.status, http.StatusOK)
+	for line := range strings.SplitSeq(page.body, "\n") {
 		var value float64
 		if _, err := fmt.Sscanf(line, name+" %g", &value); err == nil {
 			return value
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -62,16 +62,9 @@
 
 // Without returns the set after end, if it is accepted.
 func (sessions Sessions) Without(version fold.Version, end *wire.EndSession) (Sessions, fold.Verdict) {
-	current, exists := sessions.byID[end.GetSessionId()]
-	if !exists {
-		return sessions, fold.Refuse(fold.ReasonNotFound)
-	}
-	if uint64(current.Version) != end.GetExpectedVersion() {
-		return sessions, fold.Refuse(fold.ReasonConflict)
-	}
-	byID := maps.Clone(sessions.byID)
-	delete(byID, end.GetSessionId())
-	return Sessions{byID: byID}, fold.Accept(version)
+	created := func(session Session) fold.Version { return session.Version }
+	byID, verdict := fold.Remove(sessions.byID, end.GetSessionId(), created, end.GetExpectedVersion(), version)
+	return Sessions{byID: byID}, verdict
 }
 
 // Encode writes the sessions into state, in a fixed order.
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -239,8 +239,8 @@
 func (operator *operator) spoil(identity platformserver.Identity, number int) {
 	bad := []string{
 		"{", "null", "\x00\xff", `{"service": 7}`, `{"address": "", "state": "ready"}`,
-		fmt.Sprintf(`{"service": %q, "address": %q, "zone": "north", "slots": 16, "state": "away"}`, identity.Service, identity.Address),
-		fmt.Sprintf(`{"service": %q, "address": "here", "zone": "north", "slots": 16, "state": "ready"}`, identity.Service),
+		fmt.Sprintf(`{"service": %q, "address": %q, "zone": %q, "slots": 16, "state": "away"}`, identity.Service, identity.Address, firstCentre),
+		fmt.Sprintf(`{"service": %q, "address": "here", "zone": %q, "slots": 16, "state": "ready"}`, identity.Service, firstCentre),
 	}
 	operator.mu.Lock()
 	defer operator.mu.Unlock()
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -276,7 +276,7 @@
 // change.
 func (world *world) writeSite(vm *vm, ip string, moreSlack int) error {
 	data, err := json.Marshal(map[string]any{
-		"node_name": vm.name, "ip": ip, "zone": "north",
+		"node_name": vm.name, "ip": ip, "zone": firstCentre,
 		"listen_addrs": map[string]string{
 			"front": net.JoinHostPort(ip, fmt.Sprint(portFront)), "ready": net.JoinHostPort(ip, fmt.Sprint(portReady)),
 		},
