gateway: a failing test of VMs that reach no backend server

The test runs four VMs, of which two are cut off for twelve seconds: of 90 first tries from three seconds after the start of the cut, 0 are served with reset and 0 with silent connections, 90 of 90 at the others; where only new connections are refused, all. Seen on the way: with refused connections a request is placed and refused again without a pause; the test's refusals take a millisecond, since virtual time would not pass otherwise.

--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -53,6 +53,7 @@
 // fleetVM is one VM of a fleet. Numbers start at one.
 type fleetVM struct {
 	number   int
+	network  *cutNetwork
 	instance *gateway.Gateway
 	stop     context.CancelFunc
 	stopped  chan error
@@ -97,7 +98,7 @@
 			server.start()
 		}
 		for number := range vms {
-			fleet.vms = append(fleet.vms, &fleetVM{number: number + 1})
+			fleet.vms = append(fleet.vms, &fleetVM{number: number + 1, network: newCutNetwork(fleet.network)})
 		}
 		fleet.startAll()
 		defer fleet.shutdown()
@@ -134,7 +135,7 @@
 	site.MemoryBytes = cmp.Or(fleet.memoryBytes, site.MemoryBytes)
 	site.Bounds.RetrySlack = cmp.Or(fleet.retrySlack, site.Bounds.RetrySlack)
 	vm.stopped = make(chan error, 1)
-	vm.instance, vm.stop = fleet.startAt(site, vm.stopped)
+	vm.instance, vm.stop = fleet.startOn(vm.network, site, vm.stopped)
 }
 
 func (fleet *fleet) stop(vm *fleetVM) {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/gateway"
 	"github.com/mastwinch/mastwinch/internal/memnet"
+	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/standin/metastore"
 	"github.com/mastwinch/mastwinch/platform"
 )
@@ -207,6 +208,11 @@
 
 // startAt starts a VM with site settings. The result of its Run is sent to stopped.
 func (harness *harness) startAt(site gateway.Site, stopped chan<- error) (*gateway.Gateway, context.CancelFunc) {
+	return harness.startOn(harness.network, site, stopped)
+}
+
+// startOn is startAt for a VM with a network of its own.
+func (harness *harness) startOn(hostNetwork network.Network, site gateway.Site, stopped chan<- error) (*gateway.Gateway, context.CancelFunc) {
 	logger := slog.New(slog.DiscardHandler)
 	transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 		return harness.network.Dial(ctx, address)
@@ -220,7 +226,7 @@
 		Registry:      platform.NewMembers(store, logger),
 		Quarantine:    platform.NewQuarantine(store, logger),
 		Epochs:        epochs,
-	}, harness.network, clock, logger)
+	}, hostNetwork, clock, logger)
 	assert.NilError(harness.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	go func() { stopped <- instance.Run(ctx) }()
--- /dev/null
+++ b/internal/gateway/unreachable_test.go
@@ -0,0 +1,82 @@
+package gateway_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Bounds of the platform for VMs that reach no server.
+const (
+	// contactTime is the time from the start of a cut from which callers of the VM must be served.
+	contactTime = 3 * time.Second
+	// cutTime is how long the cuts of tests last.
+	cutTime = 12 * time.Second
+)
+
+// firstTries counts the requests that callers sent for the first time.
+type firstTries struct {
+	sent   int
+	served int
+}
+
+// queryDuringCut sends streams and plain requests to all VMs in turn while some of them are cut off, and returns the first tries
+// sent at least contactTime after the start of the cut, at the VMs that are cut off and at the others.
+func (fleet *fleet) queryDuringCut(mode cutMode, cutVMs int) (atCut, atOthers firstTries) {
+	const interval = 50 * time.Millisecond
+	requests := []callerRequest{streamRequest("chat"), plainRequest(http.MethodGet, "look"), streamRequest("chat"), plainRequest(http.MethodPost, "pay")}
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	var cutAt time.Time
+	for number := range int((2*time.Second + cutTime) / interval) {
+		if number == int(2*time.Second/interval) {
+			cutAt = time.Now()
+			for _, vm := range fleet.vms[:cutVMs] {
+				vm.network.begin(mode, serverPrefix)
+			}
+		}
+		vm := number % len(fleet.vms)
+		attempt := requests[number/len(fleet.vms)%len(requests)]
+		attempt.vm = fleet.vms[vm].address()
+		counted := !cutAt.IsZero() && time.Since(cutAt) >= contactTime
+		callers.Go(func() {
+			got := fleet.query(attempt)
+			if !counted {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			tries := &atOthers
+			if vm < cutVMs {
+				tries = &atCut
+			}
+			tries.sent++
+			if got.status == http.StatusOK && got.complete {
+				tries.served++
+			}
+		})
+		time.Sleep(interval)
+	}
+	callers.Wait()
+	for _, vm := range fleet.vms[:cutVMs] {
+		vm.network.end()
+	}
+	return atCut, atOthers
+}
+
+// TestCallersOfVMsWithoutLinksToServersAreServed guards against VMs that serve nobody while they reach no server and others do.
+func TestCallersOfVMsWithoutLinksToServersAreServed(t *testing.T) {
+	for _, mode := range []cutMode{cutResets, cutSilences, cutRefuses} {
+		t.Run(string(mode), func(t *testing.T) {
+			withFleet(t, 4, 3, func(fleet *fleet) {
+				atCut, atOthers := fleet.queryDuringCut(mode, 2)
+				assert.Assert(t, atOthers.served == atOthers.sent, "others: %+v", atOthers)
+				failed := atCut.sent - atCut.served
+				assert.Assert(t, failed <= atCut.sent/50, "VMs that are cut off: %+v, others: %+v", atCut, atOthers)
+			})
+		})
+	}
+}
