reachability, upstream: see whether a VM reaches the backend servers

In the incident each VM's log held hundreds of refused attempts and nothing on whether any server was reached, how many connections failed and why, or when that began; the last 200 KB covered half a second. Change: package reachability keeps the evidence on a VM's links (failed and opened connections, silence while requests are outstanding) as plain state; a monitor logs when the links count as cut and as whole again; metrics mastwinch_servers_unreachable and mastwinch_connections_failed_total (by result). No decision uses it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/mastwinch/mastwinch/internal/placement"
 	"github.com/mastwinch/mastwinch/internal/pool"
 	"github.com/mastwinch/mastwinch/internal/quarantine"
+	"github.com/mastwinch/mastwinch/internal/reachability"
 	"github.com/mastwinch/mastwinch/internal/reservation"
 	"github.com/mastwinch/mastwinch/internal/retrybudget"
 	"github.com/mastwinch/mastwinch/internal/upstream"
@@ -87,6 +88,7 @@
 	pool          *pool.Pool
 	policy        placement.Policy
 	coordinator   *coordinator.Coordinator
+	links         *reachability.Monitor
 	upstream      *upstream.Client
 	reservations  *reservation.Manager
 	metrics       *metrics
@@ -164,7 +166,8 @@
 		cancelBase:     cancelBase,
 		budgets:        make(map[string]*retrybudget.Budget),
 	}
-	gateway.upstream = upstream.New(settings.Upstream, hostNetwork, notices{gateway}, now)
+	gateway.links = reachability.NewMonitor(settings.Reachability, logger, now)
+	gateway.upstream = upstream.New(settings.Upstream, hostNetwork, notices{gateway}, gateway.links, now)
 	gateway.coordinator = coordinator.New(settings.Coordinator, site.VM, gateway.policy, settings.Shares, gateway.pool, gateway.service,
 		&sharedRetries{gateway: gateway, budgets: make(map[string]*sharedBudget)}, exchange, now)
 	gateway.reservations = reservation.New(baseContext, settings.Reservation.WithMaxTTL(site.Bounds.HoldMax), orders, gateway.upstream, logger, now)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,6 +7,9 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/mastwinch/mastwinch/internal/reachability"
+	"github.com/mastwinch/mastwinch/internal/upstream"
 )
 
 // Label names of the metrics.
@@ -112,8 +115,22 @@
 		}, func() float64 { return float64(len(gateway.quarantine.Entries())) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "mastwinch_connections_opened_total", Help: "Connections opened to servers.",
-		}, func() float64 { return float64(gateway.upstream.Opened()) }),
+		}, func() float64 { return float64(gateway.upstream.Openings(upstream.OpenSucceeded)) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "mastwinch_servers_unreachable", Help: "1 while this VM reaches no backend server over its own links.",
+		}, func() float64 {
+			if gateway.links.Verdict() == reachability.Unreachable {
+				return 1
+			}
+			return 0
+		}),
 	)
+	for _, result := range []upstream.OpenResult{upstream.OpenRefused, upstream.OpenTimedOut, upstream.OpenCancelled} {
+		metrics.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "mastwinch_connections_failed_total", Help: "Connections to servers that could not be opened, by why.",
+			ConstLabels: prometheus.Labels{labelResult: string(result)},
+		}, func() float64 { return float64(gateway.upstream.Openings(result)) }))
+	}
 	return metrics
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -12,6 +12,7 @@
 	"github.com/mastwinch/mastwinch/internal/placement"
 	"github.com/mastwinch/mastwinch/internal/pool"
 	"github.com/mastwinch/mastwinch/internal/quarantine"
+	"github.com/mastwinch/mastwinch/internal/reachability"
 	"github.com/mastwinch/mastwinch/internal/reservation"
 	"github.com/mastwinch/mastwinch/internal/upstream"
 )
@@ -26,22 +27,23 @@
 // Settings are the tunable parameters of a gateway. The defaults suit data centres within one city.
 type Settings struct {
 	// Policy is the name of the policy that selects engines for prompts.
-	Policy        string               `yaml:"policy" validate:"oneof=length_aware least_in_hand round_robin"`
-	Placement     placement.Settings   `yaml:"placement"`
-	Pool          pool.Settings        `yaml:"pool"`
-	Exchange      exchange.Settings    `yaml:"exchange"`
-	Coordinator   coordinator.Settings `yaml:"coordinator"`
-	Shares        fairshare.Settings   `yaml:"shares"`
-	Network       network.Settings     `yaml:"network"`
-	Feed          feed.Settings        `yaml:"feed"`
-	Upstream      upstream.Settings    `yaml:"upstream"`
-	Configuration follower.Settings    `yaml:"configuration"`
-	Directory     follower.Settings    `yaml:"directory"`
-	Reservation   reservation.Settings `yaml:"reservation"`
-	Quarantine    quarantine.Settings  `yaml:"quarantine"`
-	Request       RequestSettings      `yaml:"request"`
-	Drain         DrainSettings        `yaml:"drain"`
-	Logging       LoggingSettings      `yaml:"logging"`
+	Policy        string                `yaml:"policy" validate:"oneof=length_aware least_in_hand round_robin"`
+	Placement     placement.Settings    `yaml:"placement"`
+	Pool          pool.Settings         `yaml:"pool"`
+	Exchange      exchange.Settings     `yaml:"exchange"`
+	Coordinator   coordinator.Settings  `yaml:"coordinator"`
+	Shares        fairshare.Settings    `yaml:"shares"`
+	Network       network.Settings      `yaml:"network"`
+	Feed          feed.Settings         `yaml:"feed"`
+	Upstream      upstream.Settings     `yaml:"upstream"`
+	Reachability  reachability.Settings `yaml:"reachability"`
+	Configuration follower.Settings     `yaml:"configuration"`
+	Directory     follower.Settings     `yaml:"directory"`
+	Reservation   reservation.Settings  `yaml:"reservation"`
+	Quarantine    quarantine.Settings   `yaml:"quarantine"`
+	Request       RequestSettings       `yaml:"request"`
+	Drain         DrainSettings         `yaml:"drain"`
+	Logging       LoggingSettings       `yaml:"logging"`
 }
 
 // RequestSettings are the parameters of how a single request is handled.
@@ -131,15 +133,16 @@
 // DefaultSettings returns the settings for data centres within one city.
 func DefaultSettings() Settings {
 	return Settings{
-		Policy:      PolicyLengthAware,
-		Placement:   placement.DefaultSettings(),
-		Pool:        pool.DefaultSettings(),
-		Exchange:    exchange.DefaultSettings(),
-		Coordinator: coordinator.DefaultSettings(),
-		Shares:      fairshare.DefaultSettings(),
-		Network:     network.DefaultSettings(),
-		Feed:        feed.DefaultSettings(),
-		Upstream:    upstream.DefaultSettings(),
+		Policy:       PolicyLengthAware,
+		Placement:    placement.DefaultSettings(),
+		Pool:         pool.DefaultSettings(),
+		Exchange:     exchange.DefaultSettings(),
+		Coordinator:  coordinator.DefaultSettings(),
+		Shares:       fairshare.DefaultSettings(),
+		Network:      network.DefaultSettings(),
+		Feed:         feed.DefaultSettings(),
+		Upstream:     upstream.DefaultSettings(),
+		Reachability: reachability.DefaultSettings(),
 		Configuration: follower.Settings{
 			Wait: 1500 * time.Millisecond, ResponseTimeout: 700 * time.Millisecond,
 			RetryMin: 100 * time.Millisecond, RetryMax: 800 * time.Millisecond,
--- a/internal/reservation/reservation_test.go
+++ b/internal/reservation/reservation_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mastwinch/mastwinch/internal/memnet"
+	"github.com/mastwinch/mastwinch/internal/reachability"
 	"github.com/mastwinch/mastwinch/internal/reservation"
 	"github.com/mastwinch/mastwinch/internal/upstream"
 	"github.com/mastwinch/mastwinch/platform"
@@ -117,7 +118,8 @@
 		servers = append(servers, server)
 		go func() { _ = server.Serve(listener) }()
 	}
-	client := upstream.New(upstream.DefaultSettings(), network, noopListener{}, time.Now)
+	links := reachability.NewMonitor(reachability.DefaultSettings(), slog.New(slog.DiscardHandler), time.Now)
+	client := upstream.New(upstream.DefaultSettings(), network, noopListener{}, links, time.Now)
 	manager := reservation.New(lifetime, reservation.DefaultSettings(), platform.EngineCodec{}, client, slog.New(slog.DiscardHandler), time.Now)
 	return manager, engines, claims, func() {
 		end()
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastwinch/mastwinch/internal/reachability"
 )
 
 // readBufferSize is the size of the read buffer of a connection in bytes. The
@@ -87,13 +89,15 @@
 	settings Settings
 	dialer   Dialer
 	listener Listener
+	links    *reachability.Monitor
 	now      func() time.Time
 
 	mu sync.Mutex
 	// idle has the idle connections by address, the most recently used one last.
-	idle    map[string][]*connection
-	opened  int
-	history *history
+	idle map[string][]*connection
+	// openings counts the attempts to open connections by their result.
+	openings map[OpenResult]int
+	history  *history
 }
 
 // Dialer opens network connections.
@@ -109,23 +113,39 @@
 	HandleResponse(server string, sentAt time.Time, status int, header http.Header)
 }
 
-// New returns a client without open connections.
-func New(settings Settings, dialer Dialer, listener Listener, now func() time.Time) *Client {
+// New returns a client without open connections. It records in links what it observes of the VM's links to the servers.
+func New(settings Settings, dialer Dialer, listener Listener, links *reachability.Monitor, now func() time.Time) *Client {
 	return &Client{
 		settings: settings,
 		listener: listener,
+		links:    links,
 		now:      now,
 		dialer:   dialer,
 		history:  newHistory(settings, now),
 		idle:     make(map[string][]*connection),
+		openings: make(map[OpenResult]int),
 	}
 }
 
-// Opened returns how many connections have been opened so far.
-func (client *Client) Opened() int {
+// OpenResult is the result of an attempt to open a connection. The values are labels of metrics.
+type OpenResult string
+
+// Results of attempts to open connections.
+const (
+	OpenSucceeded OpenResult = "opened"
+	// OpenRefused: the server, or the network, refused the connection.
+	OpenRefused OpenResult = "refused"
+	// OpenTimedOut: nothing answered in time.
+	OpenTimedOut OpenResult = "timed_out"
+	// OpenCancelled: the request ended before.
+	OpenCancelled OpenResult = "cancelled"
+)
+
+// Openings returns how many attempts to open a connection have had a result so far.
+func (client *Client) Openings(result OpenResult) int {
 	client.mu.Lock()
 	defer client.mu.Unlock()
-	return client.opened
+	return client.openings[result]
 }
 
 // Send sends a request and returns the response after its header was received.
@@ -141,8 +161,10 @@
 	}
 	sentAt := client.now()
 	connection.stop = context.AfterFunc(ctx, connection.close)
+	connection.begin()
 	response, err := connection.roundTrip(request, matches)
 	if err != nil {
+		connection.end()
 		connection.close()
 		if connection.pooled && !errors.Is(context.Cause(ctx), context.Canceled) {
 			client.closeIdle(address)
@@ -170,18 +192,43 @@
 		}
 		pooled.close()
 	}
-	dialled, err := client.history.dial(ctx, client.dialer, address)
+	dialled, err := client.openDirect(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	opened := &connection{address: address, conn: dialled, links: client.links}
+	opened.reader = bufio.NewReaderSize(opened, readBufferSize)
+	return opened, nil
+}
+
+// openDirect opens a connection over the VM's own link to the server, and records the result.
+func (client *Client) openDirect(ctx context.Context, address string) (net.Conn, error) {
+	dialled, err := client.history.dial(ctx, client.dialer, address)
+	result := openResult(ctx, err)
+	switch result {
+	case OpenSucceeded:
+		client.links.Opened()
+	case OpenRefused, OpenTimedOut:
+		client.links.Failed(address)
+	case OpenCancelled:
+	}
 	client.mu.Lock()
-	client.opened++
-	client.mu.Unlock()
-	return &connection{
-		address: address,
-		conn:    dialled,
-		reader:  bufio.NewReaderSize(dialled, readBufferSize),
-	}, nil
+	defer client.mu.Unlock()
+	client.openings[result]++
+	return dialled, err
+}
+
+func openResult(ctx context.Context, err error) OpenResult {
+	switch {
+	case err == nil:
+		return OpenSucceeded
+	case ctx.Err() != nil:
+		return OpenCancelled
+	case errors.Is(err, context.DeadlineExceeded):
+		return OpenTimedOut
+	default:
+		return OpenRefused
+	}
 }
 
 // HasIdle reports whether there is an idle connection to a server.
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/mastwinch/mastwinch/internal/reachability"
 )
 
 // maxSkipped is how many responses to earlier requests are skipped before the one to the current request.
@@ -45,10 +47,39 @@
 	// written is closed when the write of the request has ended; writeErr is set before.
 	written  chan struct{}
 	writeErr error
+	// links records the start and end of requests, and arriving bytes.
+	links *reachability.Monitor
+	// outstanding says that a request was sent whose response has not ended.
+	outstanding bool
 	// skipped says that a response was skipped, so that the connection must not be reused.
 	skipped bool
 }
 
+var _ io.Reader = (*connection)(nil)
+
+// Read implements io.Reader. It reads from the network.
+func (connection *connection) Read(buffer []byte) (int, error) {
+	count, err := connection.conn.Read(buffer)
+	if count > 0 {
+		connection.links.Heard()
+	}
+	return count, err //nolint:wrapcheck // callers of io.Reader compare with io.EOF
+}
+
+// begin records that a request is sent.
+func (connection *connection) begin() {
+	connection.outstanding = true
+	connection.links.Began()
+}
+
+// end records that the response to the request, or the wait for it, has ended.
+func (connection *connection) end() {
+	if connection.outstanding {
+		connection.outstanding = false
+		connection.links.Ended()
+	}
+}
+
 func (connection *connection) close() {
 	connection.once.Do(func() {
 		_ = connection.conn.Close() // the connection is not used any more
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -51,6 +51,7 @@
 // it is closed. idle is the idle timeout that the server advertised, or zero.
 func (response *Response) Close(idle time.Duration) {
 	connection := response.connection
+	connection.end()
 	unregistered := connection.stop()
 	reusable := response.bodyRead && response.isDelimited() && !response.httpResponse.Close && !connection.skipped &&
 		connection.isWritten() && connection.reader.Buffered() == 0
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -17,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mastwinch/mastwinch/internal/network"
+	"github.com/mastwinch/mastwinch/internal/reachability"
 	"github.com/mastwinch/mastwinch/internal/upstream"
 )
 
@@ -81,8 +83,13 @@
 	return string(read), err
 }
 
+// newLinks returns a monitor of links that nothing speaks against.
+func newLinks() *reachability.Monitor {
+	return reachability.NewMonitor(reachability.DefaultSettings(), slog.New(slog.DiscardHandler), time.Now)
+}
+
 func newClient() *upstream.Client {
-	return upstream.New(upstream.DefaultSettings(), network.New(network.DefaultSettings()), &recorder{}, time.Now)
+	return upstream.New(upstream.DefaultSettings(), network.New(network.DefaultSettings()), &recorder{}, newLinks(), time.Now)
 }
 
 func TestSend(t *testing.T) {
@@ -163,7 +170,7 @@
 				checkBody(t, got, err, want)
 			}
 			assert.Equal(t, server.accepted.Load(), test.wantOpened)
-			assert.Equal(t, client.Opened(), int(test.wantOpened))
+			assert.Equal(t, client.Openings(upstream.OpenSucceeded), int(test.wantOpened))
 		})
 	}
 }
@@ -221,7 +228,7 @@
 		checkBody(t, got, err, "x")
 	}
 	close(done)
-	assert.Equal(t, client.Opened(), 2)
+	assert.Equal(t, client.Openings(upstream.OpenSucceeded), 2)
 }
 
 func TestSendFailsIfNothingListens(t *testing.T) {
