tunnel, upstream, gateway: reach backend servers through another VM while the VM's own links are cut

What callers saw: VMs that reached no backend server went on taking requests and served hardly any of them, while the other VMs reached every server (10 of 109 first tries, the others 142 of 143). Cause: a request could go to a server over the VM's own links only. With refused connections it was placed and failed again hundreds of times a second (176 sends of one request) until its caller left; with silent ones it waited on a connection on which nothing arrived any more. The failures counted against the servers, at the coordinator too. Change: package tunnel opens a connection to a server through another VM (CONNECT on the port on which VMs serve each other) when package reachability finds the VM's own links in doubt or cut. The request stays at its VM; nothing is sent before the tunnel is open, so a failed one means not sent, and a tunnel that breaks is a connection that broke. A VM opens tunnels over its own links only, to servers that it knows, 256 at most, none while its links are cut or it stops, and waits for those that are open when it stops. Requests in flight on silent connections that may run again are placed again. Failures while the links are cut, and those on tunnels, count against no server. A request that reaches no server pauses between attempts. Settings reachability and tunnel; metrics mastwinch_tunnels_total, _served_total and _open.

--- a/internal/exchange/role.go
+++ b/internal/exchange/role.go
@@ -6,9 +6,13 @@
 
 	"github.com/mastwinch/mastwinch/internal/feed"
 	"github.com/mastwinch/mastwinch/internal/rendezvous"
+	"github.com/mastwinch/mastwinch/internal/tunnel"
 )
 
-var _ feed.Members = (*Exchange)(nil)
+var (
+	_ feed.Members = (*Exchange)(nil)
+	_ tunnel.Peers = (*Exchange)(nil)
+)
 
 // readerKey is the rendezvous key that ranks VMs as readers of the store.
 const readerKey = "reader"
@@ -71,6 +75,22 @@
 	return addresses, exchange.joined && (len(live) > 0 || len(exchange.peers) == 0)
 }
 
+// PeerAddresses implements tunnel.Peers. Most VMs of a large fleet send this VM no datagrams, so others may be live too.
+func (exchange *Exchange) PeerAddresses() (live, others []string) {
+	exchange.mu.Lock()
+	defer exchange.mu.Unlock()
+	for _, peer := range exchange.peers {
+		if exchange.live(peer) {
+			live = append(live, peer.Address)
+		} else {
+			others = append(others, peer.Address)
+		}
+	}
+	slices.Sort(live)
+	slices.Sort(others)
+	return live, others
+}
+
 // precedesAsReader reports whether vm is preferred to other as reader of the store.
 func (exchange *Exchange) precedesAsReader(vm, other string) bool {
 	return exchange.compareReaders(vm, other) < 0
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,12 +59,14 @@
 		Host:   forwarder.incoming.Host,
 		Header: gateway.codec.ServerHeader(forwarder.incoming.Header, dispatch),
 		Body:   forwarder.body,
+
+		Repeatable: forwarder.mayRunAgain(),
 	}
 	response, err := gateway.upstream.Send(ctx, plan.Server.Address, request, func(header http.Header) bool {
 		return gateway.codec.Response(http.StatusOK, header).ID == forwarder.head.ID
 	})
 	if err != nil {
-		return sendErrorResult(ctx, err)
+		return forwarder.sendErrorResult(ctx, err)
 	}
 	decoded := gateway.codec.Response(response.Status, response.Header)
 	defer func() { response.Close(decoded.IdleTimeout) }()
@@ -124,12 +126,23 @@
 
 // sendErrorResult returns the result of a request that could not be sent or got no response:
 // it was certainly not executed only if no connection was made.
-func sendErrorResult(ctx context.Context, err error) result {
+func (forwarder *forwarder) sendErrorResult(ctx context.Context, err error) result {
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
 		return result{kind: resultNotRun, notSent: true, err: err}
 	}
-	return result{kind: resultUncertain, connectionLost: ctx.Err() == nil, err: err}
+	return result{kind: resultUncertain, connectionLost: ctx.Err() == nil && !isPathError(err), serverNotAtFault: isPathError(err), err: err}
+}
+
+// isPathError reports whether the reason of a failure may lie between this VM and the server.
+func isPathError(err error) bool {
+	var path *upstream.PathError
+	return errors.As(err, &path)
+}
+
+// mayRunAgain reports whether the request may be sent to another server after the next one may have run it.
+func (forwarder *forwarder) mayRunAgain() bool {
+	return forwarder.route.Repeatable() && forwarder.executions+1 < forwarder.route.MaxAttempts
 }
 
 // responseTimeout returns how long the server may take until the first event of a stream, or until
@@ -137,7 +150,7 @@
 // is possible.
 func (forwarder *forwarder) responseTimeout(plan placement.Plan) time.Duration {
 	settings := forwarder.gateway.settings.Request
-	if !forwarder.route.Repeatable() || forwarder.executions+1 >= forwarder.route.MaxAttempts {
+	if !forwarder.mayRunAgain() {
 		return 0
 	}
 	expected := max(plan.PredictedTTFT, forwarder.route.Objective)
@@ -153,7 +166,8 @@
 	switch {
 	case err != nil:
 		return result{
-			kind: resultUncertain, status: response.Status, connectionLost: ctx.Err() == nil, err: errors.Wrap(err, "read the response body"),
+			kind: resultUncertain, status: response.Status, connectionLost: ctx.Err() == nil && !isPathError(err),
+			serverNotAtFault: isPathError(err), err: errors.Wrap(err, "read the response body"),
 		}
 	case int64(len(body)) > forwarder.gateway.settings.Request.MaxResponseBytes:
 		return result{kind: resultUncertain, status: response.Status, err: errors.New("response body is too long")}
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/mastwinch/mastwinch/internal/fingerprint"
 	"github.com/mastwinch/mastwinch/internal/placement"
 	"github.com/mastwinch/mastwinch/internal/quarantine"
+	"github.com/mastwinch/mastwinch/internal/reachability"
 	"github.com/mastwinch/mastwinch/internal/reservation"
 	"github.com/mastwinch/mastwinch/internal/wait"
 )
@@ -30,6 +31,8 @@
 	writer      http.ResponseWriter
 	// sends counts the attempts to send the request to a server.
 	sends int
+	// unsent counts the last attempts in a row for which no connection could be opened.
+	unsent int
 	// deliveries counts the attempts in which the request may have reached a server.
 	deliveries int
 	// placementRequested is true once a placement was requested from the coordinator, which then
@@ -175,6 +178,28 @@
 		if final, done := forwarder.handleResult(ctx, plan, result); done {
 			return final
 		}
+		forwarder.pauseIfUnsent(ctx, result)
+	}
+}
+
+// Pauses of a request to which no connection can be opened: from unsentBefore failures in a row on, each pause is twice as long
+// as the one before. Without them, a request that reaches no server is placed and fails hundreds of times a second.
+const (
+	unsentBefore    = 3
+	unsentPause     = 10 * time.Millisecond
+	unsentPauseMax  = 320 * time.Millisecond
+	unsentDoublings = 5
+)
+
+// pauseIfUnsent pauses before the next attempt after several in a row that opened no connection.
+func (forwarder *forwarder) pauseIfUnsent(ctx context.Context, result result) {
+	if !result.notSent {
+		forwarder.unsent = 0
+		return
+	}
+	forwarder.unsent++
+	if excess := forwarder.unsent - unsentBefore; excess >= 0 {
+		wait.For(ctx, min(unsentPauseMax, unsentPause<<min(excess, unsentDoublings)))
 	}
 }
 
@@ -270,21 +295,23 @@
 
 // recordFailure reports a failed attempt to the pool and the quarantine, and logs it.
 func (forwarder *forwarder) recordFailure(plan placement.Plan, result result) {
+	gateway := forwarder.gateway
 	failedServer := plan.ServerIDAt(result.failedServer)
 	forwarder.triedServers = append(forwarder.triedServers, failedServer)
 	suspect := false
 	switch {
 	case result.serverNotAtFault:
+	case gateway.links.Verdict() == reachability.Unreachable: // the links of this VM failed, not the servers
 	case result.serverClosed:
-		forwarder.gateway.pool.MarkClosed(failedServer)
+		gateway.pool.MarkClosed(failedServer)
 	case result.connectionLost:
 		loss := quarantine.Loss{Fingerprint: forwarder.fingerprint, Server: failedServer, HadEvent: result.receivedEvent}
-		suspect = forwarder.gateway.pool.RecordConnectionLoss(failedServer, forwarder.fingerprint, phaseOf(loss))
-		forwarder.gateway.quarantine.RecordLoss(loss)
+		suspect = gateway.pool.RecordConnectionLoss(failedServer, forwarder.fingerprint, phaseOf(loss))
+		gateway.quarantine.RecordLoss(loss)
 	default:
-		suspect = forwarder.gateway.pool.RecordFailure(failedServer)
+		suspect = gateway.pool.RecordFailure(failedServer)
 	}
-	forwarder.gateway.logger.Warn("attempt failed", "request_id", forwarder.head.ID, "send", forwarder.sends-1,
+	gateway.logger.Warn("attempt failed", "request_id", forwarder.head.ID, "send", forwarder.sends-1,
 		"server", plan.Server.ID, "at_fault", failedServer, "result", result.kind, "status", result.status,
 		"lost", result.connectionLost, "ran", result.receivedEvent, "fingerprint", forwarder.fingerprint, "suspect", suspect, "error", result.err)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/mastwinch/mastwinch/internal/reachability"
 	"github.com/mastwinch/mastwinch/internal/reservation"
 	"github.com/mastwinch/mastwinch/internal/retrybudget"
+	"github.com/mastwinch/mastwinch/internal/tunnel"
 	"github.com/mastwinch/mastwinch/internal/upstream"
 	"github.com/mastwinch/mastwinch/internal/wait"
 )
@@ -89,6 +90,8 @@
 	policy        placement.Policy
 	coordinator   *coordinator.Coordinator
 	links         *reachability.Monitor
+	tunnels       *tunnel.Dialer
+	tunnelServer  *tunnel.Server
 	upstream      *upstream.Client
 	reservations  *reservation.Manager
 	metrics       *metrics
@@ -167,7 +170,9 @@
 		budgets:        make(map[string]*retrybudget.Budget),
 	}
 	gateway.links = reachability.NewMonitor(settings.Reachability, logger, now)
-	gateway.upstream = upstream.New(settings.Upstream, hostNetwork, notices{gateway}, gateway.links, now)
+	gateway.tunnels = tunnel.NewDialer(settings.Tunnel, gateway.links, hostNetwork, exchange, logger, now)
+	gateway.upstream = upstream.New(settings.Upstream, hostNetwork, notices{gateway}, gateway.links, gateway.tunnels, now)
+	gateway.tunnelServer = tunnel.NewServer(settings.Tunnel, gateway.links, serverPool, gateway.upstream.DialDirect, logger)
 	gateway.coordinator = coordinator.New(settings.Coordinator, site.VM, gateway.policy, settings.Shares, gateway.pool, gateway.service,
 		&sharedRetries{gateway: gateway, budgets: make(map[string]*sharedBudget)}, exchange, now)
 	gateway.reservations = reservation.New(baseContext, settings.Reservation.WithMaxTTL(site.Bounds.HoldMax), orders, gateway.upstream, logger, now)
@@ -229,7 +234,7 @@
 		ErrorLog:          slog.NewLogLogger(gateway.logger.Handler(), slog.LevelDebug),
 	}
 	readinessServer := &http.Server{Handler: gateway.readyHandler(), ReadHeaderTimeout: headerTimeout}
-	peerServer := &http.Server{Handler: feed.Handler(gateway.tails, gateway.epochs, gateway.logger), ReadHeaderTimeout: headerTimeout}
+	peerServer := &http.Server{Handler: gateway.peerHandler(), ReadHeaderTimeout: headerTimeout}
 	group, groupCtx := errgroup.WithContext(gateway.baseContext)
 	group.Go(func() error { return gateway.listenAndServe(groupCtx, callerServer, gateway.site.Address) })
 	group.Go(func() error { return gateway.listenAndServe(groupCtx, readinessServer, gateway.site.ReadyAddress) })
@@ -263,6 +268,18 @@
 	return err
 }
 
+// peerHandler returns the handler for requests of other VMs: for tunnels to servers, and for records of the store.
+func (gateway *Gateway) peerHandler() http.Handler {
+	records := feed.Handler(gateway.tails, gateway.epochs, gateway.logger)
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.Method == http.MethodConnect {
+			gateway.tunnelServer.ServeHTTP(writer, request)
+			return
+		}
+		records.ServeHTTP(writer, request)
+	})
+}
+
 func (gateway *Gateway) listenAndServe(ctx context.Context, server *http.Server, address string) error {
 	listener, err := gateway.network.Listen(ctx, address)
 	if err != nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/mastwinch/mastwinch/internal/reachability"
+	"github.com/mastwinch/mastwinch/internal/tunnel"
 	"github.com/mastwinch/mastwinch/internal/upstream"
 )
 
@@ -125,13 +126,38 @@
 			return 0
 		}),
 	)
+	registerOpenings(metrics.registry, gateway)
+	registerTunnels(metrics.registry, gateway)
+	return metrics
+}
+
+// registerOpenings registers the counters of connections to servers that failed to open.
+func registerOpenings(registry *prometheus.Registry, gateway *Gateway) {
 	for _, result := range []upstream.OpenResult{upstream.OpenRefused, upstream.OpenTimedOut, upstream.OpenCancelled} {
-		metrics.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "mastwinch_connections_failed_total", Help: "Connections to servers that could not be opened, by why.",
 			ConstLabels: prometheus.Labels{labelResult: string(result)},
 		}, func() float64 { return float64(gateway.upstream.Openings(result)) }))
 	}
-	return metrics
+}
+
+// registerTunnels registers the metrics of connections to servers that lead through another VM.
+func registerTunnels(registry *prometheus.Registry, gateway *Gateway) {
+	for _, result := range []tunnel.Result{tunnel.ResultOpened, tunnel.ResultFailed, tunnel.ResultSlower} {
+		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "mastwinch_tunnels_total", Help: "Attempts to reach a server through another VM, by how they came out.",
+			ConstLabels: prometheus.Labels{labelResult: string(result)},
+		}, func() float64 { return float64(gateway.tunnels.Results(result)) }))
+	}
+	for _, status := range tunnel.Statuses() {
+		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "mastwinch_tunnels_served_total", Help: "Requests of other VMs to reach a server through this one, by the answer's status.",
+			ConstLabels: prometheus.Labels{labelStatus: strconv.Itoa(status)},
+		}, func() float64 { return float64(gateway.tunnelServer.Served(status)) }))
+	}
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "mastwinch_tunnels_open", Help: "Connections of other VMs to servers that lead through this one.",
+	}, func() float64 { return float64(gateway.tunnelServer.Open()) }))
 }
 
 func (metrics *metrics) handler() http.Handler {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -64,8 +64,9 @@
 	if cause != nil {
 		err = errors.CombineErrors(cause, err)
 	}
+	notAtFault := callerStalled || isPathError(err)
 	return result{
-		kind: resultUncertain, status: http.StatusOK, connectionLost: cause == nil && !callerStalled, receivedEvent: receivedEvent, serverNotAtFault: callerStalled,
+		kind: resultUncertain, status: http.StatusOK, connectionLost: cause == nil && !notAtFault, receivedEvent: receivedEvent, serverNotAtFault: notAtFault,
 		err: errors.Wrap(err, "read the server's stream"),
 	}
 }
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -92,13 +92,18 @@
 }
 
 func countServed(responses []callerResponse) int {
-	served := 0
+	return countStatus(responses, http.StatusOK)
+}
+
+// countStatus counts the responses with a status.
+func countStatus(responses []callerResponse, status int) int {
+	count := 0
 	for _, got := range responses {
-		if got.status == http.StatusOK {
-			served++
+		if got.status == status {
+			count++
 		}
 	}
-	return served
+	return count
 }
 
 // maxWithin returns the largest number of times, which must be in order, in any period of a length.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -14,6 +14,7 @@
 	"github.com/mastwinch/mastwinch/internal/quarantine"
 	"github.com/mastwinch/mastwinch/internal/reachability"
 	"github.com/mastwinch/mastwinch/internal/reservation"
+	"github.com/mastwinch/mastwinch/internal/tunnel"
 	"github.com/mastwinch/mastwinch/internal/upstream"
 )
 
@@ -37,6 +38,7 @@
 	Feed          feed.Settings         `yaml:"feed"`
 	Upstream      upstream.Settings     `yaml:"upstream"`
 	Reachability  reachability.Settings `yaml:"reachability"`
+	Tunnel        tunnel.Settings       `yaml:"tunnel"`
 	Configuration follower.Settings     `yaml:"configuration"`
 	Directory     follower.Settings     `yaml:"directory"`
 	Reservation   reservation.Settings  `yaml:"reservation"`
@@ -143,6 +145,7 @@
 		Feed:         feed.DefaultSettings(),
 		Upstream:     upstream.DefaultSettings(),
 		Reachability: reachability.DefaultSettings(),
+		Tunnel:       tunnel.DefaultSettings(),
 		Configuration: follower.Settings{
 			Wait: 1500 * time.Millisecond, ResponseTimeout: 700 * time.Millisecond,
 			RetryMin: 100 * time.Millisecond, RetryMax: 800 * time.Millisecond,
--- /dev/null
+++ b/internal/gateway/tunnel_test.go
@@ -0,0 +1,123 @@
+package gateway_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// runsPerRequest returns how often servers received each request, by its ID.
+func (fleet *fleet) runsPerRequest() map[string]int {
+	runs := make(map[string]int)
+	for _, received := range fleet.requests() {
+		runs[received.Header.Get("Request-Id")]++
+	}
+	return runs
+}
+
+// queryFirstVM sends copies of a request to the first VM, one per interval, and returns all responses.
+func (fleet *fleet) queryFirstVM(callerRequest callerRequest, count int, interval time.Duration) []callerResponse {
+	got := make([]callerResponse, count)
+	var callers sync.WaitGroup
+	for number := range count {
+		callers.Go(func() { got[number] = fleet.query(callerRequest) })
+		time.Sleep(interval)
+	}
+	callers.Wait()
+	return got
+}
+
+// TestUnsafeRequestsRunAtMostOnceThroughOtherVMs guards against requests that run twice, or run although they were refused, when
+// the VM that they lead through stops or is cut off too.
+func TestUnsafeRequestsRunAtMostOnceThroughOtherVMs(t *testing.T) {
+	for name, disturb := range map[string]func(fleet *fleet){
+		"nothing else happens":       func(*fleet) {},
+		"the others are stopped":     func(fleet *fleet) { fleet.vms[1].stop() },
+		"the others are reset":       func(fleet *fleet) { fleet.vms[0].network.begin(cutResets, "10.0.") },
+		"the others are cut off too": func(fleet *fleet) { fleet.vms[1].network.begin(cutResets, serverPrefix) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 3, 2, func(fleet *fleet) {
+				for _, server := range fleet.servers {
+					server.script = delayed(300*time.Millisecond, responses(http.StatusOK, "fine"))
+				}
+				fleet.vms[0].network.begin(cutResets, serverPrefix)
+				time.AfterFunc(time.Second, func() { disturb(fleet) })
+				got := fleet.queryFirstVM(plainRequest(http.MethodPost, "pay"), 60, 30*time.Millisecond)
+				runs := fleet.runsPerRequest()
+				for id, count := range runs {
+					assert.Check(t, count == 1, "%s ran %d times", id, count)
+				}
+				served, refused := countServed(got), countStatus(got, http.StatusServiceUnavailable)
+				assert.Check(t, len(runs)+refused <= len(got), "%d ran and %d were refused of %d", len(runs), refused, len(got))
+				assert.Check(t, served >= 20, "%d of %d served", served, len(got))
+			})
+		})
+	}
+}
+
+// TestPlannedStopWaitsForTunnels guards against requests of other VMs that are cut when the VM that they lead through stops.
+func TestPlannedStopWaitsForTunnels(t *testing.T) {
+	withFleet(t, 2, 2, func(fleet *fleet) {
+		for _, server := range fleet.servers {
+			server.script = delayed(1500*time.Millisecond, responses(http.StatusOK, "fine"))
+		}
+		fleet.vms[0].network.begin(cutResets, serverPrefix)
+		var callers sync.WaitGroup
+		for range 10 {
+			callers.Go(func() {
+				got := fleet.query(plainRequest(http.MethodPost, "pay"))
+				assert.Check(t, got.status == http.StatusOK, "status %d: %s", got.status, got.body)
+			})
+			time.Sleep(30 * time.Millisecond)
+		}
+		fleet.vms[1].stop()
+		callers.Wait()
+	})
+}
+
+// TestVMsThatAllReachNoServerSendNothingInCircles guards against requests that VMs lead to each other without end.
+func TestVMsThatAllReachNoServerSendNothingInCircles(t *testing.T) {
+	withFleet(t, 3, 2, func(fleet *fleet) {
+		for _, vm := range fleet.vms {
+			vm.network.begin(cutRefuses, serverPrefix)
+		}
+		started := time.Now()
+		got := fleet.query(plainRequest(http.MethodPost, "pay"))
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Assert(t, time.Since(started) < 3*time.Second)
+		assert.Equal(t, len(fleet.requests()), 0)
+		for _, vm := range fleet.vms {
+			vm.network.end()
+		}
+		assert.Equal(t, fleet.query(plainRequest(http.MethodPost, "pay")).status, http.StatusOK)
+	})
+}
+
+// TestServerSilentForASecondIsNotTakenForLost guards against requests that are cut, or led through other VMs, while one of
+// several servers says nothing for a second and then goes on.
+func TestServerSilentForASecondIsNotTakenForLost(t *testing.T) {
+	withFleet(t, 3, 3, func(fleet *fleet) {
+		silence := time.Now().Add(2 * time.Second)
+		for _, server := range fleet.servers[:2] {
+			script := responses(http.StatusOK, "fine")
+			if server.service == "engines" {
+				script = streamEvents(8, 0)
+			}
+			server.script = func(harness *harness, nth int, writer http.ResponseWriter, request *http.Request) {
+				if since := time.Since(silence); since >= 0 && since < time.Second {
+					time.Sleep(time.Second - since)
+				}
+				script(harness, nth, writer, request)
+			}
+		}
+		got := fleet.queryRoundRobin(plainRequest(http.MethodPost, "pay"), 20*time.Millisecond, 5*time.Second)
+		assert.Equal(t, countServed(got), len(got))
+		for id, count := range fleet.runsPerRequest() {
+			assert.Check(t, count == 1, "%s ran %d times", id, count)
+		}
+	})
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -147,6 +147,18 @@
 	return found, unavailable
 }
 
+// HasAddress reports whether a known server has the address.
+func (pool *Pool) HasAddress(address string) bool {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	for _, server := range pool.servers {
+		if server.entry.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // acceptsRequests reports whether a server may get new requests.
 func (pool *Pool) acceptsRequests(server *server, now time.Time) bool {
 	return !pool.isEvacuated(server) && pool.isUsable(server, now)
--- a/internal/reservation/reservation_test.go
+++ b/internal/reservation/reservation_test.go
@@ -119,7 +119,7 @@
 		go func() { _ = server.Serve(listener) }()
 	}
 	links := reachability.NewMonitor(reachability.DefaultSettings(), slog.New(slog.DiscardHandler), time.Now)
-	client := upstream.New(upstream.DefaultSettings(), network, noopListener{}, links, time.Now)
+	client := upstream.New(upstream.DefaultSettings(), network, noopListener{}, links, nil, time.Now)
 	manager := reservation.New(lifetime, reservation.DefaultSettings(), platform.EngineCodec{}, client, slog.New(slog.DiscardHandler), time.Now)
 	return manager, engines, claims, func() {
 		end()
--- /dev/null
+++ b/internal/tunnel/dialer.go
@@ -0,0 +1,275 @@
+package tunnel
+
+import (
+	"bufio"
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastwinch/mastwinch/internal/reachability"
+)
+
+// Network opens connections to other VMs.
+type Network interface {
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Peers returns the addresses of other VMs, those that are known to be live first.
+type Peers interface {
+	PeerAddresses() (live, others []string)
+}
+
+// Connection is an open connection to a server.
+type Connection struct {
+	net.Conn
+
+	// Via is the address of the VM that the connection leads through, or empty for a direct one.
+	Via string
+	// ReusableUntil is until when the connection may take further requests. It is zero for a direct one, which has no limit.
+	ReusableUntil time.Time
+}
+
+// Result is how an attempt to open a tunnel came out. The values are labels of metrics.
+type Result string
+
+// Results of attempts to open a tunnel.
+const (
+	ResultOpened Result = "opened"
+	ResultFailed Result = "failed"
+	ResultSlower Result = "slower"
+)
+
+// Dialer opens connections to servers, directly or through other VMs. It is safe for concurrent use.
+type Dialer struct {
+	settings Settings
+	links    *reachability.Monitor
+	network  Network
+	peers    Peers
+	logger   *slog.Logger
+	now      func() time.Time
+
+	mu sync.Mutex
+	// avoided has the VMs that failed to open a tunnel, with the time until which they are avoided.
+	avoided map[string]time.Time
+	results map[Result]int
+}
+
+// NewDialer returns a dialer that goes by the verdict on the VM's own links.
+func NewDialer(
+	settings Settings, links *reachability.Monitor, network Network, peers Peers, logger *slog.Logger, now func() time.Time,
+) *Dialer {
+	return &Dialer{
+		settings: settings, links: links, network: network, peers: peers, logger: logger, now: now,
+		avoided: make(map[string]time.Time), results: make(map[Result]int),
+	}
+}
+
+// Results returns how many attempts to open a tunnel came out in some way so far.
+func (dialer *Dialer) Results(result Result) int {
+	dialer.mu.Lock()
+	defer dialer.mu.Unlock()
+	return dialer.results[result]
+}
+
+// Dial opens a connection to a server. direct opens one over the VM's own link, and records the result of that itself, except
+// when a tunnel is faster.
+func (dialer *Dialer) Dial(ctx context.Context, address string, direct func(ctx context.Context) (net.Conn, error)) (Connection, error) {
+	verdict := dialer.links.Verdict()
+	if !dialer.settings.Enabled || verdict == reachability.Reachable {
+		conn, err := direct(ctx)
+		return Connection{Conn: conn}, err
+	}
+	own := way{open: direct, headStart: dialer.settings.HeadStart}
+	ways := dialer.tunnels(address)
+	if verdict == reachability.Doubtful || dialer.links.TakeProbe() {
+		ways = slices.Insert(ways, 0, own)
+	} else {
+		ways = append(ways, own)
+	}
+	bounded, cancel := context.WithTimeout(ctx, dialer.settings.OpenTimeout)
+	defer cancel()
+	won, lost := race(bounded, ways)
+	dialer.recordLost(ctx, address, lost)
+	if won == nil {
+		return Connection{}, failure(ctx, lost)
+	}
+	if won.way.via == "" {
+		return Connection{Conn: won.conn}, nil
+	}
+	dialer.count(ResultOpened)
+	return Connection{Conn: won.conn, Via: won.way.via, ReusableUntil: dialer.now().Add(dialer.settings.ReuseTime)}, nil
+}
+
+// tunnels returns the ways to a server through other VMs.
+func (dialer *Dialer) tunnels(address string) []way {
+	live, others := dialer.peers.PeerAddresses()
+	shuffle(live)
+	shuffle(others)
+	var ways []way
+	for _, peer := range dialer.usable(append(live, others...)) {
+		ways = append(ways, way{
+			via: peer, headStart: dialer.settings.Stagger,
+			open: func(ctx context.Context) (net.Conn, error) { return dialer.connect(ctx, peer, address) },
+		})
+	}
+	return ways
+}
+
+// shuffle spreads the tunnels of many VMs over all that can serve them.
+func shuffle(addresses []string) {
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] }) //nolint:gosec // not used for security
+}
+
+// usable returns the first VMs that are not avoided, at most Settings.MaxPeers.
+func (dialer *Dialer) usable(peers []string) []string {
+	dialer.mu.Lock()
+	defer dialer.mu.Unlock()
+	now := dialer.now()
+	var usable []string
+	for _, peer := range peers {
+		if len(usable) == dialer.settings.MaxPeers {
+			break
+		}
+		if now.Before(dialer.avoided[peer]) {
+			continue
+		}
+		delete(dialer.avoided, peer)
+		usable = append(usable, peer)
+	}
+	return usable
+}
+
+// recordLost records the attempts that did not open a connection, or not as fast as another one.
+func (dialer *Dialer) recordLost(ctx context.Context, address string, lost []attempt) {
+	for _, attempt := range lost {
+		slower := errors.Is(attempt.err, errSlower)
+		if attempt.way.via == "" {
+			if slower {
+				dialer.links.Failed(address)
+			}
+			continue
+		}
+		if slower {
+			dialer.count(ResultSlower)
+			continue
+		}
+		dialer.count(ResultFailed)
+		if ctx.Err() != nil {
+			continue
+		}
+		dialer.logger.Debug("tunnel failed", "peer", attempt.way.via, "address", address, "error", attempt.err)
+		var refused *RefusedError
+		if !errors.As(attempt.err, &refused) || refused.Status != http.StatusBadGateway {
+			dialer.avoid(attempt.way.via, attempt.err)
+		}
+	}
+}
+
+// avoid avoids a VM for Settings.AvoidTime.
+func (dialer *Dialer) avoid(peer string, reason error) {
+	dialer.mu.Lock()
+	defer dialer.mu.Unlock()
+	now := dialer.now()
+	if !now.Before(dialer.avoided[peer]) {
+		dialer.logger.Info("VM is avoided for tunnels", "peer", peer, "error", reason)
+	}
+	dialer.avoided[peer] = now.Add(dialer.settings.AvoidTime)
+}
+
+func (dialer *Dialer) count(result Result) {
+	dialer.mu.Lock()
+	defer dialer.mu.Unlock()
+	dialer.results[result]++
+}
+
+// failure returns the error of an attempt over all ways.
+func failure(ctx context.Context, lost []attempt) error {
+	if ctx.Err() != nil {
+		return errors.WithStack(ctx.Err())
+	}
+	err := &NoWayError{}
+	for _, attempt := range lost {
+		err.Errs = append(err.Errs, attempt.err)
+	}
+	return err
+}
+
+// NoWayError is returned when no way to a server could be opened. Errs has the error of each.
+type NoWayError struct {
+	Errs []error
+}
+
+// Error implements error.
+func (e *NoWayError) Error() string {
+	texts := make([]string, 0, len(e.Errs))
+	for _, err := range e.Errs {
+		texts = append(texts, err.Error())
+	}
+	return "no way to the server: " + strings.Join(texts, "; ")
+}
+
+// Unwrap returns the errors of all ways.
+func (e *NoWayError) Unwrap() []error {
+	return e.Errs
+}
+
+// RefusedError is the refusal of another VM to open a tunnel.
+type RefusedError struct {
+	Peer string
+	// Status is the HTTP status of the refusal. 502 means that the VM did not reach the server.
+	Status int
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return e.Peer + " refused to open a tunnel: " + http.StatusText(e.Status)
+}
+
+// connect opens a tunnel through another VM.
+func (dialer *Dialer) connect(ctx context.Context, peer, address string) (net.Conn, error) {
+	conn, err := dialer.network.Dial(ctx, peer)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to VM at %s", peer)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // unblocks the exchange below
+	err = handshake(ctx, conn, peer, address)
+	if !stop() && err == nil {
+		err = errors.WithStack(ctx.Err())
+	}
+	if err != nil {
+		_ = conn.Close() // nothing was sent through it
+		return nil, err
+	}
+	return conn, nil
+}
+
+// handshake requests a tunnel on a connection to another VM.
+func handshake(ctx context.Context, conn net.Conn, peer, address string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodConnect, "http://"+address, nil)
+	if err != nil {
+		return errors.Wrap(err, "tunnel request")
+	}
+	if err := request.Write(conn); err != nil {
+		return errors.Wrapf(err, "request tunnel of VM at %s", peer)
+	}
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, request) //nolint:bodyclose // the response to CONNECT has no body; the caller closes conn
+	if err != nil {
+		return errors.Wrapf(err, "request tunnel of VM at %s", peer)
+	}
+	if response.StatusCode != http.StatusOK {
+		return &RefusedError{Peer: peer, Status: response.StatusCode}
+	}
+	if reader.Buffered() > 0 {
+		return errors.Newf("bytes before the request in a tunnel of VM at %s", peer)
+	}
+	return nil
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -13,6 +13,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastwinch/mastwinch/internal/reachability"
+	"github.com/mastwinch/mastwinch/internal/tunnel"
 )
 
 // readBufferSize is the size of the read buffer of a connection in bytes. The
@@ -66,6 +68,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Repeatable is whether the request may be sent to another server after this one may have run it.
+	Repeatable bool
 }
 
 // NotSentError is returned if no connection could be opened, so that no part of the request reached the server.
@@ -90,11 +94,15 @@
 	dialer   Dialer
 	listener Listener
 	links    *reachability.Monitor
-	now      func() time.Time
+	// tunnels opens connections when the VM's own links are in doubt; nil opens none.
+	tunnels *tunnel.Dialer
+	now     func() time.Time
 
 	mu sync.Mutex
 	// idle has the idle connections by address, the most recently used one last.
 	idle map[string][]*connection
+	// abandonable has the direct connections with a request in flight that may be repeated.
+	abandonable map[*connection]bool
 	// openings counts the attempts to open connections by their result.
 	openings map[OpenResult]int
 	history  *history
@@ -113,9 +121,15 @@
 	HandleResponse(server string, sentAt time.Time, status int, header http.Header)
 }
 
-// New returns a client without open connections. It records in links what it observes of the VM's links to the servers.
-func New(settings Settings, dialer Dialer, listener Listener, links *reachability.Monitor, now func() time.Time) *Client {
+// New returns a client without open connections. It records in links what it observes of the VM's links to the servers, and
+// uses tunnels, unless nil, while these are in doubt.
+func New(
+	settings Settings, dialer Dialer, listener Listener, links *reachability.Monitor, tunnels *tunnel.Dialer, now func() time.Time,
+) *Client {
 	return &Client{
+		tunnels:     tunnels,
+		abandonable: make(map[*connection]bool),
+
 		settings: settings,
 		listener: listener,
 		links:    links,
@@ -161,10 +175,10 @@
 	}
 	sentAt := client.now()
 	connection.stop = context.AfterFunc(ctx, connection.close)
-	connection.begin()
+	client.begin(connection, request.Repeatable)
 	response, err := connection.roundTrip(request, matches)
 	if err != nil {
-		connection.end()
+		client.end(connection)
 		connection.close()
 		if connection.pooled && !errors.Is(context.Cause(ctx), context.Canceled) {
 			client.closeIdle(address)
@@ -172,13 +186,40 @@
 		if ctx.Err() != nil {
 			return nil, errors.Wrap(context.Cause(ctx), err.Error())
 		}
-		return nil, err
+		return nil, connection.explain(err)
 	}
 	client.listener.HandleResponse(request.Server, sentAt, response.Status, response.Header)
 	response.client = client
+	response.Via = connection.via
 	return response, nil
 }
 
+// begin records that a request is sent on a connection.
+func (client *Client) begin(connection *connection, repeatable bool) {
+	if connection.via != "" {
+		return
+	}
+	connection.outstanding = true
+	client.links.Began()
+	if repeatable {
+		client.mu.Lock()
+		defer client.mu.Unlock()
+		client.abandonable[connection] = true
+	}
+}
+
+// end records that the response to the request on a connection, or the wait for it, has ended.
+func (client *Client) end(connection *connection) {
+	if !connection.outstanding {
+		return
+	}
+	connection.outstanding = false
+	client.links.Ended()
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	delete(client.abandonable, connection)
+}
+
 // acquire returns an idle connection that can be reused, or a new one.
 func (client *Client) acquire(ctx context.Context, address string) (*connection, error) {
 	for {
@@ -192,17 +233,32 @@
 		}
 		pooled.close()
 	}
-	dialled, err := client.openDirect(ctx, address)
+	dialled, err := client.dial(ctx, address)
+	if client.links.Verdict() == reachability.Unreachable && client.links.Silent() {
+		client.abandonSilent()
+	}
 	if err != nil {
 		return nil, err
 	}
-	opened := &connection{address: address, conn: dialled, links: client.links}
+	opened := &connection{
+		address: address, conn: dialled.Conn, via: dialled.Via, reusableUntil: dialled.ReusableUntil, links: client.links,
+	}
 	opened.reader = bufio.NewReaderSize(opened, readBufferSize)
 	return opened, nil
 }
 
-// openDirect opens a connection over the VM's own link to the server, and records the result.
-func (client *Client) openDirect(ctx context.Context, address string) (net.Conn, error) {
+// dial opens a connection to a server, directly or through another VM.
+func (client *Client) dial(ctx context.Context, address string) (tunnel.Connection, error) {
+	direct := func(ctx context.Context) (net.Conn, error) { return client.DialDirect(ctx, address) }
+	if client.tunnels == nil {
+		conn, err := direct(ctx)
+		return tunnel.Connection{Conn: conn}, err
+	}
+	return client.tunnels.Dial(ctx, address, direct) //nolint:wrapcheck // NotSentError has the context
+}
+
+// DialDirect opens a connection over the VM's own link to a server, and records the result.
+func (client *Client) DialDirect(ctx context.Context, address string) (net.Conn, error) {
 	dialled, err := client.history.dial(ctx, client.dialer, address)
 	result := openResult(ctx, err)
 	switch result {
@@ -231,6 +287,18 @@
 	}
 }
 
+// abandonSilent closes the direct connections whose requests may be repeated. It is called while the VM's own links count as
+// cut and no server has sent a byte on any of them, so that these requests can go on through other VMs.
+func (client *Client) abandonSilent() {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	for connection := range client.abandonable {
+		connection.abandoned.Store(true)
+		connection.close()
+	}
+	clear(client.abandonable)
+}
+
 // HasIdle reports whether there is an idle connection to a server.
 func (client *Client) HasIdle(address string) bool {
 	client.mu.Lock()
@@ -250,16 +318,24 @@
 	delete(client.idle, address)
 }
 
+// pop takes the most recently used idle connection that may be reused, or returns nil.
 func (client *Client) pop(address string) *connection {
+	silent := client.links.Silent()
+	reachable := client.links.Verdict() == reachability.Reachable
+	now := client.now()
 	client.mu.Lock()
 	defer client.mu.Unlock()
 	connections := client.idle[address]
-	if len(connections) == 0 {
-		return nil
+	for index := len(connections) - 1; index >= 0; index-- {
+		candidate := connections[index]
+		tunnelled := candidate.via != ""
+		if (tunnelled && (reachable || !now.Before(candidate.reusableUntil))) || (!tunnelled && silent) {
+			continue
+		}
+		client.idle[address] = slices.Delete(connections, index, index+1)
+		return candidate
 	}
-	last := connections[len(connections)-1]
-	client.idle[address] = connections[:len(connections)-1]
-	return last
+	return nil
 }
 
 // release returns a connection to the idle ones, unless there are MaxIdle already. idle is the idle timeout that the
@@ -269,6 +345,9 @@
 		idle = client.settings.IdleTime
 	}
 	connection.expiresAt = client.now().Add(idle - client.settings.IdleMargin)
+	if connection.via != "" && connection.reusableUntil.Before(connection.expiresAt) {
+		connection.expiresAt = connection.reusableUntil
+	}
 	client.mu.Lock()
 	defer client.mu.Unlock()
 	connections := client.idle[connection.address]
@@ -282,6 +361,9 @@
 // Sweep closes the idle connections that have expired. It is to be called at intervals.
 func (client *Client) Sweep() {
 	client.history.sweep()
+	if client.links.Verdict() == reachability.Unreachable && client.links.Silent() {
+		client.abandonSilent()
+	}
 	now := client.now()
 	client.mu.Lock()
 	defer client.mu.Unlock()
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,6 +33,28 @@
 // errSkipped is returned if maxSkipped responses were skipped and the next one does not match the request either.
 var errSkipped = errors.New("no response matches the request")
 
+// PathError is returned for a request that was sent and whose connection broke for a reason that may lie between this VM and the
+// server: it led through another VM, or was abandoned since this VM's own links are cut.
+type PathError struct {
+	Address string
+	// Via is the address of the VM that the connection led through, or empty for an abandoned one.
+	Via string
+	Err error
+}
+
+// Error implements error.
+func (e *PathError) Error() string {
+	if e.Via == "" {
+		return "abandoned connection to " + e.Address + ": links of this VM are cut: " + e.Err.Error()
+	}
+	return "connection to " + e.Address + " through " + e.Via + " broke: " + e.Err.Error()
+}
+
+// Unwrap returns the error of the connection.
+func (e *PathError) Unwrap() error {
+	return e.Err
+}
+
 // connection is a connection to a server. It is used by one request at a time.
 type connection struct {
 	address string
@@ -47,9 +70,15 @@
 	// written is closed when the write of the request has ended; writeErr is set before.
 	written  chan struct{}
 	writeErr error
-	// links records the start and end of requests, and arriving bytes.
+	// via is the address of the VM that the connection leads through, or empty for a direct one.
+	via string
+	// reusableUntil is until when a connection through a VM may take further requests.
+	reusableUntil time.Time
+	// links records the bytes that arrive on a direct connection.
 	links *reachability.Monitor
-	// outstanding says that a request was sent whose response has not ended.
+	// abandoned is set when the connection was closed since the VM's own links are cut.
+	abandoned atomic.Bool
+	// outstanding says that a request was sent on a direct connection whose response has not ended.
 	outstanding bool
 	// skipped says that a response was skipped, so that the connection must not be reused.
 	skipped bool
@@ -60,23 +89,21 @@
 // Read implements io.Reader. It reads from the network.
 func (connection *connection) Read(buffer []byte) (int, error) {
 	count, err := connection.conn.Read(buffer)
-	if count > 0 {
+	if count > 0 && connection.via == "" {
 		connection.links.Heard()
 	}
 	return count, err //nolint:wrapcheck // callers of io.Reader compare with io.EOF
 }
 
-// begin records that a request is sent.
-func (connection *connection) begin() {
-	connection.outstanding = true
-	connection.links.Began()
-}
-
-// end records that the response to the request, or the wait for it, has ended.
-func (connection *connection) end() {
-	if connection.outstanding {
-		connection.outstanding = false
-		connection.links.Ended()
+// explain returns the error of a connection that failed, with what is known of the reason.
+func (connection *connection) explain(err error) error {
+	switch {
+	case connection.abandoned.Load():
+		return &PathError{Address: connection.address, Err: err}
+	case connection.via != "":
+		return &PathError{Address: connection.address, Via: connection.via, Err: err}
+	default:
+		return err
 	}
 }
 
--- a/internal/upstream/listener_test.go
+++ b/internal/upstream/listener_test.go
@@ -37,7 +37,7 @@
 		_, _ = fmt.Fprint(conn, reply("earlier", "late"), reply("r", "matches"))
 	})
 	listener := &recorder{}
-	client := upstream.New(upstream.DefaultSettings(), network.New(network.DefaultSettings()), listener, newLinks(), time.Now)
+	client := upstream.New(upstream.DefaultSettings(), network.New(network.DefaultSettings()), listener, newLinks(), nil, time.Now)
 	request := upstream.Request{
 		Server: "s1", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Request-Id": {"r"}},
 	}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -14,6 +14,8 @@
 type Response struct {
 	Status int
 	Header http.Header
+	// Via is the address of the VM that the connection leads through, or empty for a direct one.
+	Via string
 
 	httpResponse *http.Response
 	connection   *connection
@@ -27,8 +29,12 @@
 	count, err := response.httpResponse.Body.Read(buffer)
 	if errors.Is(err, io.EOF) {
 		response.bodyRead = true
+		return count, io.EOF
 	}
-	return count, err //nolint:wrapcheck // callers of io.Reader compare with io.EOF
+	if err != nil {
+		err = response.connection.explain(err)
+	}
+	return count, err
 }
 
 // Size returns the size of the body in bytes. It reports false if the header does not state it.
@@ -51,7 +57,7 @@
 // it is closed. idle is the idle timeout that the server advertised, or zero.
 func (response *Response) Close(idle time.Duration) {
 	connection := response.connection
-	connection.end()
+	response.client.end(connection)
 	unregistered := connection.stop()
 	reusable := response.bodyRead && response.isDelimited() && !response.httpResponse.Close && !connection.skipped &&
 		connection.isWritten() && connection.reader.Buffered() == 0
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -89,7 +89,7 @@
 }
 
 func newClient() *upstream.Client {
-	return upstream.New(upstream.DefaultSettings(), network.New(network.DefaultSettings()), &recorder{}, newLinks(), time.Now)
+	return upstream.New(upstream.DefaultSettings(), network.New(network.DefaultSettings()), &recorder{}, newLinks(), nil, time.Now)
 }
 
 func TestSend(t *testing.T) {
