network: a sound server may be silent for a second

Cause: a connection was closed after 1.2 s without an acknowledgement (2 s when idle), and requests that may not be repeated ended as failed though their server went on. Change: the user timeout is 2.5 s.

--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -27,7 +27,8 @@
 	// DialTimeout is how long opening a connection may take. The round trip between
 	// data centres takes a few milliseconds, so a peer that takes longer is unreachable.
 	DialTimeout time.Duration `yaml:"dial_timeout" validate:"min=10ms,max=10s"`
-	// UserTimeout is how long sent data may remain unacknowledged before the connection is closed.
+	// UserTimeout is how long sent data, or a keep-alive probe, may remain unacknowledged before the connection is closed. It is
+	// longer than a sound server is silent now and then.
 	UserTimeout time.Duration `yaml:"user_timeout" validate:"min=100ms,max=30s"`
 }
 
@@ -35,17 +36,23 @@
 func DefaultSettings() Settings {
 	return Settings{
 		DialTimeout: 500 * time.Millisecond,
-		UserTimeout: 1200 * time.Millisecond,
+		UserTimeout: 2500 * time.Millisecond,
 	}
 }
 
-// Keep-alive probes on idle connections. The system accepts whole seconds only; with
-// two probes an unreachable peer is detected in about 2 s.
+// Keep-alive probes on idle connections. The system accepts whole seconds only. The user timeout decides when they are given
+// up, at the next probe after it.
 const (
 	keepAliveTime   = time.Second
 	keepAliveProbes = 2
 )
 
+// SilenceTime returns the shortest time without any packet of a peer after which a connection to it is closed. The user timeout
+// also decides when keep-alive probes are given up, whatever their number.
+func SilenceTime(settings Settings) time.Duration {
+	return settings.UserTimeout
+}
+
 // System is the network of the operating system.
 type System struct {
 	dialer net.Dialer
