--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -68,6 +68,9 @@
 	if err != nil {
 		return forwarder.sendErrorResult(ctx, err)
 	}
+	if response.Via != "" {
+		gateway.logger.Info("server reached through another VM", "request_id", forwarder.head.ID, "server", plan.Server.ID, "via", response.Via)
+	}
 	decoded := gateway.codec.Response(response.Status, response.Header)
 	defer func() { response.Close(decoded.IdleTimeout) }()
 	activeAttempt := &activeAttempt{plan: plan, activeRequest: activeRequest, response: response, watchdog: watchdog, responseTimeout: responseTimeout}
