standin: a refused duplicate leaves the memory of the live stream alone

Cause, found by reading: a second submission of an attempt with a group bound the group's reservations again, was refused since the attempt exists, and released them, while the first one's stream ran on. A duplicate at an engine that drains did the same. Change: such a refusal is marked as a duplicate and releases nothing; it goes before that of a draining engine.

--- a/internal/standin/engine/calls.go
+++ b/internal/standin/engine/calls.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mastwinch/mastwinch/internal/backend"
 	"github.com/mastwinch/mastwinch/internal/standin/execution"
 )
@@ -20,6 +22,8 @@
 // RefusalError reports that a request or command was refused and nothing ran.
 type RefusalError struct {
 	Reason string
+	// Duplicate reports that a stream of the attempt exists, which goes on.
+	Duplicate bool
 	// Draining reports that the engine is draining, and so accepts no new requests.
 	Draining bool
 }
@@ -40,7 +44,8 @@
 		boundTokens += member.bind(submission.Group, submission.Attempt)
 	}
 	err := engine.start(submission, members, boundTokens)
-	if err != nil {
+	var refused *RefusalError
+	if errors.As(err, &refused) && !refused.Duplicate {
 		for _, member := range members {
 			member.Release(submission.Group)
 		}
@@ -79,12 +84,12 @@
 	switch {
 	case engine.closed:
 		return &RefusalError{Reason: reasonCrashed}
+	case engine.streams[submission.Attempt] != nil:
+		return &RefusalError{Reason: "attempt exists", Duplicate: true}
 	case engine.draining:
 		return &RefusalError{Reason: "leaving", Draining: true}
 	case !slices.Contains(engine.models, submission.Model):
 		return &RefusalError{Reason: fmt.Sprintf("model %q is not loaded", submission.Model)}
-	case engine.streams[submission.Attempt] != nil:
-		return &RefusalError{Reason: "attempt exists"}
 	case submission.Group != "" && boundTokens < tokens:
 		return &RefusalError{Reason: fmt.Sprintf("group holds %d tokens of %d", boundTokens, tokens)}
 	case submission.Group == "" && engine.roundUp(tokens) > engine.settings.MemoryTokens:
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -133,6 +133,29 @@
 	})
 }
 
+// TestRefusedDuplicateKeepsMemoryOfLiveStream guards against a second submission of an attempt that releases the memory of the
+// first one's group when it is refused.
+func TestRefusedDuplicateKeepsMemoryOfLiveStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := engine.DefaultSettings()
+		fleet := newFleet(settings, "e1", "e2")
+		defer fleet.close()
+		const reserved = 300_000
+		for _, engine := range fleet.engines {
+			assert.NilError(t, engine.Reserve("g@e1,e2", reserved, time.Second))
+		}
+		before := fleet.engines["e2"].CurrentLoad().FreeTokens
+		grouped := submission("a1", 500_000)
+		grouped.Group = "g@e1,e2"
+		assert.NilError(t, fleet.engines["e1"].Submit(grouped))
+		assert.ErrorContains(t, fleet.engines["e1"].Submit(grouped), "attempt exists")
+		time.Sleep(100 * time.Millisecond) // until the next load report
+		assert.Equal(t, fleet.engines["e2"].CurrentLoad().FreeTokens, before)
+		_, end := read(fleet.engines["e1"], "a1", 0)
+		assert.Equal(t, end, backend.EndCompleted)
+	})
+}
+
 func TestMemoryIsReleased(t *testing.T) {
 	cases := map[string]func(t *testing.T, fleet *fleet){
 		"stream without readers": func(t *testing.T, fleet *fleet) {
