--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -13,7 +13,6 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -141,27 +140,6 @@
 	}
 }
 
-// OpenResult is the result of an attempt to open a connection. The values are labels of metrics.
-type OpenResult string
-
-// Results of attempts to open connections.
-const (
-	OpenSucceeded OpenResult = "opened"
-	// OpenRefused: the server, or the network, refused the connection.
-	OpenRefused OpenResult = "refused"
-	// OpenTimedOut: nothing answered in time.
-	OpenTimedOut OpenResult = "timed_out"
-	// OpenCancelled: the request ended before.
-	OpenCancelled OpenResult = "cancelled"
-)
-
-// Openings returns how many attempts to open a connection have had a result so far.
-func (client *Client) Openings(result OpenResult) int {
-	client.mu.Lock()
-	defer client.mu.Unlock()
-	return client.openings[result]
-}
-
 // Send sends a request and returns the response after its header was received.
 // matches reports whether a response belongs to this request; a late response to
 // an earlier request is skipped. The connection is closed if ctx ends before the
@@ -247,46 +225,6 @@
 	return opened, nil
 }
 
-// dial opens a connection to a server, directly or through another VM.
-func (client *Client) dial(ctx context.Context, address string) (tunnel.Connection, error) {
-	direct := func(ctx context.Context) (net.Conn, error) { return client.DialDirect(ctx, address) }
-	if client.tunnels == nil {
-		conn, err := direct(ctx)
-		return tunnel.Connection{Conn: conn}, err
-	}
-	return client.tunnels.Dial(ctx, address, direct) //nolint:wrapcheck // NotSentError has the context
-}
-
-// DialDirect opens a connection over the VM's own link to a server, and records the result.
-func (client *Client) DialDirect(ctx context.Context, address string) (net.Conn, error) {
-	dialled, err := client.history.dial(ctx, client.dialer, address)
-	result := openResult(ctx, err)
-	switch result {
-	case OpenSucceeded:
-		client.links.Opened()
-	case OpenRefused, OpenTimedOut:
-		client.links.Failed(address)
-	case OpenCancelled:
-	}
-	client.mu.Lock()
-	defer client.mu.Unlock()
-	client.openings[result]++
-	return dialled, err
-}
-
-func openResult(ctx context.Context, err error) OpenResult {
-	switch {
-	case err == nil:
-		return OpenSucceeded
-	case ctx.Err() != nil:
-		return OpenCancelled
-	case errors.Is(err, context.DeadlineExceeded):
-		return OpenTimedOut
-	default:
-		return OpenRefused
-	}
-}
-
 // abandonSilent closes the direct connections whose requests may be repeated. It is called while the VM's own links count as
 // cut and no server has sent a byte on any of them, so that these requests can go on through other VMs.
 func (client *Client) abandonSilent() {
@@ -299,90 +237,6 @@
 	clear(client.abandonable)
 }
 
-// HasIdle reports whether there is an idle connection to a server.
-func (client *Client) HasIdle(address string) bool {
-	client.mu.Lock()
-	defer client.mu.Unlock()
-	return len(client.idle[address]) > 0
-}
-
-// closeIdle closes the idle connections to a server. It is called after a request on
-// a reused connection failed: the other ones may be broken too without a reset, while
-// new connections work, and each would delay one more request until its timeout.
-func (client *Client) closeIdle(address string) {
-	client.mu.Lock()
-	defer client.mu.Unlock()
-	for _, connection := range client.idle[address] {
-		connection.close()
-	}
-	delete(client.idle, address)
-}
-
-// pop takes the most recently used idle connection that may be reused, or returns nil.
-func (client *Client) pop(address string) *connection {
-	silent := client.links.Silent()
-	reachable := client.links.Verdict() == reachability.Reachable
-	now := client.now()
-	client.mu.Lock()
-	defer client.mu.Unlock()
-	connections := client.idle[address]
-	for index := len(connections) - 1; index >= 0; index-- {
-		candidate := connections[index]
-		tunnelled := candidate.via != ""
-		if (tunnelled && (reachable || !now.Before(candidate.reusableUntil))) || (!tunnelled && silent) {
-			continue
-		}
-		client.idle[address] = slices.Delete(connections, index, index+1)
-		return candidate
-	}
-	return nil
-}
-
-// release returns a connection to the idle ones, unless there are MaxIdle already. idle is the idle timeout that the
-// server advertised, or zero.
-func (client *Client) release(connection *connection, idle time.Duration) {
-	if idle <= 0 {
-		idle = client.settings.IdleTime
-	}
-	connection.expiresAt = client.now().Add(idle - client.settings.IdleMargin)
-	if connection.via != "" && connection.reusableUntil.Before(connection.expiresAt) {
-		connection.expiresAt = connection.reusableUntil
-	}
-	client.mu.Lock()
-	defer client.mu.Unlock()
-	connections := client.idle[connection.address]
-	if len(connections) >= client.settings.MaxIdle {
-		connection.close()
-		return
-	}
-	client.idle[connection.address] = append(connections, connection)
-}
-
-// Sweep closes the idle connections that have expired. It is to be called at intervals.
-func (client *Client) Sweep() {
-	client.history.sweep()
-	if client.links.Verdict() == reachability.Unreachable && client.links.Silent() {
-		client.abandonSilent()
-	}
-	now := client.now()
-	client.mu.Lock()
-	defer client.mu.Unlock()
-	for address, connections := range client.idle {
-		remaining := connections[:0]
-		for _, connection := range connections {
-			if now.Before(connection.expiresAt) {
-				remaining = append(remaining, connection)
-				continue
-			}
-			connection.close()
-		}
-		client.idle[address] = remaining
-		if len(remaining) == 0 {
-			delete(client.idle, address)
-		}
-	}
-}
-
 // encode returns the request in the format of HTTP/1.1.
 func encode(request Request) []byte {
 	buffer := &bytes.Buffer{}
