--- a/internal/gateway/tunnel_test.go
+++ b/internal/gateway/tunnel_test.go
@@ -101,7 +101,7 @@
 // several servers says nothing for a second and then goes on.
 func TestServerSilentForASecondIsNotTakenForLost(t *testing.T) {
 	withFleet(t, 3, 3, func(fleet *fleet) {
-		silence := time.Now().Add(2 * time.Second)
+		var silence time.Time
 		for _, server := range fleet.servers[:2] {
 			script := responses(http.StatusOK, "fine")
 			if server.service == "engines" {
@@ -114,8 +114,14 @@
 				script(harness, nth, writer, request)
 			}
 		}
-		got := fleet.queryRoundRobin(plainRequest(http.MethodPost, "pay"), 20*time.Millisecond, 5*time.Second)
-		assert.Equal(t, countServed(got), len(got))
+		for name, request := range map[string]callerRequest{
+			"plain": plainRequest(http.MethodPost, "pay"), "safe": plainRequest(http.MethodGet, "look"),
+			"stream": streamRequest("bill"), "resumable stream": streamRequest("chat"),
+		} {
+			silence = time.Now().Add(time.Second)
+			got := fleet.queryRoundRobin(request, 20*time.Millisecond, 4*time.Second)
+			assert.Equal(t, countServed(got), len(got), name)
+		}
 		for id, count := range fleet.runsPerRequest() {
 			assert.Check(t, count == 1, "%s ran %d times", id, count)
 		}
