externalnames: compare names by folder

Cause: the list held the names of the whole tree, so that one lost in platform which the stand-in has too was not missed; it happened once and was found by other means. Change: each line has the folder and the name; sorting is the standard library's.

--- a/scripts/externalnames/main.go
+++ b/scripts/externalnames/main.go
@@ -3,9 +3,11 @@
 // reasons, flags, commands, environment variables, metrics and their labels, and
 // what the log readers match.
 //
-//	go run ./scripts/externalnames > FILE     # one name a line, sorted
+//	go run ./scripts/externalnames > FILE     # one folder and name a line, sorted
 //	go run ./scripts/externalnames FILE       # exits with 1 if a name of FILE is missing
 //
+// A name counts for each folder by itself, since both sides of an interface have it and may not lose it alone.
+//
 // Every string literal of the programs that may be such a name counts as one.
 // Messages of errors and of log lines, struct tags of other kinds, and texts of
 // several words do not, unless the text is a typed constant or a log reader has it.
@@ -13,11 +15,13 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"go/ast"
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"maps"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -44,8 +48,8 @@
 		os.Exit(1)
 	}
 	if len(os.Args) < 2 {
-		for _, name := range sorted(names) {
-			fmt.Println(strconv.Quote(name))
+		for _, name := range slices.SortedFunc(maps.Keys(names), externalName.compare) {
+			fmt.Println(name)
 		}
 		return
 	}
@@ -62,21 +66,63 @@
 	}
 }
 
+// externalName is a name that leaves the processes, and the folder whose code has it, relative to the root.
+type externalName struct {
+	folder string
+	name   string
+}
+
+// String returns the name as a line of the list.
+func (name externalName) String() string {
+	return name.folder + " " + strconv.Quote(name.name)
+}
+
+// compare orders names by folder.
+func (name externalName) compare(other externalName) int {
+	return cmp.Or(cmp.Compare(name.folder, other.folder), cmp.Compare(name.name, other.name))
+}
+
+// parseName parses a line of the list.
+func parseName(line string) (externalName, error) {
+	folder, quoted, _ := strings.Cut(line, " ")
+	name, err := strconv.Unquote(quoted)
+	if err != nil {
+		return externalName{}, fmt.Errorf("%q is not a folder and a quoted name: %w", line, err)
+	}
+	return externalName{folder: folder, name: name}, nil
+}
+
+// found holds names.
+type found map[externalName]bool
+
+// adder returns a function that adds names of a file.
+func (found found) adder(root, path string) (func(name string), error) {
+	folder, err := filepath.Rel(root, filepath.Dir(path))
+	if err != nil {
+		return nil, err
+	}
+	return func(name string) { found[externalName{folder: filepath.ToSlash(folder), name: name}] = true }, nil
+}
+
 // collect returns the names in the programs and wire types below root.
-func collect(root string) (map[string]bool, error) {
-	names := make(map[string]bool)
+func collect(root string) (found, error) {
+	names := make(found)
 	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		add, err := names.adder(root, path)
 		switch {
 		case err != nil:
 			return err
 		case entry.IsDir() && (entry.Name() == "scripts" || entry.Name() == "tools" || entry.Name() == "testdata" || entry.Name() != root && strings.HasPrefix(entry.Name(), ".")):
 			return filepath.SkipDir
 		case strings.HasSuffix(path, ".proto"):
-			return collectProto(path, names)
+			return collectProto(path, add)
 		case strings.HasSuffix(path, "_test.go") || strings.HasSuffix(path, ".pb.go"):
 			return nil
 		case strings.HasSuffix(path, ".go"):
-			return collectGo(path, names)
+			return collectGo(root, path, add)
 		default:
 			return nil
 		}
@@ -85,43 +131,43 @@
 }
 
 // collectProto adds the fields and enum values of a proto file.
-func collectProto(path string, names map[string]bool) error {
+func collectProto(path string, add func(string)) error {
 	text, err := os.ReadFile(path) //nolint:gosec // a file of the project
 	if err != nil {
 		return err
 	}
 	for line := range strings.Lines(string(text)) {
 		if match := protoName.FindStringSubmatch(line); match != nil {
-			names[match[1]] = true
+			add(match[1])
 		}
 	}
 	return nil
 }
 
 // collectGo adds the literals of a Go file.
-func collectGo(path string, names map[string]bool) error {
+func collectGo(root, path string, add func(string)) error {
 	file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
 	if err != nil {
 		return err
 	}
-	isReader := slices.ContainsFunc(logReaders, func(reader string) bool { return strings.HasPrefix(path, reader) })
+	isReader := slices.ContainsFunc(logReaders, func(reader string) bool { return strings.HasPrefix(path, filepath.Join(root, reader)) })
 	left := messages(file)
 	ast.Inspect(file, func(node ast.Node) bool {
 		switch node := node.(type) {
 		case *ast.ImportSpec:
 			return false
 		case *ast.Field:
-			addTag(node.Tag, names)
+			addTag(node.Tag, add)
 			return true
 		case *ast.ValueSpec:
 			for _, value := range node.Values {
 				if literal, isLiteral := value.(*ast.BasicLit); isLiteral && node.Type != nil {
-					add(literal, true, names)
+					addLiteral(literal, true, add)
 				}
 			}
 		case *ast.BasicLit:
 			if !left[node] {
-				add(node, isReader, names)
+				addLiteral(node, isReader, add)
 			}
 		}
 		return true
@@ -164,7 +210,7 @@
 }
 
 // addTag adds the names that a struct tag gives to a field.
-func addTag(tag *ast.BasicLit, names map[string]bool) {
+func addTag(tag *ast.BasicLit, add func(string)) {
 	if tag == nil {
 		return
 	}
@@ -172,13 +218,13 @@
 	for _, kind := range []string{"json", "yaml", "toml"} {
 		name, _, _ := strings.Cut(reflect.StructTag(text).Get(kind), ",")
 		if name != "" && name != "-" {
-			names[name] = true
+			add(name)
 		}
 	}
 }
 
-// add adds a literal; one of several words only if any is wanted.
-func add(literal *ast.BasicLit, anyText bool, names map[string]bool) {
+// addLiteral adds a literal; one of several words only if any is wanted.
+func addLiteral(literal *ast.BasicLit, anyText bool, add func(string)) {
 	if literal.Kind != token.STRING {
 		return
 	}
@@ -186,34 +232,24 @@
 	if strings.TrimSpace(text) == "" || !anyText && strings.ContainsAny(text, " \n%") {
 		return
 	}
-	names[text] = true
-}
-
-func sorted(names map[string]bool) []string {
-	list := make([]string, 0, len(names))
-	for name := range names {
-		list = append(list, name)
-	}
-	slices.Sort(list)
-	return list
+	add(text)
 }
 
-// missingFrom returns the names of a list, one quoted name a line, that are not
-// among those found.
-func missingFrom(path string, found map[string]bool) ([]string, error) {
+// missingFrom returns the names of a list that are not among those found.
+func missingFrom(path string, names found) ([]externalName, error) {
 	file, err := os.Open(path) //nolint:gosec // named on the command line
 	if err != nil {
 		return nil, err
 	}
 	defer file.Close() //nolint:errcheck // nothing was written
-	var missing []string
+	var missing []externalName
 	lines := bufio.NewScanner(file)
 	for lines.Scan() {
-		name, err := strconv.Unquote(lines.Text())
+		name, err := parseName(lines.Text())
 		if err != nil {
-			return nil, fmt.Errorf("%s: %q is not a quoted name: %w", path, lines.Text(), err)
+			return nil, fmt.Errorf("%s: %w", path, err)
 		}
-		if !found[name] {
+		if !names[name] {
 			missing = append(missing, name)
 		}
 	}
