standin: an engine's own reservation costs no remote step

Cause, found by reading: a prompt whose memory is reserved at its own engine was charged the steps of memory at other engines, and the tokens so reserved were left out of the context that each step reads (913 ms where the same prompt without a reservation takes 973 ms). Change: tokens at other engines are counted by themselves, for both. Test: TestOwnReservationCostsNoRemoteStep, red before. No program of a VM is changed.

--- a/internal/standin/platformserver/engine.go
+++ b/internal/standin/platformserver/engine.go
@@ -80,11 +80,10 @@
 	outputTokens   int
 	urgency        int
 	reservedTokens int // prompt tokens stored in reservations
-	// hasSpreadMemory reports whether the prompt uses reservations, which are
-	// usually at several engines.
-	hasSpreadMemory bool
-	decodedTokens   int
-	ownPrefill      *prefill
+	// remoteTokens is the part of reservedTokens at other engines.
+	remoteTokens  int
+	decodedTokens int
+	ownPrefill    *prefill
 	// helperPrefills has the parts of the prefill at the helpers.
 	helperPrefills []*prefill
 	helpers        []*Engine
@@ -103,6 +102,11 @@
 	return generation.promptTokens - generation.reservedTokens + generation.decodedTokens
 }
 
+// contextTokens returns the tokens that each decode step at the request's engine reads.
+func (generation *generation) contextTokens() int {
+	return generation.promptTokens - generation.remoteTokens + generation.decodedTokens
+}
+
 // NewEngine returns an engine that has been added to the fleet and runs until ctx
 // is done. The seed determines which requests are affected by faults.
 func NewEngine(ctx context.Context, identity Identity, model Model, fleet *Fleet, record *Record, seed uint64) *Engine {
@@ -192,8 +196,8 @@
 	for _, generation := range engine.running {
 		if generation.isPrefilled() {
 			decoding = append(decoding, generation)
-			contexts = append(contexts, generation.memoryTokens())
-			if generation.hasSpreadMemory {
+			contexts = append(contexts, generation.contextTokens())
+			if generation.remoteTokens > 0 {
 				remoteTime += engine.model.RemoteMemoryStepTime
 			}
 		}
--- a/internal/standin/platformserver/engine_test.go
+++ b/internal/standin/platformserver/engine_test.go
@@ -173,6 +173,22 @@
 	})
 }
 
+// TestOwnReservationCostsNoRemoteStep guards against a prompt whose memory is at its engine alone and that is charged the steps of
+// memory at other engines.
+func TestOwnReservationCostsNoRemoteStep(t *testing.T) {
+	took := func(header map[string]string) time.Duration {
+		var elapsed time.Duration
+		runInFleet(t, 1, func(t *testing.T, fleet *fleet) {
+			assert.Equal(t, fleet.sendCommand(0, `{"op":"reserve","id":"t","tokens":60000,"hold_ms":60000}`), http.StatusOK)
+			started := time.Now()
+			<-fleet.send(50_000, 430, header).done
+			elapsed = time.Since(started)
+		})
+		return elapsed
+	}
+	assert.Equal(t, took(map[string]string{"Helper-Nodes": address(0) + "/t"}), took(nil))
+}
+
 // sendCommand sends a reservation command to an engine and returns the status.
 func (fleet *fleet) sendCommand(number int, body string) int {
 	recorder := httptest.NewRecorder()
--- a/internal/standin/platformserver/stream.go
+++ b/internal/standin/platformserver/stream.go
@@ -139,7 +139,9 @@
 			return helper.address
 		}
 		generation.reservedTokens += boundTokens
-		generation.hasSpreadMemory = true
+		if helperEngine != engine {
+			generation.remoteTokens += boundTokens
+		}
 	}
 	if helperEngine == engine {
 		return ""
