--- a/internal/standin/platformserver/engine.go
+++ b/internal/standin/platformserver/engine.go
@@ -314,3 +314,11 @@
 	engine.signal()
 	return added, true
 }
+
+// stopPrefills ends prefills for another engine whose request has ended.
+func (engine *Engine) stopPrefills(ended []*prefill) {
+	engine.passMu.Lock()
+	defer engine.passMu.Unlock()
+	engine.prefills = slices.DeleteFunc(engine.prefills, func(prefill *prefill) bool { return slices.Contains(ended, prefill) })
+	engine.signal()
+}
--- a/internal/standin/platformserver/engine_test.go
+++ b/internal/standin/platformserver/engine_test.go
@@ -75,7 +75,12 @@
 // send sends a request with the given numbers of prompt and output tokens to the
 // first engine.
 func (fleet *fleet) send(promptTokens, outputTokens int, header map[string]string) *response {
-	request := httptest.NewRequest(http.MethodPost, "/chat/x", strings.NewReader("prompt"))
+	return fleet.sendTo(context.Background(), 0, promptTokens, outputTokens, header)
+}
+
+// sendTo is send for any engine.
+func (fleet *fleet) sendTo(ctx context.Context, number, promptTokens, outputTokens int, header map[string]string) *response {
+	request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/chat/x", strings.NewReader("prompt"))
 	request.Header.Set("Request-Id", "r-1")
 	request.Header.Set("Token-Counts", fmt.Sprintf("%d,%d", promptTokens, outputTokens))
 	request.Header.Set("Deadline-Ms", "10000")
@@ -87,11 +92,18 @@
 	go func() {
 		defer close(response.done)
 		defer func() { _ = recover() }() // the handler panics to cut off the response
-		fleet.engines[0].ServeHTTP(writer, request)
+		fleet.engines[number].ServeHTTP(writer, request)
 	}()
 	return response
 }
 
+// sendAndLeave sends a request to the first engine, whose caller leaves after a time.
+func (fleet *fleet) sendAndLeave(promptTokens int, header map[string]string, after time.Duration) {
+	ctx, leave := context.WithTimeout(context.Background(), after)
+	defer leave()
+	<-fleet.sendTo(ctx, 0, promptTokens, 43, header).done
+}
+
 // TestFirstEvent checks the time to first event against the published formulas.
 func TestFirstEvent(t *testing.T) {
 	tests := map[string]struct {
@@ -189,6 +201,16 @@
 	assert.Equal(t, took(map[string]string{"Helper-Nodes": address(0) + "/t"}), took(nil))
 }
 
+// TestHelperStopsWithItsRequest guards against a helper that goes on prefilling for a request that has ended.
+func TestHelperStopsWithItsRequest(t *testing.T) {
+	runInFleet(t, 2, func(t *testing.T, fleet *fleet) {
+		fleet.sendAndLeave(200_000, map[string]string{"Helper-Nodes": address(1)}, 100*time.Millisecond)
+		response := fleet.sendTo(context.Background(), 1, 5000, 43, nil)
+		<-response.done
+		assert.Assert(t, response.first <= 80*time.Millisecond, "%s", response.first)
+	})
+}
+
 // sendCommand sends a reservation command to an engine and returns the status.
 func (fleet *fleet) sendCommand(number int, body string) int {
 	recorder := httptest.NewRecorder()
--- a/internal/standin/platformserver/stream.go
+++ b/internal/standin/platformserver/stream.go
@@ -155,11 +155,14 @@
 	return ""
 }
 
-// release marks a request as ended and its reservations at all engines as unused.
+// release marks a request as ended and its reservations at all engines as unused, and ends its helpers' prefills.
 func (engine *Engine) release(generation *generation) {
 	engine.passMu.Lock()
 	generation.ended = true
 	engine.passMu.Unlock()
+	for _, helper := range generation.helpers {
+		helper.stopPrefills(generation.helperPrefills)
+	}
 	engine.fleet.mu.Lock()
 	engines := make([]*Engine, 0, len(engine.fleet.engines))
 	for _, other := range engine.fleet.engines {
