--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -52,14 +52,6 @@
 	}
 }
 
-// withLatency wraps a backend so that it responds after a delay.
-func withLatency(latency time.Duration, next backend) backend {
-	return func(harness *harness, nth int, writer http.ResponseWriter, request *http.Request) {
-		time.Sleep(latency)
-		next(harness, nth, writer, request)
-	}
-}
-
 // recordRefusals wraps a backend that refuses requests and records the times of its refusals.
 func recordRefusals(refusedAt *[]time.Time, refuse backend) backend {
 	return func(harness *harness, nth int, writer http.ResponseWriter, request *http.Request) {
@@ -142,7 +134,7 @@
 // ended the ejection: an engine that reported 3 s received three more requests from the VM in that time, although other
 // engines had capacity.
 func TestRetryAfterOfServerIsObserved(t *testing.T) {
-	fine := withLatency(100*time.Millisecond, responses(http.StatusOK, "fine"))
+	fine := delayed(100*time.Millisecond, responses(http.StatusOK, "fine"))
 	failing := responses(http.StatusInternalServerError, "failed")
 	for name, test := range map[string]struct {
 		callerRequest callerRequest
@@ -227,7 +219,7 @@
 		responses     backend
 	}{
 		"engines":       {callerRequest: streamRequest("chat"), responses: streamEvents(40, 0)},
-		"plain servers": {callerRequest: plainRequest(http.MethodGet, "look"), responses: withLatency(100*time.Millisecond, responses(http.StatusOK, "fine"))},
+		"plain servers": {callerRequest: plainRequest(http.MethodGet, "look"), responses: delayed(100*time.Millisecond, responses(http.StatusOK, "fine"))},
 	}
 }
 
@@ -308,7 +300,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			withFleet(t, test.vms, test.servers, func(fleet *fleet) {
-				fine := withLatency(20*time.Millisecond, responses(http.StatusOK, "fine"))
+				fine := delayed(20*time.Millisecond, responses(http.StatusOK, "fine"))
 				notifying := 0
 				for _, server := range fleet.servers {
 					server.script = fine
--- a/internal/gateway/rollback_test.go
+++ b/internal/gateway/rollback_test.go
@@ -116,7 +116,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			fine := withLatency(100*time.Millisecond, responses(http.StatusOK, "fine"))
+			fine := delayed(100*time.Millisecond, responses(http.StatusOK, "fine"))
 			withHarness(t, nil, map[string]backend{"one": fine, "two": fine, "late": fine}, func(harness *harness) {
 				harness.deleteEntry("plain-late")
 				time.Sleep(4 * time.Second)
