tunnel, upstream, gateway: read once more; call what the project has

Cause: found by reading the change again. The pauses between attempts that open no connection wrote an exponential backoff beside wait.Backoff; tunnel.Network was upstream.Dialer under another name; the condition for giving up silent connections stood twice; peers were sorted to be shuffled at once; sendErrorResult had become a method that used nothing of its receiver; network.SilenceTime served only a test. Ruled out: one list of live peers for LivePeers and PeerAddresses, which order and limit them differently; one loop for direct and tunnel attempts made two in Dialer.recordLost, which would walk the list twice. Change: wait.Backoff makes the pauses, network.Dialer is the one interface, abandonIfCut has the condition. Behaviour: the same, but that a pause now has that backoff's jitter, half of it to the whole (10 to 320 ms as before). The assertion on connections (2.5 s, 1.5 s wanted) is the same, read from the setting.

--- a/internal/exchange/role.go
+++ b/internal/exchange/role.go
@@ -76,6 +76,7 @@
 }
 
 // PeerAddresses implements tunnel.Peers. Most VMs of a large fleet send this VM no datagrams, so others may be live too.
+// The order is random.
 func (exchange *Exchange) PeerAddresses() (live, others []string) {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
@@ -86,8 +87,6 @@
 			others = append(others, peer.Address)
 		}
 	}
-	slices.Sort(live)
-	slices.Sort(others)
 	return live, others
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,7 +66,7 @@
 		return gateway.codec.Response(http.StatusOK, header).ID == forwarder.head.ID
 	})
 	if err != nil {
-		return forwarder.sendErrorResult(ctx, err)
+		return sendErrorResult(ctx, err)
 	}
 	if response.Via != "" {
 		gateway.logger.Info("server reached through another VM", "request_id", forwarder.head.ID, "server", plan.Server.ID, "via", response.Via)
@@ -129,7 +129,7 @@
 
 // sendErrorResult returns the result of a request that could not be sent or got no response:
 // it was certainly not executed only if no connection was made.
-func (forwarder *forwarder) sendErrorResult(ctx context.Context, err error) result {
+func sendErrorResult(ctx context.Context, err error) result {
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
 		return result{kind: resultNotRun, notSent: true, err: err}
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -33,6 +33,8 @@
 	sends int
 	// unsent counts the last attempts in a row for which no connection could be opened.
 	unsent int
+	// unsentBackoff has the pauses between them.
+	unsentBackoff *wait.Backoff
 	// deliveries counts the attempts in which the request may have reached a server.
 	deliveries int
 	// placementRequested is true once a placement was requested from the coordinator, which then
@@ -72,7 +74,9 @@
 		body:      body,
 		writer:    writer,
 		lastEvent: admitted.head.LastEvent,
-		seed:      rand.Uint64(), //nolint:gosec // not used for security
+
+		unsentBackoff: wait.NewBackoff(unsentPause, unsentPauseMax),
+		seed:          rand.Uint64(), //nolint:gosec // not used for security
 
 		fingerprint: admitted.fingerprint(body),
 	}
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -12,12 +12,18 @@
 	"golang.org/x/sys/unix"
 )
 
+// Dialer opens connections. Implementations are safe for concurrent use.
+type Dialer interface {
+	// Dial opens a connection to address.
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
 // Network opens and accepts connections. Implementations are safe for concurrent use.
 type Network interface {
+	Dialer
+
 	// Listen accepts connections at address.
 	Listen(ctx context.Context, address string) (net.Listener, error)
-	// Dial opens a connection to address.
-	Dial(ctx context.Context, address string) (net.Conn, error)
 	// ListenPacket receives datagrams at address.
 	ListenPacket(ctx context.Context, address string) (net.PacketConn, error)
 }
@@ -47,12 +53,6 @@
 	keepAliveProbes = 2
 )
 
-// SilenceTime returns the shortest time without any packet of a peer after which a connection to it is closed. The user timeout
-// also decides when keep-alive probes are given up, whatever their number.
-func SilenceTime(settings Settings) time.Duration {
-	return settings.UserTimeout
-}
-
 // System is the network of the operating system.
 type System struct {
 	dialer net.Dialer
--- a/internal/network/network_test.go
+++ b/internal/network/network_test.go
@@ -13,5 +13,6 @@
 // which may be half as long again.
 func TestSilentSecondKeepsConnections(t *testing.T) {
 	const silence = 1500 * time.Millisecond
-	assert.Assert(t, network.SilenceTime(network.DefaultSettings()) >= silence, "connections are closed after %s", network.SilenceTime(network.DefaultSettings()))
+	closedAfter := network.DefaultSettings().UserTimeout // decides for keep-alive probes too, whatever their number
+	assert.Assert(t, closedAfter >= silence, "connections are closed after %s", closedAfter)
 }
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -14,14 +14,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/reachability"
 )
 
-// Network opens connections to other VMs.
-type Network interface {
-	Dial(ctx context.Context, address string) (net.Conn, error)
-}
-
 // Peers returns the addresses of other VMs, those that are known to be live first.
 type Peers interface {
 	PeerAddresses() (live, others []string)
@@ -51,7 +47,7 @@
 type Dialer struct {
 	settings Settings
 	links    *reachability.Monitor
-	network  Network
+	network  network.Dialer
 	peers    Peers
 	logger   *slog.Logger
 	now      func() time.Time
@@ -64,7 +60,7 @@
 
 // NewDialer returns a dialer that goes by the verdict on the VM's own links.
 func NewDialer(
-	settings Settings, links *reachability.Monitor, network Network, peers Peers, logger *slog.Logger, now func() time.Time,
+	settings Settings, links *reachability.Monitor, network network.Dialer, peers Peers, logger *slog.Logger, now func() time.Time,
 ) *Dialer {
 	return &Dialer{
 		settings: settings, links: links, network: network, peers: peers, logger: logger, now: now,
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -11,7 +11,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -19,6 +18,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/reachability"
 	"github.com/mastwinch/mastwinch/internal/tunnel"
 )
@@ -90,7 +90,7 @@
 // Client sends requests to servers and keeps idle connections to them. It is safe for concurrent use.
 type Client struct {
 	settings Settings
-	dialer   Dialer
+	dialer   network.Dialer
 	listener Listener
 	links    *reachability.Monitor
 	// tunnels opens connections when the VM's own links are in doubt; nil opens none.
@@ -107,11 +107,6 @@
 	history  *history
 }
 
-// Dialer opens network connections.
-type Dialer interface {
-	Dial(ctx context.Context, address string) (net.Conn, error)
-}
-
 // Listener receives the header of each response before the caller of Send does. Servers report their state in header
 // fields of all responses, whatever the request was.
 type Listener interface {
@@ -123,7 +118,7 @@
 // New returns a client without open connections. It records in links what it observes of the VM's links to the servers, and
 // uses tunnels, unless nil, while these are in doubt.
 func New(
-	settings Settings, dialer Dialer, listener Listener, links *reachability.Monitor, tunnels *tunnel.Dialer, now func() time.Time,
+	settings Settings, dialer network.Dialer, listener Listener, links *reachability.Monitor, tunnels *tunnel.Dialer, now func() time.Time,
 ) *Client {
 	return &Client{
 		tunnels:     tunnels,
@@ -212,9 +207,7 @@
 		pooled.close()
 	}
 	dialled, err := client.dial(ctx, address)
-	if client.links.Verdict() == reachability.Unreachable && client.links.Silent() {
-		client.abandonSilent()
-	}
+	client.abandonIfCut()
 	if err != nil {
 		return nil, err
 	}
@@ -225,9 +218,12 @@
 	return opened, nil
 }
 
-// abandonSilent closes the direct connections whose requests may be repeated. It is called while the VM's own links count as
-// cut and no server has sent a byte on any of them, so that these requests can go on through other VMs.
-func (client *Client) abandonSilent() {
+// abandonIfCut closes the direct connections whose requests may be repeated if the VM's own links count as cut and no server
+// has sent a byte on any of them, so that these requests can go on through other VMs.
+func (client *Client) abandonIfCut() {
+	if client.links.Verdict() != reachability.Unreachable || !client.links.Silent() {
+		return
+	}
 	client.mu.Lock()
 	defer client.mu.Unlock()
 	for connection := range client.abandonable {
--- a/internal/upstream/history.go
+++ b/internal/upstream/history.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastwinch/mastwinch/internal/network"
 )
 
 // history records how long it took to open connections to servers, and derives the timeout for the next one.
@@ -47,7 +49,7 @@
 
 // dial opens a connection with a timeout derived from the earlier ones to address, and records the outcome. An attempt
 // that ends because of ctx is not recorded.
-func (history *history) dial(ctx context.Context, dialer Dialer, address string) (net.Conn, error) {
+func (history *history) dial(ctx context.Context, dialer network.Dialer, address string) (net.Conn, error) {
 	startedAt := history.now()
 	bounded, cancel := context.WithTimeout(ctx, history.get(address).timeout(history.settings))
 	defer cancel()
--- a/internal/upstream/history_internal_test.go
+++ b/internal/upstream/history_internal_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// distant is a Dialer that opens each connection after a delay. With a zero delay it never does.
+// distant is a network.Dialer that opens each connection after a delay. With a zero delay it never does.
 type distant struct {
 	delay time.Duration
 }
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -69,9 +69,7 @@
 // Sweep closes the idle connections that have expired. It is to be called at intervals.
 func (client *Client) Sweep() {
 	client.history.sweep()
-	if client.links.Verdict() == reachability.Unreachable && client.links.Silent() {
-		client.abandonSilent()
-	}
+	client.abandonIfCut()
 	now := client.now()
 	client.mu.Lock()
 	defer client.mu.Unlock()
