gateway: name the shared parts of a prompt when its server is lost

After an incident the logs could not tell whether requests under which servers ended have a part in common: they name the fingerprint of the whole request only. The line "attempt failed" now has the fingerprints of the parts too. Parts are decoded from the caller's header, all but the last, which is the prompt's own; a service and an ID make a fingerprint. No decision reads them.

Tests: what counts as a part, and that parts, services and requests don't share fingerprints.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -27,6 +27,9 @@
 	Tokens int
 	// MaxTokens is the maximum length of the response in tokens.
 	MaxTokens int
+	// SharedParts has the IDs of the parts that other prompts may have too, in order. The last part
+	// of a prompt is its own and is not among them.
+	SharedParts []string
 }
 
 // Dispatch is the metadata that is sent to a server with the caller's request.
--- a/internal/fingerprint/fingerprint_test.go
+++ b/internal/fingerprint/fingerprint_test.go
@@ -51,3 +51,31 @@
 		fingerprint.New(longRequest)
 	}
 }
+
+// TestPartsAreToldApart guards against parts of prompts that share a fingerprint with a part of
+// another service, with a part whose name moves between the fields, or with a whole request.
+func TestPartsAreToldApart(t *testing.T) {
+	known := map[fingerprint.Fingerprint]string{fingerprint.New(fingerprint.Request{Organisation: "part "}): "request"}
+	for name, part := range map[string]fingerprint.Fingerprint{
+		"part":                          fingerprint.NewPart("engines", "5c1e"),
+		"part of another service":       fingerprint.NewPart("writers", "5c1e"),
+		"another part":                  fingerprint.NewPart("engines", "5c1f"),
+		"bytes moved from part to name": fingerprint.NewPart("engines5", "c1e"),
+	} {
+		assert.Equal(t, known[part], "", name)
+		assert.Assert(t, part != fingerprint.None)
+		known[part] = name
+	}
+}
+
+// TestSetOfARequest guards against prompts that share a part and have nothing in common in their
+// fingerprints.
+func TestSetOfARequest(t *testing.T) {
+	other := request()
+	other.Body = []byte("another prompt")
+	one := fingerprint.NewSet(request(), "engines", []string{"first", "second"})
+	two := fingerprint.NewSet(other, "engines", []string{"second"})
+	assert.Assert(t, one.Request != two.Request)
+	assert.Equal(t, one.Parts[1], two.Parts[0])
+	assert.DeepEqual(t, one.All(), []fingerprint.Fingerprint{one.Request, one.Parts[0], one.Parts[1]})
+}
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -25,9 +25,9 @@
 
 	gateway *Gateway
 	body    []byte
-	// fingerprint identifies the content of the request; it is the same for each of the
-	// caller's tries.
-	fingerprint fingerprint.Fingerprint
+	// fingerprints identify the content of the request and the parts that its prompt shares with others;
+	// they are the same for each of the caller's tries.
+	fingerprints fingerprint.Set
 	writer      http.ResponseWriter
 	// sends counts the attempts to send the request to a server.
 	sends int
@@ -78,19 +78,23 @@
 		unsentBackoff: wait.NewBackoff(unsentPause, unsentPauseMax),
 		seed:          rand.Uint64(), //nolint:gosec // not used for security
 
-		fingerprint: admitted.fingerprint(body),
+		fingerprints: admitted.fingerprints(body),
 	}
 }
 
-// fingerprint returns the fingerprint of the request with its body.
-func (admitted *admitted) fingerprint(body []byte) fingerprint.Fingerprint {
-	return fingerprint.New(fingerprint.Request{
+// fingerprints returns the fingerprints of the request with its body.
+func (admitted *admitted) fingerprints(body []byte) fingerprint.Set {
+	var sharedParts []string
+	if admitted.head.Prompt != nil {
+		sharedParts = admitted.head.Prompt.SharedParts
+	}
+	return fingerprint.NewSet(fingerprint.Request{
 		Organisation: admitted.organisationName(),
 		Method:       admitted.incoming.Method,
 		Host:         admitted.incoming.Host,
 		Target:       admitted.incoming.RequestURI,
 		Body:         body,
-	})
+	}, admitted.service.Name, sharedParts)
 }
 
 // randomFraction returns a random number in [0, 1).
@@ -145,11 +149,11 @@
 func (forwarder *forwarder) forward(ctx context.Context) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer forwarder.gateway.quarantine.Watch(forwarder.fingerprint, func() { forwarder.cancelIfNoEvents(cancel) })()
+	defer forwarder.gateway.quarantine.Watch(forwarder.fingerprints.Request, func() { forwarder.cancelIfNoEvents(cancel) })()
 	budget := forwarder.gateway.budget(forwarder.service.Name)
 	budget.Earn()
 	for {
-		if forwarder.gateway.quarantine.Remaining(forwarder.fingerprint) > 0 {
+		if forwarder.gateway.quarantine.Remaining(forwarder.fingerprints.Request) > 0 {
 			return forwarder.failureOutcome(ReasonCrashesServers)
 		}
 		plan, activeRequest, ok := forwarder.place(ctx)
@@ -256,8 +260,8 @@
 	gateway.metrics.attempts.WithLabelValues(string(result.kind)).Inc()
 	forwarder.lastResult = result
 	if result.kind == resultCompleted {
-		gateway.pool.RecordSuccess(plan.Server.ID, forwarder.fingerprint)
-		gateway.quarantine.RecordCompletion(forwarder.fingerprint, plan.Server.ID)
+		gateway.pool.RecordSuccess(plan.Server.ID, forwarder.fingerprints.Request)
+		gateway.quarantine.RecordCompletion(forwarder.fingerprints.Request, plan.Server.ID)
 		return outcome{status: result.status, responseWritten: true, server: plan.Server.ID}, true
 	}
 	if ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
@@ -270,7 +274,7 @@
 	case ctx.Err() != nil:
 		return forwarder.interruptedOutcome(ctx), true
 	case result.kind == resultTruncated, result.kind == resultUncertain && !forwarder.route.Repeatable(),
-		forwarder.executions >= forwarder.route.MaxAttempts, result.connectionLost && gateway.quarantine.OnProbation(forwarder.fingerprint):
+		forwarder.executions >= forwarder.route.MaxAttempts, result.connectionLost && gateway.quarantine.OnProbation(forwarder.fingerprints.Request):
 		return forwarder.failureOutcome(ReasonServerFailed), true
 	}
 	return outcome{}, false
@@ -288,15 +292,15 @@
 	case result.serverClosed:
 		gateway.pool.MarkClosed(failedServer)
 	case result.connectionLost:
-		loss := quarantine.Loss{Fingerprint: forwarder.fingerprint, Server: failedServer, HadEvent: result.receivedEvent}
-		suspect = gateway.pool.RecordConnectionLoss(failedServer, forwarder.fingerprint, phaseOf(loss))
+		loss := quarantine.Loss{Fingerprint: forwarder.fingerprints.Request, Server: failedServer, HadEvent: result.receivedEvent}
+		suspect = gateway.pool.RecordConnectionLoss(failedServer, forwarder.fingerprints.Request, phaseOf(loss))
 		gateway.quarantine.RecordLoss(loss)
 	default:
 		suspect = gateway.pool.RecordFailure(failedServer)
 	}
 	gateway.logger.Warn("attempt failed", "request_id", forwarder.head.ID, "send", forwarder.sends-1,
 		"server", plan.Server.ID, "at_fault", failedServer, "result", result.kind, "status", result.status,
-		"lost", result.connectionLost, "ran", result.receivedEvent, "fingerprint", forwarder.fingerprint, "suspect", suspect, "error", result.err)
+		"lost", result.connectionLost, "ran", result.receivedEvent, "fingerprint", forwarder.fingerprints.Request, "parts", forwarder.fingerprints.Parts, "suspect", suspect, "error", result.err)
 }
 
 // interruptedOutcome returns the outcome of a request whose context ended.
@@ -330,7 +334,7 @@
 func (forwarder *forwarder) retryDelay(reason Reason) time.Duration {
 	switch reason {
 	case ReasonCrashesServers:
-		return forwarder.gateway.quarantine.Remaining(forwarder.fingerprint)
+		return forwarder.gateway.quarantine.Remaining(forwarder.fingerprints.Request)
 	case ReasonServersBackoff:
 		return forwarder.rejection.until.Sub(forwarder.gateway.now()) + forwarder.gateway.retryAfter()
 	case ReasonServersEvacuated:
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -269,7 +269,7 @@
 	gateway.metrics.recordEnd(route.Name, string(route.Kind), admitted.priority(), outcome, duration)
 	gateway.logger.Info("ended", "request_id", admitted.head.ID, "route", route.Name, "kind", route.Kind,
 		"organisation", admitted.organisationName(), "priority", admitted.priority(),
-		"fingerprint", forwarder.fingerprint, "status", outcome.status, "reason", outcome.reason, "may_have_run", outcome.mayHaveRun,
+		"fingerprint", forwarder.fingerprints.Request, "status", outcome.status, "reason", outcome.reason, "may_have_run", outcome.mayHaveRun,
 		"server", outcome.server, "broken", outcome.truncated, "took", duration,
 		"tokens", admitted.promptTokens(), "objective", route.Objective, "gap", route.InterTokenObjective, "sends", forwarder.sends,
 		"waited", forwarder.timings.waited, "placed", forwarder.timings.placedAfter, "predicted", forwarder.timings.predicted,
