--- /dev/null
+++ b/internal/gateway/crash_part_test.go
@@ -0,0 +1,133 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// crashingPart is the part of a prompt that crashes each server that begins to answer the prompt.
+const crashingPart = "bad0bad0"
+
+// Limits on sending requests that share a part which crashes servers.
+const (
+	// partCrashesAllowed is the number of servers that may crash before the part must be identified as the cause.
+	partCrashesAllowed = 5
+	// partSendsAllowed is the number of requests with the part that may reach servers later than quarantineTime after that.
+	partSendsAllowed = 3
+	// soundFraction is the least fraction of the usual rate of first tries that sound requests with the same first part must
+	// have from soundTime after the last of these crashes on.
+	soundFraction = 0.5
+	soundTime     = 6 * time.Second
+)
+
+// promptWith returns a request whose prompt has the given parts and one of its own.
+func promptWith(number int, parts ...string) callerRequest {
+	var header strings.Builder
+	for _, part := range parts {
+		fmt.Fprintf(&header, "%s:400,", part)
+	}
+	fmt.Fprintf(&header, "%08x:250", number)
+	prompt := streamRequest("chat").with("Prefix-Hash", header.String())
+	prompt.body = fmt.Sprintf("prompt %d of %v", number, parts)
+	return prompt
+}
+
+// hasPart reports whether the prompt of a request that a server received has a part.
+func (received receivedRequest) hasPart(part string) bool {
+	return strings.Contains(received.Header.Get("Prefix-Hash"), part)
+}
+
+// partSendsAfter counts the requests with a part that reached servers after a time.
+func (fleet *fleet) partSendsAfter(part string, after time.Time) int {
+	count := 0
+	for _, received := range fleet.requests() {
+		if received.hasPart(part) && received.At.After(after) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestSharedPartThatCrashesServersIsQuarantined guards against prompts that share a part under which servers crash. No two of
+// them are alike, so each was new to the quarantine, and server after server crashed. Sound requests of the same caller, with the
+// same first part, were lost with the servers.
+func TestSharedPartThatCrashesServersIsQuarantined(t *testing.T) {
+	const duration = 20 * time.Second
+	for name, interval := range map[string]time.Duration{
+		"ten a second":            100 * time.Millisecond,
+		"forty a second":          25 * time.Millisecond,
+		"one and a half a second": 700 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 4, 12, func(fleet *fleet) {
+				usual := fleet.sendPrompts(4*time.Second, soundInterval, soundPrompt)
+				var late firstTries
+				var callers sync.WaitGroup
+				callers.Go(func() {
+					fleet.sendPrompts(duration, interval, func(number int) callerRequest {
+						return promptWith(number, firstPart, crashingPart)
+					})
+				})
+				callers.Go(func() {
+					fleet.sendPrompts(duration/2, soundInterval, soundPrompt)
+					late = fleet.sendPrompts(duration/2, soundInterval, soundPrompt)
+				})
+				callers.Wait()
+				crashes := fleet.crashes()
+				assert.Assert(fleet.t, len(crashes) >= 3, "%d servers crashed", len(crashes))
+				last := crashes[min(len(crashes), partCrashesAllowed)-1]
+				assert.Assert(fleet.t, last.Before(time.Now().Add(-duration/2-soundTime)), "the crashes came late")
+				sends := fleet.partSendsAfter(crashingPart, last.Add(quarantineTime))
+				t.Logf("%d servers crashed, %d requests sent too late, %d of %d first tries served", len(crashes), sends, late.served, late.sent)
+				assert.Assert(fleet.t, sends <= partSendsAllowed, "%d requests with the part reached servers, %d servers crashed", sends, len(crashes))
+				assert.Assert(fleet.t, float64(late.served)/float64(late.sent) >= soundFraction*float64(usual.served)/float64(usual.sent),
+					"%d of %d first tries served, %d of %d before", late.served, late.sent, usual.served, usual.sent)
+			})
+		})
+	}
+}
+
+// firstPart is the first part of sound prompts and of those that crash servers, and soundInterval the time between sound ones.
+const (
+	firstPart     = "5c1e07a2"
+	soundInterval = 80 * time.Millisecond
+)
+
+// soundPrompt returns one of the prompts that no server crashes on.
+func soundPrompt(number int) callerRequest {
+	return promptWith(number, firstPart, fmt.Sprintf("%08x", number%10))
+}
+
+// sendPrompts sends different prompts to the VMs in turn, one per interval for a duration, and returns what became of the first
+// tries. A prompt whose first try fails is retried once, at the next VM.
+func (fleet *fleet) sendPrompts(duration, interval time.Duration, prompt func(number int) callerRequest) firstTries {
+	var mu sync.Mutex
+	var tries firstTries
+	var callers sync.WaitGroup
+	for number := range int(duration / interval) {
+		callers.Go(func() {
+			request := prompt(number)
+			request.vm = fleet.vms[number%len(fleet.vms)].address()
+			got := fleet.query(request)
+			mu.Lock()
+			tries.sent++
+			if strings.HasPrefix(got.body, "id: 1\n") {
+				tries.served++
+			}
+			mu.Unlock()
+			if got.status != http.StatusOK || !got.complete {
+				request.vm = fleet.vms[(number+1)%len(fleet.vms)].address()
+				fleet.query(request)
+			}
+		})
+		time.Sleep(interval)
+	}
+	callers.Wait()
+	return tries
+}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -194,11 +195,12 @@
 	}
 }
 
-// serve crashes on a request with crashingBody and responds to all others.
+// serve crashes on a request with crashingBody or crashingPart and responds to all others.
 func (server *fleetServer) serve(harness *harness, nth int, writer http.ResponseWriter, request *http.Request) {
-	body := server.fleet.bodyOf(request.Header.Get("Request-Id"))
+	crashes := strings.Contains(request.Header.Get("Prefix-Hash"), crashingPart) ||
+		server.fleet.bodyOf(request.Header.Get("Request-Id")) == crashingBody
 	time.Sleep(readTime)
-	if body == crashingBody {
+	if crashes {
 		time.Sleep(crashTime)
 		server.crash()
 		return
