--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -38,6 +38,8 @@
 	BackoffServers(vm string) []string
 	AcceptedRate(service string, allowedDataCentres []string, vm string) (float64, bool)
 	AllEvacuated(service string, allowedDataCentres []string) bool
+	// InPrefill reports whether a request of a VM that got servers may be without an event so far.
+	InPrefill(vm string, id uint64) bool
 	// Assign records that the servers of a plan are assigned to a request of a VM.
 	Assign(vm string, id uint64, plan placement.Plan, request placement.Request)
 	// Withdraw removes an assigned request that is not sent.
--- a/internal/coordinator/decide.go
+++ b/internal/coordinator/decide.go
@@ -40,7 +40,7 @@
 	request := &dispatch.Request{
 		Key: key, Service: assignmentRequest.Service, Tried: assignmentRequest.Tried, AllowedDataCentres: assignmentRequest.AllowedDataCentres,
 		ObjectiveDeadline: now.Add(assignmentRequest.TimeToObjective), CallerDeadline: now.Add(assignmentRequest.TimeToCallerDeadline),
-		Priority: assignmentRequest.Priority,
+		Priority: assignmentRequest.Priority, Contained: assignmentRequest.Contained,
 		Placement: placement.Request{
 			Organisation: assignmentRequest.Organisation,
 			DataCentre:   assignmentRequest.DataCentre, Engine: service.Engine, Tokens: assignmentRequest.Tokens, Memory: assignmentRequest.Memory,
@@ -271,6 +271,11 @@
 	return adapter.servers.AllEvacuated(request.Service, request.AllowedDataCentres)
 }
 
+// InPrefill implements dispatch.Servers.
+func (adapter *adapter) InPrefill(key dispatch.Key) bool {
+	return adapter.servers.InPrefill(key.VM, key.ID)
+}
+
 // RecordAssignment implements dispatch.Servers.
 func (adapter *adapter) RecordAssignment(request *dispatch.Request, plan placement.Plan) {
 	adapter.servers.Assign(request.VM, request.ID, plan, request.Placement)
--- a/internal/coordinator/fleetvm_test.go
+++ b/internal/coordinator/fleetvm_test.go
@@ -61,6 +61,18 @@
 // HandleQuarantined implements exchange.Sink.
 func (*fleetVM) HandleQuarantined([]quarantine.Entry) {}
 
+// Suspects implements exchange.Sink.
+func (*fleetVM) Suspects() []quarantine.Suspect { return nil }
+
+// HandleSuspects implements exchange.Sink.
+func (*fleetVM) HandleSuspects(string, []quarantine.Suspect) {}
+
+// Begun implements exchange.Sink.
+func (*fleetVM) Begun() []quarantine.Begun { return nil }
+
+// HandleBegun implements exchange.Sink.
+func (*fleetVM) HandleBegun([]quarantine.Begun) {}
+
 // StoreUnavailable implements exchange.Sink.
 func (*fleetVM) StoreUnavailable() bool { return false }
 
--- a/internal/dispatch/assignmentrequest.go
+++ b/internal/dispatch/assignmentrequest.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mastwinch/mastwinch/internal/fairshare"
+	"github.com/mastwinch/mastwinch/internal/fingerprint"
 )
 
 // AssignmentRequest is sent by a VM to the coordinator to get backend servers assigned to one
@@ -46,6 +47,9 @@
 	// Counted reports that an earlier message for the same request was sent, so that the request
 	// must not earn a retry a second time.
 	Counted bool
+	// Contained has the fingerprints of the request and parts of its prompt under which servers were lost,
+	// of which only one request may be in flight at a time.
+	Contained []fingerprint.Fingerprint
 }
 
 // Decision is the outcome of an AssignmentRequest.
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -32,6 +32,8 @@
 	// AllEvacuated reports whether the operator has evacuated all servers that the request may go
 	// to.
 	AllEvacuated(request *Request) bool
+	// InPrefill reports whether a request that got servers may still be without an event of its response.
+	InPrefill(key Key) bool
 	// RecordAssignment records that the servers of a plan are assigned to a request.
 	RecordAssignment(request *Request, plan placement.Plan)
 }
@@ -46,12 +48,17 @@
 	// retryTimes has, by service, the retry time given to the last caller refused for rate limits.
 	retryTimes map[string]time.Time
 	shares     *shares
+	// containment holds back requests under which servers may crash.
+	containment *containment
 }
 
 // New returns an empty queue that places requests by the given policy, and divides servers among
 // organisations by the given settings.
 func New(policy placement.Policy, settings fairshare.Settings) *Queue {
-	return &Queue{policy: policy, late: make(map[string]*lateThroughput), retryTimes: make(map[string]time.Time), shares: newShares(settings)}
+	return &Queue{
+		policy: policy, late: make(map[string]*lateThroughput), retryTimes: make(map[string]time.Time), shares: newShares(settings),
+		containment: newContainment(),
+	}
 }
 
 // Len returns the number of queued requests.
@@ -82,8 +89,7 @@
 		return Assignment{}, false
 	}
 	queue.requests = queue.requests[:len(queue.requests)-1]
-	servers.RecordAssignment(request, plan)
-	queue.shares.recordPlacement(request, now)
+	queue.recordAssignment(request, plan, servers, now)
 	return Assignment{Key: request.Key, Plan: plan}, true
 }
 
@@ -91,6 +97,7 @@
 // request that fits on no server does not block those behind it. Dispatch then refuses and returns
 // the remaining requests that are not expected to be served in time.
 func (queue *Queue) Dispatch(servers Servers, now time.Time) ([]Assignment, []Refusal) {
+	queue.containment.forgetFinished(servers)
 	queue.updateLateThroughput(now)
 	queue.divideAll(servers, now)
 	queue.shares.startPass()
@@ -111,8 +118,7 @@
 			queue.shares.recordWaiting(request, now)
 			return false
 		}
-		servers.RecordAssignment(request, plan)
-		queue.shares.recordPlacement(request, now)
+		queue.recordAssignment(request, plan, servers, now)
 		if request.Packable && request.late(now) {
 			queue.lateThroughput(request.Service).recordAssignment(now)
 		}
@@ -123,6 +129,13 @@
 	return assignments, queue.refuse(servers, now)
 }
 
+// recordAssignment records that a request got the servers of a plan.
+func (queue *Queue) recordAssignment(request *Request, plan placement.Plan, servers Servers, now time.Time) {
+	servers.RecordAssignment(request, plan)
+	queue.containment.recordAssignment(request)
+	queue.shares.recordPlacement(request, now)
+}
+
 // Find returns the queued request of a key, or nil.
 func (queue *Queue) Find(key Key) *Request {
 	index := slices.IndexFunc(queue.requests, func(request *Request) bool { return request.Key == key })
@@ -143,9 +156,12 @@
 	queue.requests = slices.DeleteFunc(queue.requests, match)
 }
 
-// tryPlace applies the policy to one request. It considers only servers that the request may go to
-// and that accept requests of its VM.
+// tryPlace applies the policy to one request unless it is held back. It considers only servers that the
+// request may go to and that accept requests of its VM.
 func (queue *Queue) tryPlace(request *Request, servers Servers, serviceServers []placement.Server, now time.Time) (placement.Plan, bool) {
+	if queue.containment.holdsBack(request, servers) {
+		return placement.Plan{}, false
+	}
 	serviceServers = placement.InDataCentres(serviceServers, request.AllowedDataCentres)
 	serviceServers = placement.WithoutIDs(serviceServers, servers.BackoffServers(request.VM))
 	untried := placement.WithoutIDs(serviceServers, request.Tried)
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -42,6 +42,8 @@
 	perSecond float64
 	// evacuated reports that the operator has evacuated all servers.
 	evacuated bool
+	// inPrefill has the requests that got servers and no event so far.
+	inPrefill map[dispatch.Key]bool
 }
 
 var _ dispatch.Servers = (*stub)(nil)
@@ -56,6 +58,8 @@
 
 func (stub *stub) BackoffServers(vm string) []string { return stub.backedOff[vm] }
 
+func (stub *stub) InPrefill(key dispatch.Key) bool { return stub.inPrefill[key] }
+
 func (stub *stub) AllEvacuated(*dispatch.Request) bool { return stub.evacuated }
 
 func (stub *stub) AcceptedRate(*dispatch.Request) (float64, bool) {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/mastwinch/mastwinch/internal/fingerprint"
 	"github.com/mastwinch/mastwinch/internal/placement"
 )
 
@@ -37,6 +38,8 @@
 	// possible time from assignment to the first event.
 	Prefill time.Duration
 	MinTTFT time.Duration
+	// Contained has the fingerprints of which only one request may be in flight at a time.
+	Contained []fingerprint.Fingerprint
 	// Placement is the input of the policy. TimeToObjective, TimeToCallerDeadline and QueuedPrefill
 	// are computed for each attempt.
 	Placement placement.Request
--- a/internal/exchange/assignment.go
+++ b/internal/exchange/assignment.go
@@ -26,6 +26,7 @@
 		Counted:      request.Counted,
 		Organisation: uint64(request.Organisation),
 		Priority:     uint32(request.Priority), //nolint:gosec // not negative
+		Contained:    encodeFingerprints(request.Contained),
 	}
 }
 
@@ -47,6 +48,7 @@
 			Retry:                request.GetAgain(),
 			AllowedDataCentres:   request.GetKeptTo(),
 			Counted:              request.GetCounted(),
+			Contained:            decodeFingerprints(request.GetContained()),
 			Organisation:         fairshare.Organisation(request.GetOrganisation()),
 			Priority:             int(request.GetPriority()),
 		})
--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -31,6 +31,7 @@
 			RestMs:       milliseconds(report.Backoff),
 			PerSecond:    report.PerSecond,
 			Organisation: uint64(report.Organisation),
+			Parts:        encodeFingerprints(report.Parts),
 		})
 	}
 	return sendings
@@ -56,7 +57,24 @@
 			PerSecond:    sending.GetPerSecond(),
 			Organisation: fairshare.Organisation(sending.GetOrganisation()),
 			Fingerprint:  fingerprint.Fingerprint(sending.GetFingerprint()),
+			Parts:        decodeFingerprints(sending.GetParts()),
 		})
 	}
 	return reports
 }
+
+func encodeFingerprints(fingerprints []fingerprint.Fingerprint) []uint64 {
+	var encoded []uint64
+	for _, known := range fingerprints {
+		encoded = append(encoded, uint64(known))
+	}
+	return encoded
+}
+
+func decodeFingerprints(encoded []uint64) []fingerprint.Fingerprint {
+	var fingerprints []fingerprint.Fingerprint
+	for _, number := range encoded {
+		fingerprints = append(fingerprints, fingerprint.Fingerprint(number))
+	}
+	return fingerprints
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -23,8 +23,11 @@
 )
 
 // maxReportsPerDatagram keeps a datagram within 1,200 bytes, which fit the MTU of any path. An encoded report takes about
-// 45 bytes.
-const maxReportsPerDatagram = 26
+// 45 bytes, and maxPartsPerReport parts of a lost prompt as much again.
+const (
+	maxReportsPerDatagram = 26
+	maxPartsPerReport     = 5
+)
 
 // maxDatagram is the size of the receive buffer, in bytes. A longer datagram is truncated.
 const maxDatagram = 8 << 10
@@ -46,6 +49,14 @@
 	Quarantined() []quarantine.Entry
 	// HandleQuarantined handles the quarantine entries of another VM.
 	HandleQuarantined(entries []quarantine.Entry)
+	// Suspects returns the suspects that this VM lists as coordinator.
+	Suspects() []quarantine.Suspect
+	// HandleSuspects handles the list of suspects of another VM, which replaces an earlier one.
+	HandleSuspects(vm string, suspects []quarantine.Suspect)
+	// Begun returns the begun responses to report to the coordinators again.
+	Begun() []quarantine.Begun
+	// HandleBegun handles begun responses of another VM.
+	HandleBegun(begun []quarantine.Begun)
 	// StoreUnavailable reports whether the platform's store does not respond to this VM. Datagrams carry it in the field blind.
 	StoreUnavailable() bool
 }
@@ -279,5 +290,6 @@
 func (exchange *Exchange) sendHeartbeats(ctx context.Context, sink Sink) {
 	for wait.For(ctx, exchange.settings.HeartbeatInterval) {
 		exchange.sendState(exchange.heartbeatTargets(), sink.OwnReports(), sink.Quarantined())
+		exchange.sendBegun(exchange.coordinatorAddresses(), sink.Begun())
 	}
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -78,6 +78,12 @@
 	storeUnavailable bool
 	// entries holds the quarantined requests.
 	entries []quarantine.Entry
+	// listed has the suspects of this VM, and suspects those of others by the VM that listed them.
+	listed   []quarantine.Suspect
+	suspects map[string][]quarantine.Suspect
+	// begun has the begun responses of this VM, and remoteBegun those of others.
+	begun       []quarantine.Begun
+	remoteBegun []quarantine.Begun
 }
 
 var _ exchange.Sink = (*sink)(nil)
@@ -115,6 +121,58 @@
 	}
 }
 
+func (sink *sink) Suspects() []quarantine.Suspect {
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	return sink.listed
+}
+
+func (sink *sink) HandleSuspects(vm string, suspects []quarantine.Suspect) {
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	if sink.suspects == nil {
+		sink.suspects = make(map[string][]quarantine.Suspect)
+	}
+	sink.suspects[vm] = suspects
+}
+
+func (sink *sink) Begun() []quarantine.Begun {
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	return sink.begun
+}
+
+func (sink *sink) HandleBegun(begun []quarantine.Begun) {
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	sink.remoteBegun = append(sink.remoteBegun, begun...)
+}
+
+func (sink *sink) setListed(suspects []quarantine.Suspect) {
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	sink.listed = suspects
+}
+
+// suspectsOf returns the last list of suspects of a VM.
+func (sink *sink) suspectsOf(vm string) []quarantine.Suspect {
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	return sink.suspects[vm]
+}
+
+func (sink *sink) setBegun(begun []quarantine.Begun) {
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	sink.begun = begun
+}
+
+func (sink *sink) begunOfOthers() []quarantine.Begun {
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	return slices.Clone(sink.remoteBegun)
+}
+
 func (sink *sink) StoreUnavailable() bool {
 	sink.mu.Lock()
 	defer sink.mu.Unlock()
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -61,6 +61,12 @@
 	if len(update.GetQuarantined()) > 0 {
 		sink.HandleQuarantined(decodeQuarantined(update.GetQuarantined(), exchange.now()))
 	}
+	if update.GetSuspects() != nil {
+		sink.HandleSuspects(update.GetVm(), decodeSuspects(update.GetSuspects()))
+	}
+	if len(update.GetBegun()) > 0 {
+		sink.HandleBegun(decodeBegun(update.GetBegun(), exchange.now()))
+	}
 	if len(update.GetAsks()) > 0 {
 		sink.HandleRequests(update.GetVm(), decodeAssignmentRequests(update.GetAsks()))
 	}
--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -58,7 +57,7 @@
 // updates returns as many datagrams as reports need, and one without reports if there are none.
 func (exchange *Exchange) updates(reports []pool.Report) []*wire.LoadUpdate {
 	var updates []*wire.LoadUpdate
-	for chunk := range slices.Chunk(reports, maxReportsPerDatagram) {
+	for _, chunk := range chunkReports(reports) {
 		update := exchange.update()
 		update.Sendings = encodeReports(chunk)
 		updates = append(updates, update)
@@ -69,6 +68,24 @@
 	return updates
 }
 
+// chunkReports divides reports among datagrams. Each datagram has at least one.
+func chunkReports(reports []pool.Report) [][]pool.Report {
+	var chunks [][]pool.Report
+	first, size := 0, 0
+	for index, report := range reports {
+		reportSize := 1 + (len(report.Parts)+maxPartsPerReport-1)/maxPartsPerReport
+		if size > 0 && size+reportSize > maxReportsPerDatagram {
+			chunks = append(chunks, reports[first:index])
+			first, size = index, 0
+		}
+		size += reportSize
+	}
+	if first < len(reports) {
+		chunks = append(chunks, reports[first:])
+	}
+	return chunks
+}
+
 // SendRequest sends an assignment request to another VM, a coordinator. It sends nothing if the VM is unknown.
 func (exchange *Exchange) SendRequest(vm string, request dispatch.AssignmentRequest) {
 	update := exchange.update()
@@ -83,13 +100,14 @@
 	exchange.sendTo(exchange.addressOf(vm), update)
 }
 
-// pong responds to a datagram with the coordinators and the quarantine entries. All VMs thus receive these from the
+// pong responds to a datagram with the coordinators, the quarantine entries and the suspects. All VMs thus receive these from the
 // coordinators within one HeartbeatInterval, and again after a loss. The response to a hello includes introductions.
 func (exchange *Exchange) pong(received *wire.LoadUpdate, address net.Addr, sink Sink) {
 	update := exchange.update()
 	update.UpMs = uint32(exchange.now().Sub(exchange.startedAt).Milliseconds()) //nolint:gosec // weeks at most
 	update.Blind = sink.StoreUnavailable()
 	update.Quarantined = encodeQuarantined(sink.Quarantined(), exchange.now())
+	update.Suspects = encodeSuspects(sink.Suspects())
 	update.Peers, update.Known, update.Heard = exchange.announcedCoordinators()
 	if received.GetHello() {
 		update.Introduced = exchange.introductions(received.GetDataCentre())
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -198,6 +198,9 @@
 	if response.Status/100 == 2 && (!decoded.Sealed || decoded.ContentEncoded) {
 		return result{kind: resultUncertain, status: response.Status, err: errors.New("response does not carry the mark that proves it came from the server")}
 	}
+	if response.Status/100 == 2 && len(body) > 0 {
+		forwarder.recordBegun()
+	}
 	forwarder.writeBuffered(buffered)
 	return result{kind: resultCompleted, status: response.Status}
 }
--- a/internal/gateway/coordinated.go
+++ b/internal/gateway/coordinated.go
@@ -21,6 +21,12 @@
 	}
 	for !forwarder.cannotBePlaced() {
 		changed := gateway.pool.Changed()
+		if !forwarder.startContained() {
+			if !forwarder.waitForCapacity(ctx, changed) {
+				break
+			}
+			continue
+		}
 		plan, activeRequest, placed := forwarder.requestPlacement(ctx)
 		forwarder.retryGranted = placed
 		if !placed && !forwarder.placementRefused && ctx.Err() == nil {
@@ -98,6 +104,7 @@
 		InterTokenObjective: request.InterTokenObjective, Objective: request.Objective, TimeToObjective: request.TimeToObjective, TimeToCallerDeadline: request.TimeToCallerDeadline,
 		DataCentre: request.DataCentre, Tried: forwarder.triedServers, AllowedDataCentres: forwarder.allowedDataCentres, Retry: forwarder.deliveries > 0 && forwarder.gateway.coordinatorGrantsRetries(),
 		Counted: alreadyCounted, Organisation: request.Organisation, Priority: forwarder.priority(),
+		Contained: forwarder.gateway.quarantine.Contained(forwarder.fingerprints.All()...),
 	}
 }
 
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -28,7 +28,11 @@
 	// fingerprints identify the content of the request and the parts that its prompt shares with others;
 	// they are the same for each of the caller's tries.
 	fingerprints fingerprint.Set
-	writer      http.ResponseWriter
+	// contained has those of them that count this request as in flight.
+	contained []fingerprint.Fingerprint
+	// waitedForContained is true once the request waited for another one that counts so.
+	waitedForContained bool
+	writer             http.ResponseWriter
 	// sends counts the attempts to send the request to a server.
 	sends int
 	// unsent counts the last attempts in a row for which no connection could be opened.
@@ -149,11 +153,12 @@
 func (forwarder *forwarder) forward(ctx context.Context) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer forwarder.gateway.quarantine.Watch(forwarder.fingerprints.Request, func() { forwarder.cancelIfNoEvents(cancel) })()
+	defer forwarder.gateway.quarantine.Watch(func() { forwarder.cancelIfNoEvents(cancel) }, forwarder.fingerprints.All()...)()
+	defer forwarder.finishContained()
 	budget := forwarder.gateway.budget(forwarder.service.Name)
 	budget.Earn()
 	for {
-		if forwarder.gateway.quarantine.Remaining(forwarder.fingerprints.Request) > 0 {
+		if forwarder.gateway.quarantine.Remaining(forwarder.fingerprints.All()...) > 0 {
 			return forwarder.failureOutcome(ReasonCrashesServers)
 		}
 		plan, activeRequest, ok := forwarder.place(ctx)
@@ -274,7 +279,7 @@
 	case ctx.Err() != nil:
 		return forwarder.interruptedOutcome(ctx), true
 	case result.kind == resultTruncated, result.kind == resultUncertain && !forwarder.route.Repeatable(),
-		forwarder.executions >= forwarder.route.MaxAttempts, result.connectionLost && gateway.quarantine.OnProbation(forwarder.fingerprints.Request):
+		forwarder.executions >= forwarder.route.MaxAttempts, result.connectionLost && gateway.quarantine.OnProbation(forwarder.fingerprints.All()...):
 		return forwarder.failureOutcome(ReasonServerFailed), true
 	}
 	return outcome{}, false
@@ -286,14 +291,17 @@
 	failedServer := plan.ServerIDAt(result.failedServer)
 	forwarder.triedServers = append(forwarder.triedServers, failedServer)
 	suspect := false
+	loss := quarantine.Loss{
+		Fingerprint: forwarder.fingerprints.Request, Parts: forwarder.fingerprints.Parts, Server: failedServer,
+		HadEvent: result.receivedEvent,
+	}
 	switch {
 	case result.serverNotAtFault:
 	case gateway.links.Verdict() == reachability.Unreachable: // the links of this VM failed, not the servers
 	case result.serverClosed:
 		gateway.pool.MarkClosed(failedServer)
 	case result.connectionLost:
-		loss := quarantine.Loss{Fingerprint: forwarder.fingerprints.Request, Server: failedServer, HadEvent: result.receivedEvent}
-		suspect = gateway.pool.RecordConnectionLoss(failedServer, forwarder.fingerprints.Request, phaseOf(loss))
+		suspect = gateway.pool.RecordConnectionLoss(failedServer, forwarder.fingerprints, phaseOf(loss))
 		gateway.quarantine.RecordLoss(loss)
 	default:
 		suspect = gateway.pool.RecordFailure(failedServer)
@@ -334,7 +342,7 @@
 func (forwarder *forwarder) retryDelay(reason Reason) time.Duration {
 	switch reason {
 	case ReasonCrashesServers:
-		return forwarder.gateway.quarantine.Remaining(forwarder.fingerprints.Request)
+		return forwarder.gateway.quarantine.Remaining(forwarder.fingerprints.All()...)
 	case ReasonServersBackoff:
 		return forwarder.rejection.until.Sub(forwarder.gateway.now()) + forwarder.gateway.retryAfter()
 	case ReasonServersEvacuated:
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,6 +37,8 @@
 	firstEvent *prometheus.HistogramVec
 	duration   *prometheus.HistogramVec
 	eventDelay prometheus.Histogram
+	// containedWaits counts requests that waited for another one under which servers may crash.
+	containedWaits prometheus.Counter
 }
 
 func newMetrics(gateway *Gateway) *metrics {
@@ -64,9 +66,12 @@
 		eventDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "mastwinch_event_write_seconds", Help: "Time for passing on one event.", Buckets: buckets,
 		}),
+		containedWaits: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "mastwinch_contained_waits_total", Help: "Requests that waited for another one under which servers may crash.",
+		}),
 	}
 	metrics.registry.MustRegister(metrics.requests, metrics.attempts, metrics.notices, metrics.priorities, metrics.firstEvent, metrics.duration,
-		metrics.eventDelay, newOverSharesCollector(gateway),
+		metrics.eventDelay, metrics.containedWaits, newOverSharesCollector(gateway),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "mastwinch_running_requests", Help: "Requests in progress.",
 		}, func() float64 { return float64(gateway.inFlight.Load()) }),
@@ -111,6 +116,9 @@
 			current, _ := gateway.epochs.Current()
 			return float64(current)
 		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "mastwinch_suspects", Help: "Requests and parts of prompts under which servers were lost lately, at a coordinator.",
+		}, func() float64 { return float64(len(gateway.quarantine.Suspects())) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "mastwinch_quarantined_requests", Help: "Requests kept from servers, since they crash under them.",
 		}, func() float64 { return float64(len(gateway.quarantine.Entries())) }),
--- a/internal/gateway/peersink.go
+++ b/internal/gateway/peersink.go
@@ -42,7 +42,7 @@
 	for _, loss := range peerSink.quarantine.RecentLosses() {
 		reports = append(reports, pool.Report{
 			Server: loss.Server, Phase: phaseOf(loss), Health: pool.HealthConnectionLost,
-			Fingerprint: loss.Fingerprint, Age: peerSink.now().Sub(loss.At),
+			Fingerprint: loss.Fingerprint, Parts: lostParts(loss), Age: peerSink.now().Sub(loss.At),
 		})
 	}
 	return append(reports, peerSink.OwnLimitReports(peerSink.isCoordinator())...)
@@ -65,7 +65,7 @@
 		peerSink.quarantine.RecordCompletion(report.Fingerprint, report.Server)
 	case pool.HealthConnectionLost:
 		peerSink.quarantine.RecordRemoteLoss(quarantine.Loss{
-			Fingerprint: report.Fingerprint, Server: report.Server, HadEvent: report.Phase == pool.PhaseDecode,
+			Fingerprint: report.Fingerprint, Server: report.Server, HadEvent: report.Phase == pool.PhaseDecode, Parts: report.Parts,
 		}, report.Age)
 	case pool.HealthUnreported, pool.HealthFailed, pool.HealthClosed, pool.HealthUnreportedMemory, pool.HealthDraining, pool.HealthBackoff,
 		pool.HealthRateLimited, pool.HealthNoRateLimit:
@@ -80,6 +80,36 @@
 	return pool.PhasePrefill
 }
 
+// lostParts returns the parts under which a server was lost.
+func lostParts(loss quarantine.Loss) []fingerprint.Fingerprint {
+	if loss.HadEvent {
+		return nil
+	}
+	return loss.Parts
+}
+
+// Suspects implements exchange.Sink.
+func (peerSink peerSink) Suspects() []quarantine.Suspect {
+	return peerSink.quarantine.Suspects()
+}
+
+// HandleSuspects implements exchange.Sink.
+func (peerSink peerSink) HandleSuspects(vm string, suspects []quarantine.Suspect) {
+	peerSink.quarantine.ApplySuspects(vm, suspects)
+}
+
+// Begun implements exchange.Sink.
+func (peerSink peerSink) Begun() []quarantine.Begun {
+	return peerSink.quarantine.RecentBegun()
+}
+
+// HandleBegun implements exchange.Sink.
+func (peerSink peerSink) HandleBegun(begun []quarantine.Begun) {
+	for _, response := range begun {
+		peerSink.quarantine.RecordRemoteBegun(response.Part, peerSink.now().Sub(response.At))
+	}
+}
+
 // Quarantined implements exchange.Sink. It returns the quarantined requests to send to other VMs.
 func (peerSink peerSink) Quarantined() []quarantine.Entry {
 	return peerSink.quarantine.PublishableEntries()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -30,6 +30,7 @@
 			first = false
 			forwarder.receivedEvent.Store(true)
 			activeAttempt.activeRequest.FinishPrefill()
+			forwarder.recordBegun()
 			forwarder.recordFirstEvent(activeAttempt)
 		}
 		activeAttempt.activeRequest.RecordEvent()
--- a/internal/gateway/unreachable_test.go
+++ b/internal/gateway/unreachable_test.go
@@ -21,6 +21,8 @@
 type firstTries struct {
 	sent   int
 	served int
+	// quarantined counts those that were refused since servers crash under them.
+	quarantined int
 }
 
 // queryDuringCut sends streams and plain requests to all VMs in turn while some of them are cut off, and returns the first tries
--- a/internal/pool/active_request.go
+++ b/internal/pool/active_request.go
@@ -60,6 +60,9 @@
 	Organisation fairshare.Organisation
 	// Fingerprint is that of the request that Health is about, or None.
 	Fingerprint fingerprint.Fingerprint
+	// Parts has the fingerprints of the parts that its prompt may share with others, with
+	// HealthConnectionLost before the first event.
+	Parts []fingerprint.Fingerprint
 }
 
 // Health is the outcome of one request for a server, or a notice from the server.
--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -28,6 +28,26 @@
 	}
 }
 
+// InPrefill reports whether a request of a VM is at a server and may be without an event of its response
+// so far.
+func (pool *Pool) InPrefill(vm string, id uint64) bool {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	for _, server := range pool.servers {
+		if slices.ContainsFunc(server.attempts, func(attempt *attempt) bool {
+			return attempt.isOf(vm, id) && attempt.Phase == PhasePrefill && !attempt.PrefillOnly
+		}) {
+			return true
+		}
+	}
+	return false
+}
+
+// isOf reports whether the attempt belongs to a request of a VM.
+func (attempt *attempt) isOf(vm string, id uint64) bool {
+	return attempt.vm == vm && attempt.ID > id && attempt.ID <= id+placement.MaxParts
+}
+
 // Withdraw removes the attempts of a request that was assigned but will not be sent, and refunds
 // them to the rate limits of their servers.
 func (pool *Pool) Withdraw(vm string, id uint64) {
@@ -36,7 +56,7 @@
 	withdrawn := false
 	for _, server := range pool.servers {
 		server.attempts = slices.DeleteFunc(server.attempts, func(attempt *attempt) bool {
-			matches := attempt.vm == vm && attempt.ID > id && attempt.ID <= id+placement.MaxParts
+			matches := attempt.isOf(vm, id)
 			if matches {
 				withdrawn = true
 				server.refundLimits()
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -30,14 +30,23 @@
 
 // RecordConnectionLoss records that the connection to a server broke during a request, which counts
 // as a failure, publishes it, and reports whether the server is suspect now. The phase is that of
-// the request when the connection broke.
-func (pool *Pool) RecordConnectionLoss(id string, request fingerprint.Fingerprint, phase Phase) bool {
+// the request when the connection broke. The parts of its prompt are published unless it had events.
+func (pool *Pool) RecordConnectionLoss(id string, request fingerprint.Set, phase Phase) bool {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	pool.publisher.Publish(Report{Server: id, Phase: phase, Health: HealthConnectionLost, Fingerprint: request})
+	pool.publisher.Publish(lossReport(id, request, phase))
 	return pool.recordFailure(id)
 }
 
+// lossReport returns the report of a server that was lost under a request.
+func lossReport(id string, request fingerprint.Set, phase Phase) Report {
+	report := Report{Server: id, Phase: phase, Health: HealthConnectionLost, Fingerprint: request.Request}
+	if phase != PhaseDecode {
+		report.Parts = request.Parts
+	}
+	return report
+}
+
 func (pool *Pool) recordFailure(id string) bool {
 	server := pool.servers[id]
 	if server == nil {
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -7,7 +7,7 @@
 	"github.com/mastwinch/mastwinch/internal/fingerprint"
 )
 
-// Entry is a request in quarantine, or one that was. It is immutable.
+// Entry is a request or a part of prompts in quarantine, or one that was. It is immutable.
 type Entry struct {
 	Fingerprint fingerprint.Fingerprint
 	// Until is the end of the quarantine.
@@ -17,6 +17,11 @@
 	Times int
 }
 
+// startedAt returns when the quarantine began.
+func (entry Entry) startedAt(settings Settings) time.Time {
+	return entry.Until.Add(-settings.duration(entry.Times))
+}
+
 // duration returns the length of the nth quarantine of a request.
 func (settings Settings) duration(times int) time.Duration {
 	duration := settings.Time
@@ -26,14 +31,14 @@
 	return duration
 }
 
-// lift ends the quarantine of a request after a success, which can arrive for an attempt that was
-// in flight when the quarantine began.
-func (tracker *Tracker) lift(request fingerprint.Fingerprint, now time.Time) {
+// lift ends the quarantine of a request after a success at the given time, or of a part after a response
+// that began with it, which can arrive for an attempt that was in flight when the quarantine began.
+func (tracker *Tracker) lift(request fingerprint.Fingerprint, at time.Time) {
 	entry, found := tracker.entries.Peek(request)
-	if !found || !entry.Until.After(now) {
+	if !found || !entry.Until.After(tracker.now()) {
 		return
 	}
-	lifted := Entry{Fingerprint: request, Times: entry.Times + 1, Until: now}
+	lifted := Entry{Fingerprint: request, Times: entry.Times + 1, Until: at}
 	tracker.addEntry(lifted)
 	tracker.found = append(tracker.found, lifted)
 	tracker.logger.Info("request quarantine lifted after a success", "fingerprint", request)
@@ -101,23 +106,34 @@
 	return entries
 }
 
-// Remaining returns the remaining time of a request's quarantine, or zero.
-func (tracker *Tracker) Remaining(request fingerprint.Fingerprint) time.Duration {
+// Remaining returns the longest remaining quarantine of a request and the parts of its prompt, or
+// zero.
+func (tracker *Tracker) Remaining(fingerprints ...fingerprint.Fingerprint) time.Duration {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	entry, found := tracker.entries.Peek(request)
-	if !found {
-		return 0
+	var remaining time.Duration
+	for _, known := range fingerprints {
+		if entry, found := tracker.entries.Peek(known); found {
+			remaining = max(remaining, entry.Until.Sub(tracker.now()))
+		}
 	}
-	return max(0, entry.Until.Sub(tracker.now()))
+	return remaining
 }
 
-// OnProbation reports whether a request's quarantine is over and no success is known since. Such a
-// request may be sent to one server at a time: a second one would be lost before the first loss is
-// known.
-func (tracker *Tracker) OnProbation(request fingerprint.Fingerprint) bool {
+// OnProbation reports whether the quarantine of a request or of a part of its prompt is over and no
+// success is known since. Such a request may be sent to one server at a time: a second one would be
+// lost before the first loss is known.
+func (tracker *Tracker) OnProbation(fingerprints ...fingerprint.Fingerprint) bool {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	entry, found := tracker.entries.Peek(request)
-	return found && !entry.Until.After(tracker.now()) && !tracker.successes.Contains(request)
+	return slices.ContainsFunc(fingerprints, tracker.onProbation)
+}
+
+func (tracker *Tracker) onProbation(known fingerprint.Fingerprint) bool {
+	entry, found := tracker.entries.Peek(known)
+	if !found || entry.Until.After(tracker.now()) || tracker.successes.Contains(known) {
+		return false
+	}
+	begunAt, found := tracker.begun.Peek(known)
+	return !found || begunAt.Before(entry.Until)
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -19,6 +19,9 @@
 //   - Of the requests on one server the cause is the one that was on the most lost servers,
 //     since other requests share only some of them by chance. A request without events of its
 //     response takes precedence over one with events.
+//   - Parts that prompts share are suspects like requests. Servers crash when they begin a
+//     response, so losses before a response that began with the part don't count. A request takes
+//     precedence over its own parts on as many lost servers.
 //
 // Nothing in this file has a clock, a lock or I/O.
 
@@ -32,17 +35,26 @@
 	refuted bool
 }
 
-// suspect is a request that was in flight on servers when they were lost.
+// suspect is a request that was in flight on servers when they were lost, or a part of the prompts of
+// such requests.
 type suspect struct {
 	fingerprint fingerprint.Fingerprint
-	// crashes has the losses, one for each start of a server, in the order of time.
+	// crashes has the losses, one for each start of a server, in the order of time. For a part these
+	// are the losses since a response last began with it.
 	crashes []*crash
-	// hadEvent is set if an event of the response arrived before one of the losses.
+	// hadEvent is set if an event of the response arrived before one of the losses. For a part it is
+	// set if any response is known to have begun with it.
 	hadEvent bool
-	// successes counts the successes, and is nil for none.
+	// successes counts the successes, and is nil for none and for a part.
 	successes *successes
-	// entry is the last entry of the request, or nil.
+	// entry is the last entry of the request or part, or nil.
 	entry *Entry
+	// isPart is set for a part.
+	isPart bool
+	// parts has the parts of a request's prompt.
+	parts []*suspect
+	// begunAt is when a response last began with a part, or zero.
+	begunAt time.Time
 }
 
 // successes is a count of a request's successes with exponential decay.
@@ -74,10 +86,34 @@
 	return suspect.successes == nil && (!suspect.hadEvent || other.hadEvent)
 }
 
-// hasKnownCause reports whether the server had another request that is or was in quarantine.
+// has reports whether part is one of the request's prompt.
+func (suspect *suspect) has(part *suspect) bool {
+	return slices.Contains(suspect.parts, part)
+}
+
+// clear drops the losses of a part until a response began with it, and reports whether this changes
+// the evidence.
+func (suspect *suspect) clear(begunAt time.Time) bool {
+	before, hadEvent := len(suspect.crashes), suspect.hadEvent
+	suspect.hadEvent = true
+	if begunAt.After(suspect.begunAt) {
+		suspect.begunAt = begunAt
+		suspect.crashes = without(suspect.crashes, func(crash *crash) bool { return !crash.at.After(begunAt) })
+	}
+	return len(suspect.crashes) < before || !hadEvent
+}
+
+// isKnownCause reports whether the request or part is or was in quarantine, and no response has begun
+// with the part since.
+func (suspect *suspect) isKnownCause() bool {
+	return suspect.entry != nil && (!suspect.isPart || suspect.begunAt.Before(suspect.entry.Until))
+}
+
+// hasKnownCause reports whether the server had another request or part that is or was in quarantine.
+// Requests with a part say nothing against its being the cause.
 func (crash *crash) hasKnownCause(request *suspect) bool {
 	return slices.ContainsFunc(crash.requests, func(other *suspect) bool {
-		return other != request && other.entry != nil
+		return other != request && other.isKnownCause() && !other.has(request)
 	})
 }
 
@@ -91,7 +127,7 @@
 
 // isHarmful reports whether a request counts as the cause of the crashes under it.
 func (evidence evidence) isHarmful(request *suspect) bool {
-	if request.entry == nil && len(request.crashes) < evidence.settings.Limit {
+	if !request.isKnownCause() && len(request.crashes) < evidence.settings.Limit {
 		return false // the case of almost all requests when many servers are lost at once
 	}
 	if evidence.isCleared(request) {
@@ -100,8 +136,12 @@
 	switch {
 	case request.successes != nil:
 		return evidence.countBlamed(request, evidence.unexplainedCrashes) >= evidence.settings.CertainLimit
-	case request.entry != nil:
+	case request.isKnownCause():
 		return evidence.countMoments(evidence.crashesOnProbation(request)) > 0
+	case request.isPart && !request.hadEvent:
+		return evidence.countBlamed(request, evidence.unexplainedCrashes) >= evidence.settings.Limit || evidence.isCertain(request)
+	case request.isPart:
+		return evidence.countBlamed(request, evidence.unexplainedCrashes) >= evidence.settings.CertainLimit
 	default:
 		// A wave of crashes cannot hide the request permanently.
 		return evidence.countBlamed(request, evidence.unexplainedCrashes) >= evidence.settings.Limit ||
@@ -127,19 +167,70 @@
 	return decayedCount >= float64(evidence.countMoments(request.crashes))
 }
 
-// countBlamed counts the crashes under a request since its last quarantine, among those that
-// selected returns, for which no other request on the server is as likely and has as many of these.
+// isCertain reports whether servers were lost under a part at so many moments that parts which are
+// always beside it no longer explain them.
+func (evidence evidence) isCertain(part *suspect) bool {
+	blamed := evidence.blamed(part, evidence.unexplainedCrashes, func(other *suspect) bool { return part.isAsLikely(other) })
+	return evidence.countMoments(blamed) >= evidence.settings.CertainLimit
+}
+
+// countBlamed counts the moments of the crashes that blamed returns. A request's own parts explain
+// crashes only if they have more.
 func (evidence evidence) countBlamed(request *suspect, selected func(request *suspect) []*crash) int {
+	return evidence.countMoments(evidence.blamed(request, selected, request.has))
+}
+
+// blamed returns the crashes under a request since its last quarantine, among those that selected
+// returns, for which no other request on the server is as likely and has as many of these, or more of
+// these where the request goes before it. A part with which responses began before is not the cause
+// if one with which none ever did was on more than one of the servers: the former may have more
+// losses for other reasons, as when VMs lose their connections.
+func (evidence evidence) blamed(request *suspect, selected func(request *suspect) []*crash, before func(other *suspect) bool) []*crash {
 	own := selected(request)
 	ownMoments := evidence.countMoments(own)
-	return evidence.countMoments(without(own, func(crash *crash) bool {
+	explains := func(other *suspect) bool {
+		if other == request || !other.isAsLikely(request) {
+			return false
+		}
+		moments := evidence.countMoments(selected(other))
+		if request.isPart && request.hadEvent && other.isPart && !other.hadEvent && moments > 1 {
+			return true
+		}
+		return moments > ownMoments || (moments == ownMoments && !before(other))
+	}
+	return without(own, func(crash *crash) bool {
 		if crash.hasKnownCause(request) || (request.entry != nil && !crash.at.After(request.entry.Until)) {
 			return true
 		}
-		return slices.ContainsFunc(crash.requests, func(other *suspect) bool {
-			return other != request && other.isAsLikely(request) && evidence.countMoments(selected(other)) >= ownMoments
-		})
-	}))
+		return slices.ContainsFunc(crash.requests, explains)
+	})
+}
+
+// isContained reports whether so many servers were lost under a request or part that only one request
+// with it may be in flight, until a response begins or it is quarantined. Losses count at once, since
+// the next ones may follow within milliseconds. Those under a part with which responses began before
+// count by moments, since such a part is on most servers when VMs lose their connections.
+func (evidence evidence) isContained(request *suspect) bool {
+	switch {
+	case request.successes != nil, request.isKnownCause(), request.hadEvent && !request.isPart:
+		return false
+	case request.hadEvent:
+		return evidence.countBlamed(request, evidence.unexplainedCrashes) >= evidence.settings.ContainmentLimit
+	default:
+		return len(without(evidence.unexplainedCrashes(request), isRefuted)) >= evidence.settings.ContainmentLimit
+	}
+}
+
+// isAsked reports whether other VMs are asked if responses have begun with a part since its last loss.
+func (evidence evidence) isAsked(part *suspect) bool {
+	if !part.isPart || len(part.crashes) == 0 {
+		return false
+	}
+	return evidence.now.Sub(part.crashes[len(part.crashes)-1].at) < evidence.settings.RepublishTime
+}
+
+func isRefuted(crash *crash) bool {
+	return crash.refuted
 }
 
 func allCrashes(request *suspect) []*crash {
--- a/internal/quarantine/observation.go
+++ b/internal/quarantine/observation.go
@@ -63,8 +63,14 @@
 func (tracker *Tracker) addLoss(loss Loss) {
 	tracker.dropOld()
 	lost := tracker.crashFor(loss)
-	known := tracker.suspect(loss.Fingerprint)
+	known := tracker.suspect(loss.Fingerprint, false)
 	known.hadEvent = known.hadEvent || loss.HadEvent
+	if loss.HadEvent {
+		loss.Parts = nil
+	}
+	for _, part := range loss.Parts {
+		tracker.addPartLoss(known, tracker.suspect(part, true), lost)
+	}
 	if known.wasOn(lost) {
 		return
 	}
@@ -73,6 +79,20 @@
 	tracker.signalChange()
 }
 
+// addPartLoss adds the loss of a server under a request to a part of the request's prompt.
+func (tracker *Tracker) addPartLoss(request, part *suspect, lost *crash) {
+	if !request.has(part) {
+		request.parts = append(request.parts, part)
+	}
+	if part.wasOn(lost) {
+		return
+	}
+	lost.requests = append(lost.requests, part)
+	if lost.at.After(part.begunAt) {
+		part.crashes = insertCrash(part.crashes, lost)
+	}
+}
+
 func (tracker *Tracker) signalChange() {
 	select {
 	case tracker.changed <- struct{}{}:
@@ -98,11 +118,14 @@
 	return slices.Insert(crashes, at, added)
 }
 
-func (tracker *Tracker) suspect(request fingerprint.Fingerprint) *suspect {
+func (tracker *Tracker) suspect(request fingerprint.Fingerprint, isPart bool) *suspect {
 	if known, found := tracker.suspects.Get(request); found {
 		return known
 	}
-	added := &suspect{fingerprint: request}
+	added := &suspect{fingerprint: request, isPart: isPart}
+	if begunAt, found := tracker.begun.Peek(request); found && tracker.now().Sub(begunAt) < tracker.settings.HistoryTime {
+		added.clear(begunAt)
+	}
 	if count, found := tracker.successes.Peek(request); found && tracker.now().Sub(count.at) < tracker.settings.HistoryTime {
 		added.successes = count
 	}
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/mastwinch/mastwinch/internal/fingerprint"
 	"github.com/mastwinch/mastwinch/internal/wait"
@@ -22,7 +23,9 @@
 		case <-ctx.Done():
 			return
 		case <-tracker.changed:
+		case <-tracker.listExpires():
 		}
+		tracker.refreshSuspects()
 		if !wait.For(ctx, tracker.settings.EvaluationDelay) {
 			return
 		}
@@ -31,12 +34,25 @@
 			continue
 		}
 		tracker.publisher.Announce(found)
+		tracker.refreshSuspects()
 		for _, entry := range found {
 			storeOperations.Go(func() { tracker.storeEntry(ctx, entry) })
 		}
 	}
 }
 
+// listRefreshes is the number of times that a list of suspects is made anew before it expires.
+const listRefreshes = 3
+
+// listExpires returns a channel that receives once this VM's list of suspects must be made anew. It is
+// nil without a list.
+func (tracker *Tracker) listExpires() <-chan time.Time {
+	if len(tracker.Suspects()) == 0 {
+		return nil
+	}
+	return time.After(tracker.settings.ListTTL / listRefreshes)
+}
+
 // load adds the entries of the store. All VMs may have been stopped at once, and finding the
 // entries again would cost three lost servers each.
 func (tracker *Tracker) load(ctx context.Context) {
--- a/internal/quarantine/settings.go
+++ b/internal/quarantine/settings.go
@@ -12,6 +12,9 @@
 	// may explain them, so that other crashes cannot hide a request that crashes servers. Of the
 	// three attempts that the users allow after the third crash it leaves two.
 	CertainLimit int `yaml:"certain" validate:"gtefield=Limit"`
+	// ContainmentLimit is the number of servers lost under a suspect from which only one request with it
+	// is in flight at a time. A single lost server is too common to hold anything back.
+	ContainmentLimit int `yaml:"contain" validate:"min=2"`
 	// Moment is the longest time between losses that count as one event: the connections of one
 	// server break within a few milliseconds, and so do those of all servers in a wave. Crashes
 	// caused by one request are further apart, since each server prefills the request first.
@@ -35,15 +38,23 @@
 	// not the cause: a request that makes up much of the traffic is on each lost server, and
 	// succeeds on all others.
 	SuccessHalfLife time.Duration `yaml:"good_half" validate:"min=100ms"`
-	// MaxSuspects, MaxCrashes, MaxSuccesses and MaxEntries are the largest numbers of requests on
-	// lost servers, lost servers, succeeded requests and quarantined requests that are remembered.
+	// MaxSuspects, MaxCrashes, MaxSuccesses, MaxBegun and MaxEntries are the largest numbers of requests
+	// and parts on lost servers, lost servers, succeeded requests, parts with which a response began, and
+	// entries that are remembered.
 	MaxSuspects  int `yaml:"suspects" validate:"min=16"`
 	MaxCrashes   int `yaml:"crashes" validate:"min=16"`
 	MaxSuccesses int `yaml:"answered" validate:"min=16"`
+	MaxBegun     int `yaml:"begun" validate:"min=16"`
 	MaxEntries   int `yaml:"entries" validate:"min=1"`
-	// RepublishTime is for how long the losses observed by this VM are reported again, since
-	// datagrams may be lost.
+	// MaxListed is the largest number of suspects that a coordinator lists to other VMs.
+	MaxListed int `yaml:"listed" validate:"min=1,max=64"`
+	// RepublishTime is for how long the losses and begun responses observed by this VM are reported
+	// again, since datagrams may be lost.
 	RepublishTime time.Duration `yaml:"repeat" validate:"min=0"`
+	// BegunInterval is the shortest time between two reports of responses that began with the same part.
+	BegunInterval time.Duration `yaml:"begun_every" validate:"min=1ms"`
+	// ListTTL is for how long a list of suspects applies that its coordinator does not repeat.
+	ListTTL time.Duration `yaml:"listed_for" validate:"min=100ms"`
 	// RewriteSpread is the period over which the VMs spread their checks of a store that was
 	// restored from an older state.
 	RewriteSpread time.Duration `yaml:"rewrite" validate:"min=10ms"`
@@ -56,6 +67,7 @@
 	return Settings{
 		Limit:            3,
 		CertainLimit:     5,
+		ContainmentLimit: 2,
 		Moment:           50 * time.Millisecond,
 		EvaluationDelay:  120 * time.Millisecond,
 		RefutationWindow: time.Second,
@@ -67,8 +79,12 @@
 		MaxSuspects:      4096,
 		MaxCrashes:       1024,
 		MaxSuccesses:     4096,
+		MaxBegun:         8192,
 		MaxEntries:       256,
+		MaxListed:        32,
 		RepublishTime:    2 * time.Second,
+		BegunInterval:    250 * time.Millisecond,
+		ListTTL:          1600 * time.Millisecond,
 		RetryDelay:       500 * time.Millisecond,
 	}
 }
--- a/internal/quarantine/standalone.go
+++ b/internal/quarantine/standalone.go
@@ -17,6 +17,12 @@
 // Announce implements Publisher.
 func (Standalone) Announce([]Entry) {}
 
+// AnnounceSuspects implements Publisher.
+func (Standalone) AnnounceSuspects([]Suspect) {}
+
+// ReportBegun implements Publisher.
+func (Standalone) ReportBegun([]Begun) {}
+
 // Put implements Store.
 func (Standalone) Put(context.Context, Entry) error { return nil }
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -1,10 +1,11 @@
-// Package quarantine identifies requests that crash servers, and keeps them from all servers for a
-// time.
+// Package quarantine identifies requests that crash servers, and parts that the prompts of such
+// requests share, and keeps them from all servers for a time.
 //
 // The state of a request in one VM ends with each attempt of its caller, who repeats it under
-// another ID at another VM. So requests are identified by their fingerprints, and the observations
-// of all VMs are evaluated together at the coordinators. A server is lost under a request if the
-// request was in flight there.
+// another ID at another VM. So requests and parts are identified by their fingerprints, and the
+// observations of all VMs are evaluated together at the coordinators. A server is lost under a
+// request if the request was in flight there, and under the parts of its prompt if no event of the
+// response had arrived.
 package quarantine
 
 import (
@@ -17,8 +18,8 @@
 	"github.com/mastwinch/mastwinch/internal/fingerprint"
 )
 
-// Tracker collects the losses of servers under requests, and the requests in quarantine. It is safe
-// for concurrent use.
+// Tracker collects the losses of servers under requests and parts of prompts, and those in
+// quarantine. It is safe for concurrent use.
 type Tracker struct {
 	settings  Settings
 	store     Store
@@ -31,6 +32,8 @@
 	suspects *simplelru.LRU[fingerprint.Fingerprint, *suspect]
 	// successes has the requests that succeeded, the one with the latest success last.
 	successes *simplelru.LRU[fingerprint.Fingerprint, *successes]
+	// begun has when a response last began with a part, the latest last.
+	begun *simplelru.LRU[fingerprint.Fingerprint, time.Time]
 	// crashes has the lost servers in the order of time.
 	crashes []*crash
 	// own has the losses that this VM observed recently.
@@ -41,6 +44,17 @@
 	found []Entry
 	// watches has the callbacks for the start of a request's quarantine.
 	watches map[fingerprint.Fingerprint]map[*watch]bool
+	// lists has the suspects by the coordinator that listed them. Those that this VM lists as
+	// coordinator are under an empty name.
+	lists map[string]suspectList
+	// listed has the suspects that this VM lists as coordinator.
+	listed []Suspect
+	// reported has when this VM last reported that a response began with a part.
+	reported map[fingerprint.Fingerprint]time.Time
+	// pendingBegun has the begun responses that are to be reported.
+	pendingBegun []Begun
+	// inFlight counts the requests of this VM in flight with a contained suspect.
+	inFlight map[fingerprint.Fingerprint]int
 	// changed has an element while an evaluation is pending.
 	changed chan struct{}
 }
@@ -52,6 +66,10 @@
 	Evaluates() bool
 	// Announce sends new entries to all VMs immediately.
 	Announce(entries []Entry)
+	// AnnounceSuspects sends the list of suspects to all VMs immediately.
+	AnnounceSuspects(suspects []Suspect)
+	// ReportBegun sends to the coordinators with which listed parts responses began.
+	ReportBegun(begun []Begun)
 }
 
 // Loss is the loss of a server while a request was in flight there.
@@ -61,6 +79,9 @@
 	Server string
 	// HadEvent is set if an event of the response had arrived by then.
 	HadEvent bool
+	// Parts has the parts that the request's prompt may share with others. They count only without
+	// HadEvent.
+	Parts []fingerprint.Fingerprint
 	// At is when the server was lost.
 	At time.Time
 }
@@ -75,7 +96,11 @@
 		now:       now,
 		suspects:  newLRU[*suspect](settings.MaxSuspects),
 		successes: newLRU[*successes](settings.MaxSuccesses),
+		begun:     newLRU[time.Time](settings.MaxBegun),
 		entries:   newLRU[Entry](settings.MaxEntries),
+		lists:     make(map[string]suspectList),
+		reported:  make(map[fingerprint.Fingerprint]time.Time),
+		inFlight:  make(map[fingerprint.Fingerprint]int),
 		watches:   make(map[fingerprint.Fingerprint]map[*watch]bool),
 		changed:   make(chan struct{}, 1),
 	}
@@ -106,23 +131,35 @@
 
 func (tracker *Tracker) findHarmful(now time.Time) {
 	evidence := evidence{crashes: tracker.crashes, now: now, settings: tracker.settings}
+	var harmful []*suspect
 	for _, suspect := range tracker.suspects.Values() {
-		entry := suspect.entry
-		if entry != nil && now.Before(entry.Until) || !evidence.isHarmful(suspect) {
-			continue
+		inQuarantine := suspect.entry != nil && now.Before(suspect.entry.Until)
+		if !inQuarantine && evidence.isHarmful(suspect) {
+			harmful = append(harmful, suspect)
 		}
-		times := 1
-		if entry != nil {
-			times += entry.Times
-		}
-		added := Entry{
-			Fingerprint: suspect.fingerprint, Times: times, Until: now.Add(tracker.settings.duration(times)),
-		}
-		tracker.addEntry(added)
-		tracker.logger.Warn("request quarantined", "fingerprint", added.Fingerprint, "times", times,
-			"lost", serverIDs(suspect.crashes), "until", added.Until)
-		tracker.found = append(tracker.found, added)
 	}
+	for _, suspect := range harmful {
+		tracker.quarantine(suspect, now)
+	}
+}
+
+// quarantine adds an entry for a suspect that was found to be harmful.
+func (tracker *Tracker) quarantine(suspect *suspect, now time.Time) {
+	times := 1
+	if suspect.entry != nil {
+		times += suspect.entry.Times
+	}
+	added := Entry{
+		Fingerprint: suspect.fingerprint, Times: times, Until: now.Add(tracker.settings.duration(times)),
+	}
+	tracker.addEntry(added)
+	message := "request quarantined"
+	if suspect.isPart {
+		message = "part of prompts quarantined"
+	}
+	tracker.logger.Warn(message, "fingerprint", added.Fingerprint, "times", times,
+		"lost", serverIDs(suspect.crashes), "until", added.Until)
+	tracker.found = append(tracker.found, added)
 }
 
 // serverIDs returns the IDs of the servers that were lost.
