upstream, gateway, pool: servers lost through tunnels are evidence on requests

Cause: a connection that broke through a tunnel counted for nothing, since the reason may lie between the VMs. That is right for the server's health and wrong for the quarantine.

The VM that serves the tunnel passes on the end of the server's side as an end of stream, while links break by resets and time-outs, so such an end counts as a loss under the request, told to the coordinators under a health of its own that fails no server.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -134,13 +134,18 @@
 	if errors.As(err, &notSent) {
 		return result{kind: resultNotRun, notSent: true, err: err}
 	}
-	return result{kind: resultUncertain, connectionLost: ctx.Err() == nil && !isPathError(err), serverNotAtFault: isPathError(err), err: err}
+	return result{kind: resultUncertain, err: err}.withLoss(ctx)
 }
 
-// isPathError reports whether the reason of a failure may lie between this VM and the server.
-func isPathError(err error) bool {
+// withLoss returns the result with what its error says of the connection to the server, unless ctx is
+// done: then the connection ended for that reason.
+func (result result) withLoss(ctx context.Context) result {
 	var path *upstream.PathError
-	return errors.As(err, &path)
+	isPathError := errors.As(result.err, &path)
+	result.serverNotAtFault = isPathError
+	result.connectionLost = ctx.Err() == nil && !isPathError
+	result.lostThroughVM = ctx.Err() == nil && isPathError && path.ServerEnded()
+	return result
 }
 
 // mayRunAgain reports whether the request may be sent to another server after the next one may have run it.
@@ -168,10 +173,7 @@
 	defer release()
 	switch {
 	case err != nil:
-		return result{
-			kind: resultUncertain, status: response.Status, connectionLost: ctx.Err() == nil && !isPathError(err),
-			serverNotAtFault: isPathError(err), err: errors.Wrap(err, "read the response body"),
-		}
+		return result{kind: resultUncertain, status: response.Status, err: errors.Wrap(err, "read the response body")}.withLoss(ctx)
 	case int64(len(body)) > forwarder.gateway.settings.Request.MaxResponseBytes:
 		return result{kind: resultUncertain, status: response.Status, err: errors.New("response body is too long")}
 	case decoded.NotRun:
--- a/internal/gateway/crash_part_test.go
+++ b/internal/gateway/crash_part_test.go
@@ -78,6 +78,13 @@
 			fleet.stopAll()
 			fleet.startAll()
 		}},
+		"half of the VMs reach servers through the others": {interval: 100 * time.Millisecond, during: func(fleet *fleet) { fleet.cutFromServers(2) }},
+		"most callers use a VM that reaches servers through others": {
+			interval: 50 * time.Millisecond, preferFirst: true, during: func(fleet *fleet) { fleet.cutFromServers(1) },
+		},
+		"all come to a VM that reaches servers through others": {
+			interval: 100 * time.Millisecond, crashingAtFirst: true, during: func(fleet *fleet) { fleet.cutFromServers(1) },
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withFleet(t, 4, 12, func(fleet *fleet) { attack.run(fleet) })
@@ -85,6 +92,17 @@
 	}
 }
 
+// cutFromServers cuts the first VMs off from all servers for cutTime.
+func (fleet *fleet) cutFromServers(count int) {
+	for _, vm := range fleet.vms[:count] {
+		vm.network.begin(cutResets, serverPrefix)
+	}
+	time.Sleep(cutTime)
+	for _, vm := range fleet.vms[:count] {
+		vm.network.end()
+	}
+}
+
 // partAttack is a series of prompts that share a part which crashes servers.
 type partAttack struct {
 	interval time.Duration
@@ -92,6 +110,8 @@
 	burst int
 	// preferFirst sends nine of ten prompts, sound ones too, to the first VM.
 	preferFirst bool
+	// crashingAtFirst sends the prompts that crash servers, and their retries, to the first VM only.
+	crashingAtFirst bool
 	// during runs while the prompts are sent, from their start on; nil does nothing.
 	during func(fleet *fleet)
 }
@@ -102,11 +122,22 @@
 	usual := attack.sendPrompts(fleet, 4*time.Second, soundInterval, soundPrompt)
 	var late firstTries
 	var callers sync.WaitGroup
-	crashingPrompt := func(number int) callerRequest { return promptWith(number, firstPart, crashingPart) }
+	crashingPrompt := func(number int) callerRequest {
+		prompt := promptWith(number, firstPart, crashingPart)
+		if attack.crashingAtFirst {
+			prompt.vm = fleet.vms[0].address()
+		}
+		return prompt
+	}
 	if attack.during != nil {
 		callers.Go(func() { attack.during(fleet) })
 	}
-	callers.Go(func() { attack.sendPrompts(fleet, duration, attack.interval, crashingPrompt) })
+	callers.Go(func() {
+		if attack.crashingAtFirst {
+			time.Sleep(time.Second) // until the VM is cut off
+		}
+		attack.sendPrompts(fleet, duration, attack.interval, crashingPrompt)
+	})
 	callers.Go(func() {
 		attack.sendPrompts(fleet, time.Duration(attack.burst), 1, func(number int) callerRequest { return crashingPrompt(10_000 + number) })
 	})
@@ -174,7 +205,10 @@
 	for number := range int(duration / interval) {
 		callers.Go(func() {
 			request := prompt(number)
-			request.vm = attack.vm(fleet, number).address()
+			fixed := request.vm != ""
+			if !fixed {
+				request.vm = attack.vm(fleet, number).address()
+			}
 			got := fleet.query(request)
 			mu.Lock()
 			tries.sent++
@@ -186,7 +220,9 @@
 			}
 			mu.Unlock()
 			if got.status != http.StatusOK || !got.complete {
-				request.vm = fleet.vms[(number+1)%len(fleet.vms)].address()
+				if !fixed {
+					request.vm = fleet.vms[(number+1)%len(fleet.vms)].address()
+				}
 				fleet.query(request)
 			}
 		})
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -138,6 +138,9 @@
 	// connectionLost is true if the connection broke while the server was processing the request. A
 	// server crash has this effect on all its requests.
 	connectionLost bool
+	// lostThroughVM is true if the server ended a connection that led through another VM while it was processing the
+	// request. This says whether the request crashes servers, but is no evidence against the server.
+	lostThroughVM bool
 	// notSent is true if no connection to the server was made, so that the request cannot have
 	// reached it.
 	notSent bool
@@ -279,7 +282,7 @@
 	case ctx.Err() != nil:
 		return forwarder.interruptedOutcome(ctx), true
 	case result.kind == resultTruncated, result.kind == resultUncertain && !forwarder.route.Repeatable(),
-		forwarder.executions >= forwarder.route.MaxAttempts, result.connectionLost && gateway.quarantine.OnProbation(forwarder.fingerprints.All()...):
+		forwarder.executions >= forwarder.route.MaxAttempts, (result.connectionLost || result.lostThroughVM) && gateway.quarantine.OnProbation(forwarder.fingerprints.All()...):
 		return forwarder.failureOutcome(ReasonServerFailed), true
 	}
 	return outcome{}, false
@@ -293,9 +296,12 @@
 	suspect := false
 	loss := quarantine.Loss{
 		Fingerprint: forwarder.fingerprints.Request, Parts: forwarder.fingerprints.Parts, Server: failedServer,
-		HadEvent: result.receivedEvent,
+		HadEvent: result.receivedEvent, ThroughVM: result.lostThroughVM,
 	}
 	switch {
+	case result.lostThroughVM:
+		gateway.pool.PublishLossThroughVM(failedServer, forwarder.fingerprints, phaseOf(loss))
+		gateway.quarantine.RecordLoss(loss)
 	case result.serverNotAtFault:
 	case gateway.links.Verdict() == reachability.Unreachable: // the links of this VM failed, not the servers
 	case result.serverClosed:
@@ -308,7 +314,7 @@
 	}
 	gateway.logger.Warn("attempt failed", "request_id", forwarder.head.ID, "send", forwarder.sends-1,
 		"server", plan.Server.ID, "at_fault", failedServer, "result", result.kind, "status", result.status,
-		"lost", result.connectionLost, "ran", result.receivedEvent, "fingerprint", forwarder.fingerprints.Request, "parts", forwarder.fingerprints.Parts, "suspect", suspect, "error", result.err)
+		"lost", result.connectionLost || result.lostThroughVM, "ran", result.receivedEvent, "fingerprint", forwarder.fingerprints.Request, "parts", forwarder.fingerprints.Parts, "suspect", suspect, "error", result.err)
 }
 
 // interruptedOutcome returns the outcome of a request whose context ended.
--- a/internal/gateway/peersink.go
+++ b/internal/gateway/peersink.go
@@ -41,7 +41,7 @@
 	reports := peerSink.Pool.OwnReports()
 	for _, loss := range peerSink.quarantine.RecentLosses() {
 		reports = append(reports, pool.Report{
-			Server: loss.Server, Phase: phaseOf(loss), Health: pool.HealthConnectionLost,
+			Server: loss.Server, Phase: phaseOf(loss), Health: healthOf(loss),
 			Fingerprint: loss.Fingerprint, Parts: lostParts(loss), Age: peerSink.now().Sub(loss.At),
 		})
 	}
@@ -63,9 +63,10 @@
 	switch report.Health {
 	case pool.HealthSucceeded:
 		peerSink.quarantine.RecordCompletion(report.Fingerprint, report.Server)
-	case pool.HealthConnectionLost:
+	case pool.HealthConnectionLost, pool.HealthLostThroughVM:
 		peerSink.quarantine.RecordRemoteLoss(quarantine.Loss{
 			Fingerprint: report.Fingerprint, Server: report.Server, HadEvent: report.Phase == pool.PhaseDecode, Parts: report.Parts,
+			ThroughVM: report.Health == pool.HealthLostThroughVM,
 		}, report.Age)
 	case pool.HealthUnreported, pool.HealthFailed, pool.HealthClosed, pool.HealthUnreportedMemory, pool.HealthDraining, pool.HealthBackoff,
 		pool.HealthRateLimited, pool.HealthNoRateLimit:
@@ -80,6 +81,14 @@
 	return pool.PhasePrefill
 }
 
+// healthOf returns the health that a loss is reported with.
+func healthOf(loss quarantine.Loss) pool.Health {
+	if loss.ThroughVM {
+		return pool.HealthLostThroughVM
+	}
+	return pool.HealthConnectionLost
+}
+
 // lostParts returns the parts under which a server was lost.
 func lostParts(loss quarantine.Loss) []fingerprint.Fingerprint {
 	if loss.HadEvent {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -65,11 +65,13 @@
 	if cause != nil {
 		err = errors.CombineErrors(cause, err)
 	}
-	notAtFault := callerStalled || isPathError(err)
-	return result{
-		kind: resultUncertain, status: http.StatusOK, connectionLost: cause == nil && !notAtFault, receivedEvent: receivedEvent, serverNotAtFault: notAtFault,
-		err: errors.Wrap(err, "read the server's stream"),
+	broken := result{
+		kind: resultUncertain, status: http.StatusOK, receivedEvent: receivedEvent, err: errors.Wrap(err, "read the server's stream"),
+	}.withLoss(ctx)
+	if callerStalled {
+		broken.serverNotAtFault, broken.connectionLost, broken.lostThroughVM = true, false, false
 	}
+	return broken
 }
 
 // finishStream completes the response. It writes the header if the stream had no events.
--- a/internal/pool/active_request.go
+++ b/internal/pool/active_request.go
@@ -42,8 +42,8 @@
 	Packable bool
 	// PrefillOnly is set where the server only prefills a part of the prompt for another server.
 	PrefillOnly bool
-	// Age is the time since the request was sent or, with HealthConnectionLost, since the
-	// connection was lost: zero in the first report of it. HealthRateLimited and HealthNoRateLimit
+	// Age is the time since the request was sent or, with HealthConnectionLost and
+	// HealthLostThroughVM, since the connection was lost: zero in the first report of it. HealthRateLimited and HealthNoRateLimit
 	// define it for themselves.
 	Age time.Duration
 	// Pace is the time between the last two events divided by the expected time, or zero before the
@@ -61,7 +61,7 @@
 	// Fingerprint is that of the request that Health is about, or None.
 	Fingerprint fingerprint.Fingerprint
 	// Parts has the fingerprints of the parts that its prompt may share with others, with
-	// HealthConnectionLost before the first event.
+	// HealthConnectionLost or HealthLostThroughVM before the first event.
 	Parts []fingerprint.Fingerprint
 }
 
@@ -94,6 +94,9 @@
 	// HealthNoRateLimit is a response without a rate limit after an earlier one had advertised it.
 	// The report's Age is the time since the request for that response was sent.
 	HealthNoRateLimit
+	// HealthLostThroughVM is a connection through another VM that the server ended during the request. It
+	// says something of the request, and nothing of the server.
+	HealthLostThroughVM
 )
 
 // attempt is a request at one server.
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -34,13 +34,19 @@
 func (pool *Pool) RecordConnectionLoss(id string, request fingerprint.Set, phase Phase) bool {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	pool.publisher.Publish(lossReport(id, request, phase))
+	pool.publisher.Publish(lossReport(HealthConnectionLost, id, request, phase))
 	return pool.recordFailure(id)
 }
 
+// PublishLossThroughVM publishes that a server ended a connection that led through another VM during a request. It doesn't
+// count as a failure of the server.
+func (pool *Pool) PublishLossThroughVM(id string, request fingerprint.Set, phase Phase) {
+	pool.publisher.Publish(lossReport(HealthLostThroughVM, id, request, phase))
+}
+
 // lossReport returns the report of a server that was lost under a request.
-func lossReport(id string, request fingerprint.Set, phase Phase) Report {
-	report := Report{Server: id, Phase: phase, Health: HealthConnectionLost, Fingerprint: request.Request}
+func lossReport(health Health, id string, request fingerprint.Set, phase Phase) Report {
+	report := Report{Server: id, Phase: phase, Health: health, Fingerprint: request.Request}
 	if phase != PhaseDecode {
 		report.Parts = request.Parts
 	}
@@ -172,6 +178,6 @@
 		pool.recordRateLimit(report.Server, vm, report.PerSecond, pool.now().Add(-report.Age))
 	case HealthNoRateLimit:
 		pool.recordNoRateLimit(report.Server, vm, pool.now().Add(-report.Age))
-	case HealthUnreported:
+	case HealthUnreported, HealthLostThroughVM:
 	}
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -82,6 +82,8 @@
 	// Parts has the parts that the request's prompt may share with others. They count only without
 	// HadEvent.
 	Parts []fingerprint.Fingerprint
+	// ThroughVM is set if the connection led through another VM.
+	ThroughVM bool
 	// At is when the server was lost.
 	At time.Time
 }
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -50,6 +50,12 @@
 	return "connection to " + e.Address + " through " + e.Via + " broke: " + e.Err.Error()
 }
 
+// ServerEnded reports whether the server ended the connection, as far as can be told: a VM that serves a tunnel passes on the end of
+// the server's side as an end, while the links between the VMs break by resets and timeouts.
+func (e *PathError) ServerEnded() bool {
+	return e.Via != "" && (errors.Is(e.Err, io.EOF) || errors.Is(e.Err, io.ErrUnexpectedEOF))
+}
+
 // Unwrap returns the error of the connection.
 func (e *PathError) Unwrap() error {
 	return e.Err
