gateway: a stream that ends before its first event is broken off

Callers got 200 with an empty body, complete, when a server ended the connection as it began a stream without length or chunks; so does a server that crashes under a prompt. The quarantine took it for a success of the request, and the stream was not placed again.

Cause: any end of such a response counted as its end. Now an end before the first event, or inside one, is the error of the connection: it is placed again if it may be, else 502, and counts as a loss (through a tunnel: not against the server). A stream with a stated end and no event is complete as before.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -20,6 +20,9 @@
 	first := true
 	for {
 		event, err := reader.Next()
+		if endedEarly(err, first) && !activeAttempt.response.IsDelimited() {
+			err = activeAttempt.response.Unfinished()
+		}
 		if errors.Is(err, io.EOF) {
 			return forwarder.finishStream(activeAttempt)
 		}
@@ -48,6 +51,11 @@
 	}
 }
 
+// endedEarly reports whether a stream ended inside an event, or before the first one, as when a server crashes that begins it.
+func endedEarly(err error, first bool) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || (first && errors.Is(err, io.EOF))
+}
+
 // recordFirstEvent records the time to the first event of an attempt.
 func (forwarder *forwarder) recordFirstEvent(activeAttempt *activeAttempt) {
 	gateway := forwarder.gateway
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -47,11 +47,16 @@
 	return errors.WithStack(response.connection.conn.SetReadDeadline(deadline))
 }
 
-// isDelimited reports whether the response states its own end, so that it does not end with the connection.
-func (response *Response) isDelimited() bool {
+// IsDelimited reports whether the response states its own end, so that it does not end with the connection.
+func (response *Response) IsDelimited() bool {
 	return response.httpResponse.ContentLength >= 0 || len(response.httpResponse.TransferEncoding) > 0
 }
 
+// Unfinished returns the error of a response that doesn't state its own end and ended with the connection before it was complete.
+func (response *Response) Unfinished() error {
+	return response.connection.explain(io.ErrUnexpectedEOF)
+}
+
 // Close ends the use of the connection. It becomes idle if the whole response was
 // read, no byte follows it, and the server does not close the connection; otherwise
 // it is closed. idle is the idle timeout that the server advertised, or zero.
@@ -59,7 +64,7 @@
 	connection := response.connection
 	response.client.end(connection)
 	unregistered := connection.stop()
-	reusable := response.bodyRead && response.isDelimited() && !response.httpResponse.Close && !connection.skipped &&
+	reusable := response.bodyRead && response.IsDelimited() && !response.httpResponse.Close && !connection.skipped &&
 		connection.isWritten() && connection.reader.Buffered() == 0
 	if !reusable || !unregistered {
 		connection.close()
