quarantine: lists of suspects have room for parts

Now contained parts come first, then parts that are asked about, then requests, and containment ends 30 s after the last loss. TestRequestsDisplaceNoPartsFromTheList has twice as many requests as a list.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -214,6 +214,8 @@
 	switch {
 	case request.successes != nil, request.isKnownCause(), request.hadEvent && !request.isPart:
 		return false
+	case evidence.sinceLastLoss(request) >= evidence.settings.ContainmentTime:
+		return false
 	case request.hadEvent:
 		return evidence.countBlamed(request, evidence.unexplainedCrashes) >= evidence.settings.ContainmentLimit
 	default:
@@ -223,10 +225,12 @@
 
 // isAsked reports whether other VMs are asked if responses have begun with a part since its last loss.
 func (evidence evidence) isAsked(part *suspect) bool {
-	if !part.isPart || len(part.crashes) == 0 {
-		return false
-	}
-	return evidence.now.Sub(part.crashes[len(part.crashes)-1].at) < evidence.settings.RepublishTime
+	return part.isPart && evidence.sinceLastLoss(part) < evidence.settings.RepublishTime
+}
+
+// sinceLastLoss returns the time since the last loss under a request or part, which must have one.
+func (evidence evidence) sinceLastLoss(request *suspect) time.Duration {
+	return evidence.now.Sub(request.crashes[len(request.crashes)-1].at)
 }
 
 func isRefuted(crash *crash) bool {
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -208,6 +208,27 @@
 	})
 }
 
+// TestRequestsDisplaceNoPartsFromTheList guards against a list so full of requests that were lost twice that
+// parts are missing from it, and against requests that stay on it long after their callers gave up.
+func TestRequestsDisplaceNoPartsFromTheList(t *testing.T) {
+	withFixture(t, &store{}, func(t *testing.T, fixture *fixture) {
+		fixture.losePrompts(2, harmfulPart)
+		for request := range 2 * fixture.settings.MaxListed {
+			for range 2 {
+				fixture.next++
+				fixture.losePrompt(fingerprint.Fingerprint(20_000 + request))
+				time.Sleep(2 * fixture.settings.Moment)
+			}
+		}
+		time.Sleep(step)
+		listed := fixture.Suspects()
+		assert.Equal(t, len(listed), fixture.settings.MaxListed)
+		assert.DeepEqual(t, listed[0], quarantine.Suspect{Fingerprint: harmfulPart, Contained: true})
+		time.Sleep(fixture.settings.ContainmentTime)
+		assert.Equal(t, len(fixture.Suspects()), 0)
+	})
+}
+
 // TestListOfSuspectsExpires guards against containing what no coordinator lists any more, and against
 // a list that lacks a suspect of another coordinator's.
 func TestListOfSuspectsExpires(t *testing.T) {
--- a/internal/quarantine/settings.go
+++ b/internal/quarantine/settings.go
@@ -15,6 +15,9 @@
 	// ContainmentLimit is the number of servers lost under a suspect from which only one request with it
 	// is in flight at a time. A single lost server is too common to hold anything back.
 	ContainmentLimit int `yaml:"contain" validate:"min=2"`
+	// ContainmentTime is for how long after its last loss a suspect is contained. It must be longer than
+	// callers take to return.
+	ContainmentTime time.Duration `yaml:"contain_for" validate:"min=0"`
 	// Moment is the longest time between losses that count as one event: the connections of one
 	// server break within a few milliseconds, and so do those of all servers in a wave. Crashes
 	// caused by one request are further apart, since each server prefills the request first.
@@ -68,6 +71,7 @@
 		Limit:            3,
 		CertainLimit:     5,
 		ContainmentLimit: 2,
+		ContainmentTime:  30 * time.Second,
 		Moment:           50 * time.Millisecond,
 		EvaluationDelay:  120 * time.Millisecond,
 		RefutationWindow: time.Second,
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// Suspects returns the suspects that this VM lists to others as coordinator, the contained ones first.
+// Suspects returns the suspects that this VM lists to others as coordinator.
 func (tracker *Tracker) Suspects() []Suspect {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
@@ -84,22 +84,28 @@
 	}
 }
 
-// findSuspects returns the suspects to list at a time.
+// findSuspects returns the suspects to list at a time: contained parts, those that other VMs are asked
+// about, and contained requests, of each the ones with the latest losses first. Requests come last, since
+// each is retried by few callers.
 func (tracker *Tracker) findSuspects(now time.Time) []Suspect {
 	evidence := evidence{crashes: tracker.crashes, now: now, settings: tracker.settings}
-	var contained, asked []Suspect
-	for _, suspect := range tracker.suspects.Values() {
+	var parts, asked, requests []Suspect
+	for _, suspect := range slices.Backward(tracker.suspects.Values()) {
+		listed := Suspect{Fingerprint: suspect.fingerprint}
 		switch {
 		case len(suspect.crashes) == 0:
 		case evidence.isContained(suspect):
-			contained = append(contained, Suspect{Fingerprint: suspect.fingerprint, Contained: true})
+			listed.Contained = true
+			if suspect.isPart {
+				parts = append(parts, listed)
+			} else {
+				requests = append(requests, listed)
+			}
 		case evidence.isAsked(suspect):
-			asked = append(asked, Suspect{Fingerprint: suspect.fingerprint})
+			asked = append(asked, listed)
 		}
 	}
-	slices.Reverse(contained) // those with the latest losses first
-	slices.Reverse(asked)
-	listed := slices.Concat(contained, asked)
+	listed := slices.Concat(parts, asked, requests)
 	return listed[:min(len(listed), tracker.settings.MaxListed)]
 }
 
