soak: prompts that share a part which crashes servers

From seed 500 on, one seed in ten sends prompts to all VMs in turn that share a part under which servers crash, no two alike, beside all other faults; all prompts have a first part in common. The check is the one for requests: three runs at most later than 3 s after the fifth crash. It had no case that breaks it on purpose; now it has, for requests and for parts.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -144,7 +144,7 @@
 	request.outcome.Route = route
 	request.header["Token-Counts"] = fmt.Sprintf("%d,%d", promptTokens, outputTokens)
 	request.header["Model"] = "m"
-	request.header["Prefix-Hash"] = "5c1e07a2:40"
+	request.header["Prefix-Hash"] = sharedPart + ":40," + request.outcome.ID + ":40"
 	body := &strings.Builder{}
 	for event := range platformserver.ProductionModel().EventCount(outputTokens) {
 		body.WriteString(platformserver.Event(request.outcome.ID, event+1))
@@ -160,7 +160,7 @@
 
 // target is the path and query of a request, which servers must receive unchanged.
 func target(outcome Outcome) string {
-	if strings.HasPrefix(outcome.ID, crashingIDPrefix) {
+	if crashingPrefixOf(outcome.ID) == crashingIDPrefix {
 		return "/" + outcome.Route + "/" + crashingIDPrefix
 	}
 	return "/" + outcome.Route + "/x%2Fy?id=" + outcome.ID
@@ -173,7 +173,7 @@
 
 // bodyOf returns the body of the POST request with that ID.
 func bodyOf(id string) string {
-	if strings.HasPrefix(id, crashingIDPrefix) {
+	if crashingPrefixOf(id) == crashingIDPrefix {
 		return crashingBody
 	}
 	return payload(id)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -216,6 +216,18 @@
 			test.observations.addRateLimitedRequests(test.outcome, rateLimitSlack, 0)
 			test.observations.log.add(span{from: at(3 * time.Second), to: at(4 * time.Second), kind: KindVMPause, vm: "vm-0"})
 		}},
+		"a request that crashes servers runs three times too late": {route: routeStream, change: func(test fixture) {
+			test.observations.addCrashes(crashingIDPrefix, maxCrashes, maxLateRuns)
+		}},
+		"a request that crashes servers runs four times too late": {route: routeStream, change: func(test fixture) {
+			test.observations.addCrashes(crashingIDPrefix, maxCrashes, maxLateRuns+1)
+		}, want: []Invariant{InvariantCrashQuarantine}},
+		"prompts with a part that crashes servers run three times too late": {route: routeStream, change: func(test fixture) {
+			test.observations.addCrashes(crashingPartIDPrefix, maxPartCrashes, maxLateRuns)
+		}},
+		"prompts with a part that crashes servers run four times too late": {route: routeStream, change: func(test fixture) {
+			test.observations.addCrashes(crashingPartIDPrefix, maxPartCrashes, maxLateRuns+1)
+		}, want: []Invariant{InvariantCrashQuarantine}},
 		"too few successes after the faults": {route: routeStream, change: func(test fixture) {
 			test.observations.faultFreeFrom = at(0)
 			for range minRecoveredRequests {
@@ -253,6 +265,21 @@
 	}
 }
 
+// addCrashes adds runs that crashed servers, one after the other, and as many as given too late after them.
+func (observations *observations) addCrashes(idPrefix string, crashes, late int) {
+	for number := range crashes + late {
+		crashedAt := at(time.Duration(number) * 100 * time.Millisecond)
+		if number >= crashes {
+			crashedAt = crashedAt.Add(boundContact)
+		}
+		id := fmt.Sprintf("%s%d", idPrefix, number)
+		outcome, run := served(id, routeStream)
+		run.At = crashedAt
+		observations.crashing = append(observations.crashing, outcome)
+		observations.runs[id] = []platformserver.Run{run}
+	}
+}
+
 // refuseAfterFaults adds requests on a route that were refused for want of servers after all faults had ended.
 func (observations *observations) refuseAfterFaults(route string) {
 	observations.faultFreeFrom = at(0)
--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -19,6 +19,14 @@
 	crashingIDPrefix = "harmful-"
 )
 
+// sharedPart is the first part of all prompts. crashingPart is the part of prompts that crashes each server that runs one of them,
+// and crashingPartIDPrefix the prefix of their request IDs.
+const (
+	sharedPart           = "5c1e07a2"
+	crashingPart         = "bad0bad0"
+	crashingPartIDPrefix = "harmful-part-of-"
+)
+
 // Times and bounds of the requests that crash servers.
 const (
 	// crashingInterval is the time between two such requests.
@@ -28,10 +36,11 @@
 	crashingExtraTime = 4 * time.Second
 	// crashRestartDelay is how long a crashed server is down.
 	crashRestartDelay = 1500 * time.Millisecond
-	// maxCrashes is how many servers may crash before the request must be identified as the cause, and maxLateRuns how
-	// often it may run after all VMs must have quarantined it.
-	maxCrashes  = 3
-	maxLateRuns = 3
+	// maxCrashes is how many servers may crash before the request must be identified as the cause, maxPartCrashes how many
+	// before a part must, and maxLateRuns how often it may run after all VMs must have quarantined it.
+	maxCrashes     = 3
+	maxPartCrashes = 5
+	maxLateRuns    = 3
 )
 
 // outcomeLog collects outcomes. It may be used concurrently.
@@ -52,16 +61,20 @@
 	return slices.Clone(log.outcomes)
 }
 
-// sendCrashingRequests sends requests that crash servers to the VMs in turn, and waits for their outcomes.
-func (environment *environment) sendCrashingRequests(ctx context.Context, event Event) {
+// sendCrashingRequests sends requests that crash servers to the VMs in turn, and waits for their outcomes. The prefix of their
+// IDs determines what crashes servers.
+func (environment *environment) sendCrashingRequests(ctx context.Context, event Event, idPrefix string) {
 	var senders sync.WaitGroup
 	for number := range int((event.For + crashingExtraTime) / crashingInterval) {
 		senders.Go(func() {
 			caller := newCaller(environment, len(environment.vms)+number)
 			defer caller.client.CloseIdleConnections()
 			vm := environment.vms[(event.Target+number)%len(environment.vms)]
-			request := newRequest(vm, fmt.Sprintf("%s%d", crashingIDPrefix, number), permanentKey)
+			request := newRequest(vm, fmt.Sprintf("%s%d", idPrefix, number), permanentKey)
 			request.setStream(routeStream, shortTokens, shortOutputTokens)
+			if idPrefix == crashingPartIDPrefix {
+				request.header["Prefix-Hash"] = fmt.Sprintf("%s:40,%s:40,%s:40", sharedPart, crashingPart, request.outcome.ID)
+			}
 			environment.crashing.add(caller.send(request))
 		})
 		if !wait.For(ctx, crashingInterval) {
@@ -89,27 +102,45 @@
 	environment.log.add(span{from: from, to: time.Now(), kind: KindRequestCrash})
 }
 
+// crashingPrefixOf returns the prefix of the ID of a request that crashes servers, or an empty string for others.
+func crashingPrefixOf(id string) string {
+	switch {
+	case strings.HasPrefix(id, crashingPartIDPrefix):
+		return crashingPartIDPrefix
+	case strings.HasPrefix(id, crashingIDPrefix):
+		return crashingIDPrefix
+	default:
+		return ""
+	}
+}
+
 // checkCrashingRequests reports requests that crash servers when they ran too often, or ran although the caller's status
 // guaranteed that they had not.
 func (observations *observations) checkCrashingRequests(add addFunc) {
-	var runs []platformserver.Run
-	for id, ofRequest := range observations.runs {
-		if strings.HasPrefix(id, crashingIDPrefix) {
-			runs = append(runs, ofRequest...)
-		}
-	}
 	for _, outcome := range observations.crashing {
 		if impliesNotRun(outcome.Status) && len(observations.runs[outcome.ID]) > 0 {
 			add(InvariantRefusedNotRun, "%s got %d and ran", outcome.ID, outcome.Status)
 		}
 	}
-	if len(runs) <= maxCrashes {
+	observations.checkCrashes(crashingIDPrefix, maxCrashes, add)
+	observations.checkCrashes(crashingPartIDPrefix, maxPartCrashes, add)
+}
+
+// checkCrashes reports when the requests with a prefix ran too often after so many servers had crashed.
+func (observations *observations) checkCrashes(idPrefix string, allowed int, add addFunc) {
+	var runs []platformserver.Run
+	for id, ofRequest := range observations.runs {
+		if crashingPrefixOf(id) == idPrefix {
+			runs = append(runs, ofRequest...)
+		}
+	}
+	if len(runs) <= allowed {
 		return
 	}
 	slices.SortFunc(runs, func(a, b platformserver.Run) int { return a.At.Compare(b.At) })
-	deadline := runs[maxCrashes-1].At.Add(boundContact)
+	deadline := runs[allowed-1].At.Add(boundContact)
 	late := slices.DeleteFunc(slices.Clone(runs), func(run platformserver.Run) bool { return !run.At.After(deadline) })
 	if len(late) > maxLateRuns && !observations.boundsSuspended(runs[0].At.Add(-boundContact), late[len(late)-1].At) {
-		add(InvariantCrashQuarantine, "ran %d more times after three servers had crashed, %d in total", len(late), len(runs))
+		add(InvariantCrashQuarantine, "%s* ran %d more times after %d servers had crashed, %d in total", idPrefix, len(late), allowed, len(runs))
 	}
 }
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -215,7 +215,9 @@
 	} else {
 		backend.standIn = platformserver.NewPlain(identity, plainSlots, plainWork, environment.record, seed)
 	}
-	backend.standIn.SetCrash(platformserver.Crash{Body: crashingBody, StopServer: func() { go environment.crash(ctx, backend) }})
+	backend.standIn.SetCrash(platformserver.Crash{
+		Body: crashingBody, Part: crashingPart, StopServer: func() { go environment.crash(ctx, backend) },
+	})
 	listener, err := net.Listen("tcp4", backend.serverAddress) //nolint:noctx // closed by backend.stop
 	if err != nil {
 		return errors.Wrap(err, "listen for server stand-in")
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -109,7 +109,9 @@
 	case KindServerKill, KindServerLeave, KindServerSays, KindBadEntry:
 		environment.changeServer(ctx, event, backend)
 	case KindRequestCrash:
-		environment.sendCrashingRequests(ctx, event)
+		environment.sendCrashingRequests(ctx, event, crashingIDPrefix)
+	case KindPartCrash:
+		environment.sendCrashingRequests(ctx, event, crashingPartIDPrefix)
 	case KindCrowd:
 		environment.crowd(ctx, event)
 	default:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -43,6 +43,7 @@
 	KindConfigure    Kind = "configure"     // new version of the configuration
 	KindRevoke       Kind = "revoke"        // an API key is revoked
 	KindRequestCrash Kind = "request_crash" // callers send a request that crashes each server that runs it
+	KindPartCrash    Kind = "part_crash"    // callers send different prompts with a part that crashes each server that runs them
 	KindServerRest   Kind = "server_rest"   // refuses requests and requests backoff each time
 	KindServerSays   Kind = "server_says"   // drains and advertises it in responses only, as the store is unavailable
 	KindStoreOlder   Kind = "store_older"   // store rollback: restored from an older copy; writers write their records again
@@ -132,7 +133,11 @@
 	// between such seeds.
 	firstCrowdSeed    = 400
 	crowdSeedInterval = 10
-	// extraEvents is the number of events of an extra kind in a run, except of KindRequestCrash, of which there is one.
+	// firstPartCrashSeed is the first seed in whose runs prompts share a part that crashes servers, and partCrashSeedInterval
+	// the distance between such seeds.
+	firstPartCrashSeed    = 500
+	partCrashSeedInterval = 10
+	// extraEvents is the number of events of an extra kind in a run, except of KindRequestCrash and KindPartCrash, of which there is one.
 	extraEvents = 3
 	// followUpFraction is the fraction of store faults that get the longest duration and
 	// a key revocation followUpDelay after their start: a VM that cannot confirm the key
@@ -181,7 +186,7 @@
 	random = rand.New(rand.NewPCG(seed, 1)) //nolint:gosec // not security-sensitive
 	switch kind := extraKind(seed); kind {
 	case "":
-	case KindRequestCrash, KindCrowd:
+	case KindRequestCrash, KindPartCrash, KindCrowd:
 		event := draw(kind, longestFault)
 		event.For = longestFault
 		events = append(events, event)
@@ -212,6 +217,8 @@
 func extraKind(seed uint64) Kind {
 	number := seed % extraSeedInterval
 	switch {
+	case seed >= firstPartCrashSeed && seed%partCrashSeedInterval == 1:
+		return KindPartCrash
 	case number == 1:
 		return KindRequestCrash
 	case seed < firstExtraSeed:
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -21,6 +21,7 @@
 	headerAtServer     = "At-Server"
 	headerHelpers      = "Helper-Nodes"
 	headerTokens       = "Token-Counts"
+	headerParts        = "Prefix-Hash"
 	headerLastEvent    = "Last-Event-Id"
 	headerPriority     = "Request-Priority"
 	headerDeadline     = "Deadline-Ms"
@@ -67,10 +68,12 @@
 	StartedAt time.Time
 }
 
-// Crash makes a server crash when it starts to run a request with a given body.
+// Crash makes a server crash when it starts to run a request with a given body, or whose prompt has a given part.
 type Crash struct {
 	// Body is the body of the request that crashes the server.
 	Body string
+	// Part is the ID of the part, or empty for none.
+	Part string
 	// StopServer stops the server, or is nil to disable the crash. It must not block.
 	StopServer func()
 }
@@ -222,7 +225,8 @@
 	server.mu.Lock()
 	crash := server.crash
 	server.mu.Unlock()
-	if crash.StopServer != nil && body == crash.Body {
+	hasPart := crash.Part != "" && strings.Contains(request.Header.Get(headerParts), crash.Part)
+	if crash.StopServer != nil && (body == crash.Body || hasPart) {
 		crash.StopServer()
 		panic(http.ErrAbortHandler) // closes the connection without a response
 	}
