--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -61,9 +61,13 @@
 	return slices.Clone(log.outcomes)
 }
 
-// sendCrashingRequests sends requests that crash servers to the VMs in turn, and waits for their outcomes. The prefix of their
-// IDs determines what crashes servers.
-func (environment *environment) sendCrashingRequests(ctx context.Context, event Event, idPrefix string) {
+// sendCrashingRequests sends requests that crash servers to the VMs in turn, and waits for their outcomes. The event's kind
+// determines what crashes servers.
+func (environment *environment) sendCrashingRequests(ctx context.Context, event Event) {
+	idPrefix := crashingIDPrefix
+	if event.Kind == KindPartCrash {
+		idPrefix = crashingPartIDPrefix
+	}
 	var senders sync.WaitGroup
 	for number := range int((event.For + crashingExtraTime) / crashingInterval) {
 		senders.Go(func() {
@@ -72,7 +76,7 @@
 			vm := environment.vms[(event.Target+number)%len(environment.vms)]
 			request := newRequest(vm, fmt.Sprintf("%s%d", idPrefix, number), permanentKey)
 			request.setStream(routeStream, shortTokens, shortOutputTokens)
-			if idPrefix == crashingPartIDPrefix {
+			if event.Kind == KindPartCrash {
 				request.header["Prefix-Hash"] = fmt.Sprintf("%s:40,%s:40,%s:40", sharedPart, crashingPart, request.outcome.ID)
 			}
 			environment.crashing.add(caller.send(request))
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -108,10 +108,8 @@
 		environment.rollBackStore(ctx, event)
 	case KindServerKill, KindServerLeave, KindServerSays, KindBadEntry:
 		environment.changeServer(ctx, event, backend)
-	case KindRequestCrash:
-		environment.sendCrashingRequests(ctx, event, crashingIDPrefix)
-	case KindPartCrash:
-		environment.sendCrashingRequests(ctx, event, crashingPartIDPrefix)
+	case KindRequestCrash, KindPartCrash:
+		environment.sendCrashingRequests(ctx, event)
 	case KindCrowd:
 		environment.crowd(ctx, event)
 	default:
