reachability, upstream, gateway: a server is reached with its first byte

Cause: that a connection opened was taken for the server's being reached. It cleared all evidence, and the direct way won each race against a tunnel.

Now a byte has to arrive. New connections that end before one, to two servers and with no byte from any server since, speak against the VM's links; one full server that resets many speaks against itself. Silence is told from prompts that take seconds by probes (an engine's report, a plain server's health), sent only in doubt, at most two at a time, with intervals that double while they are answered. Requests of callers are no longer sent over links that count as cut to see whether they work; probes do that.

All servers silent for 1.2 s lose nothing (TestServersSilentForASecondAreNotTakenForLost), verdicts agree with an oracle (rapid). "Silent, then a connection opened" is Doubtful in the table of verdicts and was Reachable: that is the fault itself; a byte or an answered probe makes it Reachable. The harness answers probes and does not count them as requests.

--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -10,6 +10,9 @@
 	// ColdPerSecond is the number of requests per second from all VMs together that one server
 	// accepts while it is cold, that is for some time after its start. Zero is no limit.
 	ColdPerSecond float64
+	// ProbePath is the path of a GET request that a server responds to at once and that runs nothing, or empty
+	// if there is none.
+	ProbePath string
 	// ShortestInterTokenObjective is the shortest InterTokenObjective of the routes to the service,
 	// or zero if none has one. New sets it.
 	ShortestInterTokenObjective time.Duration
--- a/internal/gateway/cutnetwork_test.go
+++ b/internal/gateway/cutnetwork_test.go
@@ -22,8 +22,17 @@
 	cutSilences cutMode = "connections are silent"
 	// cutRefuses refuses new connections. Existing ones work.
 	cutRefuses cutMode = "new connections are refused"
+	// cutAcceptsAndResets accepts new connections and resets them, and existing ones, at their first bytes.
+	cutAcceptsAndResets cutMode = "connections are accepted and reset"
+	// cutAcceptsInSilence accepts new connections, and delivers nothing on them and on existing ones.
+	cutAcceptsInSilence cutMode = "connections are accepted and silent"
 )
 
+// accepts reports whether something between the VM and the servers accepts connections during the cut.
+func (mode cutMode) accepts() bool {
+	return mode == cutAcceptsAndResets || mode == cutAcceptsInSilence
+}
+
 var (
 	errCutRefused = errors.New("connection refused by the cut")
 	errCutReset   = errors.New("connection reset by the cut")
@@ -88,7 +97,7 @@
 func (cutnetwork *cutNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
 	bounded, cancel := context.WithTimeout(ctx, network.DefaultSettings().DialTimeout)
 	defer cancel()
-	if mode, ended := cutnetwork.cutFrom(address); ended != nil {
+	if mode, ended := cutnetwork.cutFrom(address); ended != nil && !mode.accepts() {
 		if mode != cutSilences {
 			time.Sleep(refusalTime)
 			return nil, errCutRefused
@@ -124,7 +133,7 @@
 	count, err := cutconn.Conn.Read(buffer)
 	mode, ended := cutconn.network.cutFrom(cutconn.address)
 	switch {
-	case ended != nil && mode == cutResets:
+	case ended != nil && (mode == cutResets || mode == cutAcceptsAndResets):
 		return 0, errCutReset
 	case ended == nil && !cutconn.isLost(), ended != nil && mode == cutRefuses:
 		return count, err //nolint:wrapcheck // callers compare with io.EOF
@@ -143,7 +152,11 @@
 // Write implements net.Conn. It succeeds during a silent cut, since the bytes fit into the buffer of the socket.
 func (cutconn *cutConn) Write(data []byte) (int, error) {
 	mode, ended := cutconn.network.cutFrom(cutconn.address)
-	if (ended != nil && mode == cutSilences) || cutconn.isLost() {
+	if ended != nil && mode == cutAcceptsAndResets {
+		_ = cutconn.Conn.Close() // unblocks the reader
+		return len(data), nil
+	}
+	if (ended != nil && (mode == cutSilences || mode == cutAcceptsInSilence)) || cutconn.isLost() {
 		cutconn.mu.Lock()
 		defer cutconn.mu.Unlock()
 		cutconn.lost = true
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -161,6 +161,8 @@
 	address string
 	// script handles requests; nil means the default responses. It is set before the first request.
 	script backend
+	// silent, unless nil, delays all responses, also to probes. It is set before the first request.
+	silent func()
 
 	mu      sync.Mutex
 	starts  int
@@ -174,7 +176,13 @@
 	defer server.mu.Unlock()
 	server.starts++
 	id := server.id()
-	server.running = server.fleet.listen(server.address, server.fleet.scripted(id, server.rejectOtherInstances(id)))
+	handler := server.fleet.scripted(id, server.rejectOtherInstances(id))
+	server.running = server.fleet.listen(server.address, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if server.silent != nil {
+			server.silent()
+		}
+		handler.ServeHTTP(writer, request)
+	}))
 	server.fleet.putServer(id, server.service, server.address, "ready")
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -251,6 +251,7 @@
 	group.Go(func() error { gateway.directory.Run(groupCtx); return nil })
 	group.Go(func() error { gateway.runMaintenance(groupCtx); return nil })
 	group.Go(func() error { gateway.watchEpochs(groupCtx); return nil })
+	group.Go(func() error { gateway.probeServers(groupCtx); return nil })
 	defer gateway.clock.AfterResume(gateway.handleResume)()
 	group.Go(func() error { gateway.clock.Run(groupCtx); return nil })
 	drained := make(chan struct{})
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -114,6 +114,9 @@
 // scripted returns the handler of a server that records its requests before the script handles them.
 func (harness *harness) scripted(id string, script backend) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.Header.Get("Request-Id") == "" && request.Method == http.MethodGet {
+			return // a probe: a report or health check, which runs nothing
+		}
 		body, _ := io.ReadAll(request.Body)
 		harness.mu.Lock()
 		nth := len(harness.received[id])
@@ -168,10 +171,10 @@
 			route("open", "safe", "plain", map[string]any{"allow_anonymous": true}),
 		},
 		"services": []any{
-			map[string]any{"name": "engines", "engine": map[string]any{
+			map[string]any{"name": "engines", "health_path": "/health", "engine": map[string]any{
 				"slots": 16, "kv_tokens": 232_000, "stride": 43, "step_ms": 1.02, "read_per_s": 206_000, "pairs_per_m": 0.138,
 			}},
-			map[string]any{"name": "plain"},
+			map[string]any{"name": "plain", "health_path": "/health"},
 		},
 		"limits": map[string]any{
 			"max_header_bytes": 16_384, "max_body_bytes": 65_536, "header_timeout_ms": 3000, "idle_timeout_ms": 15_000,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -39,6 +39,8 @@
 	eventDelay prometheus.Histogram
 	// containedWaits counts requests that waited for another one under which servers may crash.
 	containedWaits prometheus.Counter
+	// probes counts probes of servers by their result.
+	probes *prometheus.CounterVec
 }
 
 func newMetrics(gateway *Gateway) *metrics {
@@ -69,9 +71,12 @@
 		containedWaits: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "mastwinch_contained_waits_total", Help: "Requests that waited for another one under which servers may crash.",
 		}),
+		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mastwinch_probes_total", Help: "Probes of servers while this VM's own links were in doubt, by how they came out.",
+		}, []string{labelResult}),
 	}
 	metrics.registry.MustRegister(metrics.requests, metrics.attempts, metrics.notices, metrics.priorities, metrics.firstEvent, metrics.duration,
-		metrics.eventDelay, metrics.containedWaits, newOverSharesCollector(gateway),
+		metrics.eventDelay, metrics.containedWaits, metrics.probes, newOverSharesCollector(gateway),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "mastwinch_running_requests", Help: "Requests in progress.",
 		}, func() float64 { return float64(gateway.inFlight.Load()) }),
--- a/internal/gateway/tunnel_test.go
+++ b/internal/gateway/tunnel_test.go
@@ -97,33 +97,47 @@
 	})
 }
 
-// TestServerSilentForASecondIsNotTakenForLost guards against requests that are cut, or led through other VMs, while one of
-// several servers says nothing for a second and then goes on.
-func TestServerSilentForASecondIsNotTakenForLost(t *testing.T) {
-	withFleet(t, 3, 3, func(fleet *fleet) {
-		var silence time.Time
-		for _, server := range fleet.servers[:2] {
-			script := responses(http.StatusOK, "fine")
-			if server.service == "engines" {
-				script = streamEvents(8, 0)
-			}
-			server.script = func(harness *harness, nth int, writer http.ResponseWriter, request *http.Request) {
-				if since := time.Since(silence); since >= 0 && since < time.Second {
-					time.Sleep(time.Second - since)
-				}
-				script(harness, nth, writer, request)
-			}
-		}
-		for name, request := range map[string]callerRequest{
-			"plain": plainRequest(http.MethodPost, "pay"), "safe": plainRequest(http.MethodGet, "look"),
-			"stream": streamRequest("bill"), "resumable stream": streamRequest("chat"),
-		} {
-			silence = time.Now().Add(time.Second)
-			got := fleet.queryRoundRobin(request, 20*time.Millisecond, 4*time.Second)
-			assert.Equal(t, countServed(got), len(got), name)
+// TestServersSilentForASecondAreNotTakenForLost guards against requests that are cut, or led through other VMs, while one of
+// several servers, or all, say nothing for a second and then go on.
+func TestServersSilentForASecondAreNotTakenForLost(t *testing.T) {
+	for name, test := range map[string]struct {
+		servers int
+		silence time.Duration
+	}{
+		"one of each service": {servers: 2, silence: time.Second},
+		"all":                 {servers: 6, silence: 1200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 3, 3, func(fleet *fleet) { fleet.queryDuringSilence(test.servers, test.silence) })
+		})
+	}
+}
+
+// queryDuringSilence sends requests of each kind while the first servers say nothing for some time, on new connections neither,
+// and checks that all are served and run once.
+func (fleet *fleet) queryDuringSilence(servers int, duration time.Duration) {
+	var silence time.Time
+	for _, server := range fleet.servers[:servers] {
+		script := responses(http.StatusOK, "fine")
+		if server.service == "engines" {
+			script = streamEvents(8, 0)
 		}
-		for id, count := range fleet.runsPerRequest() {
-			assert.Check(t, count == 1, "%s ran %d times", id, count)
+		server.silent = func() {
+			if since := time.Since(silence); since >= 0 && since < duration {
+				time.Sleep(duration - since)
+			}
 		}
-	})
+		server.script = script
+	}
+	for name, request := range map[string]callerRequest{
+		"plain": plainRequest(http.MethodPost, "pay"), "safe": plainRequest(http.MethodGet, "look"),
+		"stream": streamRequest("bill"), "resumable stream": streamRequest("chat"),
+	} {
+		silence = time.Now().Add(time.Second)
+		got := fleet.queryRoundRobin(request, 20*time.Millisecond, 4*time.Second)
+		assert.Equal(fleet.t, countServed(got), len(got), name)
+	}
+	for id, count := range fleet.runsPerRequest() {
+		assert.Check(fleet.t, count == 1, "%s ran %d times", id, count)
+	}
 }
--- a/internal/gateway/unreachable_test.go
+++ b/internal/gateway/unreachable_test.go
@@ -71,7 +71,7 @@
 
 // TestCallersOfVMsWithoutLinksToServersAreServed guards against VMs that serve nobody while they reach no server and others do.
 func TestCallersOfVMsWithoutLinksToServersAreServed(t *testing.T) {
-	for _, mode := range []cutMode{cutResets, cutSilences, cutRefuses} {
+	for _, mode := range []cutMode{cutResets, cutSilences, cutRefuses, cutAcceptsAndResets, cutAcceptsInSilence} {
 		t.Run(string(mode), func(t *testing.T) {
 			withFleet(t, 4, 3, func(fleet *fleet) {
 				atCut, atOthers := fleet.queryDuringCut(mode, 2)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -147,6 +147,26 @@
 	return found, unavailable
 }
 
+// Location is where a server of a service listens.
+type Location struct {
+	Service string
+	Address string
+}
+
+// Locations returns where the servers listen that get requests, in no particular order.
+func (pool *Pool) Locations() []Location {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	now := pool.now()
+	locations := make([]Location, 0, len(pool.servers))
+	for _, server := range pool.servers {
+		if pool.acceptsRequests(server, now) {
+			locations = append(locations, Location{Service: server.entry.Service, Address: server.entry.Address})
+		}
+	}
+	return locations
+}
+
 // HasAddress reports whether a known server has the address.
 func (pool *Pool) HasAddress(address string) bool {
 	pool.mu.Lock()
--- a/internal/reachability/links.go
+++ b/internal/reachability/links.go
@@ -1,5 +1,8 @@
 // Package reachability decides whether a VM reaches the backend servers over its own links. The load that it answers is a
 // cut between a VM and all servers, during which callers still send requests to the VM.
+//
+// A server is reached when a byte of it arrives. That a connection opens says less: something between may accept it in the
+// server's place, and then reset it or stay silent.
 package reachability
 
 import "time"
@@ -26,14 +29,21 @@
 	quietSince time.Time
 	// silent is set when requests were outstanding for Settings.SilenceTime without any byte, until a byte arrives.
 	silent bool
-	// failedAt has the time of the last failed connection attempt of each server since the last successful one to any server.
-	failedAt map[string]time.Time
-	probedAt time.Time
+	// unopened has the time of the last failed connection attempt of each server since the last successful one to any server.
+	unopened map[string]time.Time
+	// unanswered has the time at which a new connection to each server last ended, or a probe of it timed out, before any byte
+	// arrived on it, since the last arrival of bytes from any server: a server that is full resets new connections too, while
+	// others go on.
+	unanswered map[string]time.Time
+	probes     probes
 }
 
 // New returns links that nothing speaks against.
 func New(settings Settings) *Links {
-	return &Links{settings: settings, failedAt: make(map[string]time.Time)}
+	return &Links{
+		settings: settings, unopened: make(map[string]time.Time), unanswered: make(map[string]time.Time),
+		probes: probes{silentInterval: settings.ProbeInterval},
+	}
 }
 
 // Began records that a request was sent to a server.
@@ -55,17 +65,23 @@
 func (links *Links) Heard(now time.Time) {
 	links.quietSince = now
 	links.silent = false
+	links.probes.silentInterval = links.settings.ProbeInterval
+	clear(links.unanswered)
 }
 
 // Opened records that a connection to a server was opened.
-func (links *Links) Opened(now time.Time) {
-	links.Heard(now)
-	clear(links.failedAt)
+func (links *Links) Opened(time.Time) {
+	clear(links.unopened)
 }
 
 // Failed records that no connection to a server could be opened.
 func (links *Links) Failed(server string, now time.Time) {
-	links.failedAt[server] = now
+	links.unopened[server] = now
+}
+
+// Unanswered records that a new connection to a server ended before any byte arrived on it.
+func (links *Links) Unanswered(server string, now time.Time) {
+	links.unanswered[server] = now
 }
 
 // Silent reports whether requests are, or were, outstanding for Settings.SilenceTime without any byte from any server, and
@@ -78,23 +94,33 @@
 // Verdict returns what is known of the links now.
 func (links *Links) Verdict(now time.Time) Verdict {
 	links.update(now)
+	unreached := links.unreached()
 	switch {
-	case len(links.failedAt) >= links.settings.MinUnreached:
+	case unreached >= links.settings.MinUnreached:
 		return Unreachable
-	case len(links.failedAt) > 0 || links.silent:
+	case unreached > 0 || links.silent:
 		return Doubtful
 	default:
 		return Reachable
 	}
 }
 
-// TakeProbe reports whether an attempt over links that count as cut is due, and records it.
-func (links *Links) TakeProbe(now time.Time) bool {
-	if now.Sub(links.probedAt) < links.settings.ProbeInterval {
-		return false
+// unreached returns the number of servers that are out of reach.
+func (links *Links) unreached() int {
+	count := len(links.unopened)
+	for server := range links.unanswered {
+		if _, found := links.unopened[server]; !found {
+			count++
+		}
 	}
-	links.probedAt = now
-	return true
+	return count
+}
+
+// IsUnreached reports whether a server is out of reach.
+func (links *Links) IsUnreached(server string) bool {
+	_, unopened := links.unopened[server]
+	_, unanswered := links.unanswered[server]
+	return unopened || unanswered
 }
 
 // update applies the passing of time.
@@ -102,9 +128,15 @@
 	if links.outstanding > 0 && now.Sub(links.quietSince) >= links.settings.SilenceTime {
 		links.silent = true
 	}
-	for server, failedAt := range links.failedAt {
-		if now.Sub(failedAt) >= links.settings.FailureMemory {
-			delete(links.failedAt, server)
+	links.forget(links.unopened, now)
+	links.forget(links.unanswered, now)
+}
+
+// forget drops the servers that were out of reach too long ago.
+func (links *Links) forget(servers map[string]time.Time, now time.Time) {
+	for server, at := range servers {
+		if now.Sub(at) >= links.settings.FailureMemory {
+			delete(servers, server)
 		}
 	}
 }
--- a/internal/reachability/links_test.go
+++ b/internal/reachability/links_test.go
@@ -1,10 +1,12 @@
 package reachability_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/mastwinch/mastwinch/internal/reachability"
 )
@@ -19,10 +21,15 @@
 	return func(links *reachability.Links, now time.Time) { links.Failed(server, now) }
 }
 
+func unanswered(server string) func(*reachability.Links, time.Time) {
+	return func(links *reachability.Links, now time.Time) { links.Unanswered(server, now) }
+}
+
 func TestVerdict(t *testing.T) {
 	settings := reachability.DefaultSettings()
 	began, ended := (*reachability.Links).Began, (*reachability.Links).Ended
 	heard, opened := (*reachability.Links).Heard, (*reachability.Links).Opened
+	answered := func(links *reachability.Links, now time.Time) { links.ProbeEnded(true, now) }
 	const second = time.Second
 	for name, test := range map[string]struct {
 		events []event
@@ -58,8 +65,35 @@
 		"silent until the request ended": {
 			events: []event{{0, began}, {second, ended}}, at: 5 * second, want: reachability.Doubtful, silent: true,
 		},
-		"silent, then a connection opened": {
-			events: []event{{0, began}, {second, opened}}, at: second, want: reachability.Reachable,
+		"silent, then a connection opened, which something may have accepted for the server": {
+			events: []event{{0, began}, {second, opened}}, at: second, want: reachability.Doubtful, silent: true,
+		},
+		"silent, then a byte arrived": {
+			events: []event{{0, began}, {second, opened}, {second, heard}}, at: second, want: reachability.Reachable,
+		},
+		"silent, then a probe was answered": {
+			events: []event{{0, began}, {second, answered}}, at: second, want: reachability.Reachable,
+		},
+		"one server reset several new connections": {
+			events: []event{{0, unanswered("a")}, {second, unanswered("a")}}, at: second, want: reachability.Doubtful,
+		},
+		"two servers reset new connections": {
+			events: []event{{0, unanswered("a")}, {second, unanswered("b")}}, at: second, want: reachability.Unreachable,
+		},
+		"two servers reset new connections, others accept them": {
+			events: []event{{0, unanswered("a")}, {0, unanswered("b")}, {second, opened}}, at: second, want: reachability.Unreachable,
+		},
+		"two full servers reset new connections, bytes arrive on open ones": {
+			events: []event{{0, unanswered("a")}, {second / 2, heard}, {second, unanswered("b")}}, at: second, want: reachability.Doubtful,
+		},
+		"one server resets, one refuses": {
+			events: []event{{0, unanswered("a")}, {0, failed("b")}}, at: second, want: reachability.Unreachable,
+		},
+		"one server resets and refuses": {
+			events: []event{{0, unanswered("a")}, {0, failed("a")}}, at: second, want: reachability.Doubtful,
+		},
+		"two servers failed, then a probe was answered": {
+			events: []event{{0, failed("a")}, {0, unanswered("b")}, {second, answered}}, at: second, want: reachability.Reachable,
 		},
 		"no request outstanding": {
 			events: []event{{0, began}, {0, heard}, {0, ended}}, at: 5 * second, want: reachability.Reachable,
@@ -77,11 +111,92 @@
 	}
 }
 
+// TestProbesAreSpaced guards against probes that cost without need: none while nothing is in doubt, and none at shorter
+// intervals than the settings state.
 func TestProbesAreSpaced(t *testing.T) {
 	settings := reachability.DefaultSettings()
 	links := reachability.New(settings)
 	start := time.Unix(0, 0)
+	assert.Assert(t, !links.TakeProbe(start), "nothing is in doubt")
+	links.Failed("a", start)
 	assert.Assert(t, links.TakeProbe(start))
-	assert.Assert(t, !links.TakeProbe(start.Add(settings.ProbeInterval-1)))
-	assert.Assert(t, links.TakeProbe(start.Add(settings.ProbeInterval)))
+	assert.Assert(t, !links.TakeProbe(start.Add(settings.ProbeStagger-1)))
+	assert.Assert(t, links.TakeProbe(start.Add(settings.ProbeStagger)), "beside one that is not answered")
+	assert.Assert(t, !links.TakeProbe(start.Add(settings.ProbeTimeout)), "two are enough")
+	links.ProbeEnded(false, start.Add(settings.ProbeTimeout))
+	links.ProbeEnded(false, start.Add(settings.ProbeTimeout))
+	assert.Assert(t, links.TakeProbe(start.Add(settings.ProbeTimeout)))
+	links.ProbeEnded(false, start.Add(settings.ProbeTimeout))
+	assert.Assert(t, !links.TakeProbe(start.Add(settings.ProbeTimeout+settings.ProbeInterval-1)))
+	assert.Assert(t, links.TakeProbe(start.Add(settings.ProbeTimeout+settings.ProbeInterval)))
+	links.ProbeEnded(true, start.Add(settings.ProbeTimeout+settings.ProbeInterval))
+	assert.Assert(t, !links.TakeProbe(start.Add(time.Minute)), "nothing is in doubt")
+}
+
+// TestSlowServersAreProbedLessAndLess guards against a probe each half second while the only request of a VM is a long prompt.
+func TestSlowServersAreProbedLessAndLess(t *testing.T) {
+	settings := reachability.DefaultSettings()
+	links := reachability.New(settings)
+	now := time.Unix(0, 0)
+	links.Began(now)
+	probes := 0
+	for range 200 { // ten seconds
+		now = now.Add(50 * time.Millisecond)
+		if links.TakeProbe(now) {
+			probes++
+			links.ProbeEnded(true, now)
+		}
+	}
+	assert.Assert(t, probes >= 3 && probes <= 5, "%d probes", probes)
+	links.Heard(now)
+	assert.Assert(t, !links.TakeProbe(now.Add(settings.SilenceTime-1)))
+	assert.Assert(t, links.TakeProbe(now.Add(settings.ProbeInterval)), "a new silence")
+}
+
+// TestVerdictIsThatOfOracle compares the verdict after random events with one that goes through all of them anew.
+func TestVerdictIsThatOfOracle(t *testing.T) {
+	settings := reachability.DefaultSettings()
+	rapid.Check(t, func(t *rapid.T) {
+		links := reachability.New(settings)
+		now := time.Unix(0, 0)
+		var history []observation
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond)
+			kind := rapid.SampledFrom([]string{"failed", "unanswered", "opened", "heard", "answered"}).Draw(t, "kind")
+			server := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "server")
+			history = append(history, observation{kind: kind, server: server, at: now})
+			switch kind {
+			case "failed":
+				links.Failed(server, now)
+			case "unanswered":
+				links.Unanswered(server, now)
+			case "opened":
+				links.Opened(now)
+			case "heard":
+				links.Heard(now)
+			case "answered":
+				links.ProbeEnded(true, now)
+			}
+			assert.Equal(t, links.Verdict(now), oracleVerdict(settings, history, now))
+		}
+	})
+}
+
+// observation is what a VM saw of a server.
+type observation struct {
+	kind, server string
+	at           time.Time
+}
+
+// oracleVerdict counts the servers for which, within the time that failures count, a failure has no later event that refutes it.
+func oracleVerdict(settings reachability.Settings, history []observation, now time.Time) reachability.Verdict {
+	refutes := map[string][]string{"failed": {"opened", "answered"}, "unanswered": {"heard", "answered"}}
+	unreached := make(map[string]bool)
+	for index, seen := range history {
+		refuted := slices.ContainsFunc(history[index+1:], func(later observation) bool { return slices.Contains(refutes[seen.kind], later.kind) })
+		if refutes[seen.kind] != nil && !refuted && now.Sub(seen.at) < settings.FailureMemory {
+			unreached[seen.server] = true
+		}
+	}
+	return []reachability.Verdict{reachability.Reachable, reachability.Doubtful, reachability.Unreachable}[min(2, len(unreached))]
 }
--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -38,6 +38,23 @@
 	monitor.record(func(links *Links, now time.Time) { links.Failed(server, now) })
 }
 
+// Unanswered records that a new connection to a server ended before any byte arrived on it.
+func (monitor *Monitor) Unanswered(server string) {
+	monitor.record(func(links *Links, now time.Time) { links.Unanswered(server, now) })
+}
+
+// ProbeEnded records the end of a probe, and whether a byte of the server arrived.
+func (monitor *Monitor) ProbeEnded(answered bool) {
+	monitor.record(func(links *Links, now time.Time) { links.ProbeEnded(answered, now) })
+}
+
+// IsUnreached reports whether a server is out of reach.
+func (monitor *Monitor) IsUnreached(server string) bool {
+	monitor.mu.Lock()
+	defer monitor.mu.Unlock()
+	return monitor.links.IsUnreached(server)
+}
+
 // Silent reports whether all servers are silent; see Links.Silent.
 func (monitor *Monitor) Silent() bool {
 	monitor.mu.Lock()
@@ -52,7 +69,7 @@
 	return monitor.verdict(monitor.now())
 }
 
-// TakeProbe reports whether an attempt over links that count as cut is due, and records it.
+// TakeProbe reports whether a probe is due, and records its start. ProbeEnded must follow.
 func (monitor *Monitor) TakeProbe() bool {
 	monitor.mu.Lock()
 	defer monitor.mu.Unlock()
@@ -72,7 +89,7 @@
 	verdict := monitor.links.Verdict(now)
 	if (verdict == Unreachable) != (monitor.last == Unreachable) {
 		monitor.logger.Warn("links to backend servers changed", "verdict", verdict, "before", monitor.last,
-			"unreached", len(monitor.links.failedAt), "silent", monitor.links.silent, "outstanding", monitor.links.outstanding)
+			"unreached", monitor.links.unreached(), "silent", monitor.links.silent, "outstanding", monitor.links.outstanding)
 	}
 	monitor.last = verdict
 	return verdict
--- a/internal/reachability/settings.go
+++ b/internal/reachability/settings.go
@@ -12,16 +12,25 @@
 	MinUnreached int `yaml:"servers" validate:"min=1"`
 	// FailureMemory is how long a failed connection attempt counts.
 	FailureMemory time.Duration `yaml:"memory" validate:"min=100ms"`
-	// ProbeInterval is the time between attempts over links that count as cut.
-	ProbeInterval time.Duration `yaml:"probe" validate:"min=10ms"`
+	// ProbeInterval is the time between probes of links in doubt. While servers answer probes and no request, it doubles up to
+	// ProbeIntervalMax.
+	ProbeInterval    time.Duration `yaml:"probe" validate:"min=10ms"`
+	ProbeIntervalMax time.Duration `yaml:"probe_max" validate:"gtefield=ProbeInterval"`
+	// ProbeStagger is how long one server may take to answer a probe before another one is probed beside it.
+	ProbeStagger time.Duration `yaml:"probe_stagger" validate:"min=10ms"`
+	// ProbeTimeout is how long a server may take to answer a probe. A sound server may be silent for a second.
+	ProbeTimeout time.Duration `yaml:"probe_timeout" validate:"min=10ms,ltfield=FailureMemory"`
 }
 
 // DefaultSettings returns the settings for data centres within one city.
 func DefaultSettings() Settings {
 	return Settings{
-		SilenceTime:   400 * time.Millisecond,
-		MinUnreached:  2,
-		FailureMemory: 3 * time.Second,
-		ProbeInterval: 500 * time.Millisecond,
+		SilenceTime:      400 * time.Millisecond,
+		MinUnreached:     2,
+		FailureMemory:    3 * time.Second,
+		ProbeInterval:    500 * time.Millisecond,
+		ProbeIntervalMax: 4 * time.Second,
+		ProbeStagger:     200 * time.Millisecond,
+		ProbeTimeout:     1200 * time.Millisecond,
 	}
 }
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -85,7 +85,7 @@
 	}
 	own := way{open: direct, headStart: dialer.settings.HeadStart}
 	ways := dialer.tunnels(address)
-	if verdict == reachability.Doubtful || dialer.links.TakeProbe() {
+	if verdict == reachability.Doubtful {
 		ways = slices.Insert(ways, 0, own)
 	} else {
 		ways = append(ways, own)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -159,6 +159,7 @@
 		if ctx.Err() != nil {
 			return nil, errors.Wrap(context.Cause(ctx), err.Error())
 		}
+		client.recordUnanswered(connection)
 		return nil, connection.explain(err)
 	}
 	client.listener.HandleResponse(request.Server, sentAt, response.Status, response.Header)
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -86,6 +86,8 @@
 	abandoned atomic.Bool
 	// outstanding says that a request was sent on a direct connection whose response has not ended.
 	outstanding bool
+	// heard says that a byte arrived on it.
+	heard bool
 	// skipped says that a response was skipped, so that the connection must not be reused.
 	skipped bool
 }
@@ -96,6 +98,7 @@
 func (connection *connection) Read(buffer []byte) (int, error) {
 	count, err := connection.conn.Read(buffer)
 	if count > 0 && connection.via == "" {
+		connection.heard = true
 		connection.links.Heard()
 	}
 	return count, err //nolint:wrapcheck // callers of io.Reader compare with io.EOF
