tunnel, upstream, reachability: lost attempts by kind; one question to the monitor

No change of behaviour. recordLost judged direct and tunnelled attempts in one loop; each has a function now. Taking an idle connection asked the monitor twice.

--- a/internal/pool/bench_test.go
+++ b/internal/pool/bench_test.go
@@ -92,3 +92,20 @@
 		servers.OwnLimitReports(false)
 	}
 }
+
+// BenchmarkHasAddress measures the check of an address that another VM names, among the servers of a large fleet.
+func BenchmarkHasAddress(b *testing.B) {
+	const count = 600
+	servers := pool.New(pool.DefaultSettings(), "vm-1", discardPublisher{}, slog.New(slog.DiscardHandler), time.Now)
+	var entries []follower.Change[directory.Entry]
+	for i := range count {
+		id := fmt.Sprintf("engine-%d", i)
+		entries = append(entries, follower.Change[directory.Entry]{Key: id, Value: &directory.Entry{
+			ID: id, Service: "engines", Address: fmt.Sprintf("10.0.%d.%d:8621", i/250, i%250), Slots: 10,
+		}})
+	}
+	servers.Replace(entries)
+	for b.Loop() {
+		servers.HasAddress("10.9.9.9:8621")
+	}
+}
--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -55,11 +55,11 @@
 	return monitor.links.IsUnreached(server)
 }
 
-// Silent reports whether all servers are silent; see Links.Silent.
-func (monitor *Monitor) Silent() bool {
+// State returns the verdict, and whether all servers are silent.
+func (monitor *Monitor) State() (verdict Verdict, silent bool) {
 	monitor.mu.Lock()
 	defer monitor.mu.Unlock()
-	return monitor.links.Silent(monitor.now())
+	return monitor.verdict(monitor.now()), monitor.links.silent
 }
 
 // Verdict returns what is known of the links now.
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -146,29 +146,39 @@
 // recordLost records the attempts that did not open a connection, or not as fast as another one.
 func (dialer *Dialer) recordLost(ctx context.Context, address string, lost []attempt) {
 	for _, attempt := range lost {
-		slower := errors.Is(attempt.err, errSlower)
 		if attempt.way.via == "" {
-			if slower {
-				dialer.links.Failed(address)
-			}
-			continue
-		}
-		if slower {
-			dialer.count(ResultSlower)
-			continue
-		}
-		dialer.count(ResultFailed)
-		if ctx.Err() != nil {
-			continue
-		}
-		dialer.logger.Debug("tunnel failed", "peer", attempt.way.via, "address", address, "error", attempt.err)
-		var refused *RefusedError
-		if !errors.As(attempt.err, &refused) || refused.Status != http.StatusBadGateway {
-			dialer.avoid(attempt.way.via, attempt.err)
+			dialer.recordLostDirect(address, attempt)
+		} else {
+			dialer.recordLostTunnel(ctx, address, attempt)
 		}
 	}
 }
 
+// recordLostDirect records that the VM's own link was slower than a tunnel. Failures are recorded by the attempt itself.
+func (dialer *Dialer) recordLostDirect(address string, attempt attempt) {
+	if errors.Is(attempt.err, errSlower) {
+		dialer.links.Failed(address)
+	}
+}
+
+// recordLostTunnel records that a tunnel failed or was slower than another way. The other VM is avoided unless it could not
+// reach the server, or the attempt ended with ctx.
+func (dialer *Dialer) recordLostTunnel(ctx context.Context, address string, attempt attempt) {
+	if errors.Is(attempt.err, errSlower) {
+		dialer.count(ResultSlower)
+		return
+	}
+	dialer.count(ResultFailed)
+	if ctx.Err() != nil {
+		return
+	}
+	dialer.logger.Debug("tunnel failed", "peer", attempt.way.via, "address", address, "error", attempt.err)
+	var refused *RefusedError
+	if !errors.As(attempt.err, &refused) || refused.Status != http.StatusBadGateway {
+		dialer.avoid(attempt.way.via, attempt.err)
+	}
+}
+
 // avoid avoids a VM for Settings.AvoidTime.
 func (dialer *Dialer) avoid(peer string, reason error) {
 	dialer.mu.Lock()
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -222,7 +222,7 @@
 // abandonIfCut closes the direct connections whose requests may be repeated if the VM's own links count as cut and no server
 // has sent a byte on any of them, so that these requests can go on through other VMs.
 func (client *Client) abandonIfCut() {
-	if client.links.Verdict() != reachability.Unreachable || !client.links.Silent() {
+	if verdict, silent := client.links.State(); verdict != reachability.Unreachable || !silent {
 		return
 	}
 	client.mu.Lock()
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -28,8 +28,8 @@
 
 // pop takes the most recently used idle connection that may be reused, or returns nil.
 func (client *Client) pop(address string) *connection {
-	silent := client.links.Silent()
-	reachable := client.links.Verdict() == reachability.Reachable
+	verdict, silent := client.links.State()
+	reachable := verdict == reachability.Reachable
 	now := client.now()
 	client.mu.Lock()
 	defer client.mu.Unlock()
