--- a/internal/quarantine/observation.go
+++ b/internal/quarantine/observation.go
@@ -74,11 +74,17 @@
 	if known.wasOn(lost) {
 		return
 	}
-	lost.requests = append(lost.requests, known)
+	tracker.addTo(lost, known)
 	known.crashes = insertCrash(known.crashes, lost)
 	tracker.signalChange()
 }
 
+// addTo adds a request or part to those of a crash.
+func (tracker *Tracker) addTo(lost *crash, suspect *suspect) {
+	lost.requests = append(lost.requests, suspect)
+	tracker.losses++
+}
+
 // addPartLoss adds the loss of a server under a request to a part of the request's prompt.
 func (tracker *Tracker) addPartLoss(request, part *suspect, lost *crash) {
 	if !request.has(part) {
@@ -87,7 +93,7 @@
 	if part.wasOn(lost) {
 		return
 	}
-	lost.requests = append(lost.requests, part)
+	tracker.addTo(lost, part)
 	if lost.at.After(part.begunAt) {
 		part.crashes = insertCrash(part.crashes, lost)
 	}
@@ -137,12 +143,17 @@
 }
 
 // dropOld drops crashes older than Settings.HistoryTime, and the oldest ones beyond
-// Settings.MaxCrashes.
+// Settings.MaxCrashes and Settings.MaxLosses.
 func (tracker *Tracker) dropOld() {
 	oldest := tracker.now().Add(-tracker.settings.HistoryTime)
 	drop := 0
-	for drop < len(tracker.crashes) && (tracker.crashes[drop].at.Before(oldest) || len(tracker.crashes)-drop > tracker.settings.MaxCrashes) {
+	for drop < len(tracker.crashes) {
 		dropped := tracker.crashes[drop]
+		tooMany := len(tracker.crashes)-drop > tracker.settings.MaxCrashes || tracker.losses > tracker.settings.MaxLosses
+		if !tooMany && !dropped.at.Before(oldest) {
+			break
+		}
+		tracker.losses -= len(dropped.requests)
 		for _, suspect := range dropped.requests {
 			suspect.crashes = slices.DeleteFunc(suspect.crashes, func(crash *crash) bool { return crash == dropped })
 		}
--- a/internal/quarantine/settings.go
+++ b/internal/quarantine/settings.go
@@ -41,11 +41,12 @@
 	// not the cause: a request that makes up much of the traffic is on each lost server, and
 	// succeeds on all others.
 	SuccessHalfLife time.Duration `yaml:"good_half" validate:"min=100ms"`
-	// MaxSuspects, MaxCrashes, MaxSuccesses, MaxBegun and MaxEntries are the largest numbers of requests
-	// and parts on lost servers, lost servers, succeeded requests, parts with which a response began, and
-	// entries that are remembered.
+	// MaxSuspects, MaxCrashes, MaxLosses, MaxSuccesses, MaxBegun and MaxEntries are the largest numbers of
+	// requests and parts on lost servers, lost servers, requests and parts of all lost servers together,
+	// succeeded requests, parts with which a response began, and entries that are remembered.
 	MaxSuspects  int `yaml:"suspects" validate:"min=16"`
 	MaxCrashes   int `yaml:"crashes" validate:"min=16"`
+	MaxLosses    int `yaml:"losses" validate:"min=16"`
 	MaxSuccesses int `yaml:"answered" validate:"min=16"`
 	MaxBegun     int `yaml:"begun" validate:"min=16"`
 	MaxEntries   int `yaml:"entries" validate:"min=1"`
@@ -82,6 +83,7 @@
 		RewriteSpread:    10 * time.Second,
 		MaxSuspects:      4096,
 		MaxCrashes:       1024,
+		MaxLosses:        16384,
 		MaxSuccesses:     4096,
 		MaxBegun:         8192,
 		MaxEntries:       256,
--- a/internal/quarantine/simulation_internal_test.go
+++ b/internal/quarantine/simulation_internal_test.go
@@ -332,3 +332,28 @@
 		})
 	}
 }
+
+// TestLossesAreBounded guards against memory that grows with the parts of the prompts on lost servers, and against
+// forgetting the latest losses for it.
+func TestLossesAreBounded(t *testing.T) {
+	now := time.Unix(0, 0)
+	tracker := New(DefaultSettings(), Standalone{}, Standalone{}, slog.New(slog.DiscardHandler), func() time.Time { return now })
+	const requestsOnServer, partsOfPrompt = 16, 5
+	for number := range 20_000 {
+		request := fingerprint.Fingerprint(number * (partsOfPrompt + 1))
+		var parts []fingerprint.Fingerprint
+		for part := range partsOfPrompt {
+			parts = append(parts, request+fingerprint.Fingerprint(part)+1)
+		}
+		tracker.RecordLoss(Loss{Fingerprint: request, Server: fmt.Sprintf("s%d", number/requestsOnServer), Parts: parts})
+		now = now.Add(time.Millisecond)
+	}
+	kept := 0
+	for _, crash := range tracker.crashes {
+		kept += len(crash.requests)
+	}
+	assert.Equal(t, kept, tracker.losses)
+	const ofOneServer = requestsOnServer * (partsOfPrompt + 1)
+	assert.Assert(t, kept <= tracker.settings.MaxLosses+ofOneServer && kept > tracker.settings.MaxLosses-2*ofOneServer, "%d kept", kept)
+	assert.Equal(t, tracker.crashes[len(tracker.crashes)-1].server, "s1249")
+}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -36,6 +36,8 @@
 	begun *simplelru.LRU[fingerprint.Fingerprint, time.Time]
 	// crashes has the lost servers in the order of time.
 	crashes []*crash
+	// losses is the number of requests and parts of all crashes together.
+	losses int
 	// own has the losses that this VM observed recently.
 	own []Loss
 	// entries has the requests that are in quarantine or lately were, the last added last.
