soak, network: VMs that are cut off from servers by what accepts connections

The proxies tell VMs apart by their addresses, so the gateway can open connections from a given one (network.source, for VMs with several).

What the runs found: the stand-in engine took the probe GET /report for a request and ran it; it has no report. It has one now, as the platform describes.

--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -36,6 +36,9 @@
 	// UserTimeout is how long sent data, or a keep-alive probe, may remain unacknowledged before the connection is closed. It is
 	// longer than a sound server is silent now and then.
 	UserTimeout time.Duration `yaml:"user_timeout" validate:"min=100ms,max=30s"`
+	// SourceAddress is the IPv4 address that connections are opened from, for VMs with several. Empty leaves the choice to the
+	// system.
+	SourceAddress string `yaml:"source" validate:"omitempty,ipv4"`
 }
 
 // DefaultSettings returns settings for VMs in several data centres of one city.
@@ -63,13 +66,17 @@
 
 // New returns the network of the operating system.
 func New(settings Settings) System {
-	return System{dialer: net.Dialer{
+	dialer := net.Dialer{
 		Timeout: settings.DialTimeout,
 		Control: control(settings.UserTimeout),
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveTime, Interval: keepAliveTime, Count: keepAliveProbes,
 		},
-	}}
+	}
+	if settings.SourceAddress != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(settings.SourceAddress)}
+	}
+	return System{dialer: dialer}
 }
 
 // Listen implements Network with TCP over IPv4.
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -32,6 +32,7 @@
 	InvariantMonotonicConfiguration Invariant = "a VM does not go back to an older configuration"
 	InvariantMemoryReleased         Invariant = "memory of engines is given back"
 	InvariantCrashQuarantine        Invariant = "what crashes servers is kept from them"
+	InvariantCutServed              Invariant = "callers of VMs that are cut off from servers are served through others"
 	InvariantRetryAfterShare        Invariant = "who is refused for a share is told when to return"
 	InvariantRecovery               Invariant = "the system serves again when faults are over"
 )
@@ -103,6 +104,7 @@
 	observations.checkRateLimits(pairs, add)
 	observations.checkMonotonicConfiguration(add)
 	observations.checkCrashingRequests(add)
+	observations.checkCutVMs(add)
 	observations.checkRecovered(add)
 	return violations
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -228,6 +228,16 @@
 		"prompts with a part that crashes servers run four times too late": {route: routeStream, change: func(test fixture) {
 			test.observations.addCrashes(crashingPartIDPrefix, maxPartCrashes, maxLateRuns+1)
 		}, want: []Invariant{InvariantCrashQuarantine}},
+		"callers of a VM that is cut off are served like others": {route: routeStream, change: func(test fixture) {
+			test.observations.addCut(0)
+		}},
+		"some callers of a VM that is cut off are not served": {route: routeStream, change: func(test fixture) {
+			test.observations.addCut(1)
+		}, want: []Invariant{InvariantCutServed}},
+		"callers of a VM that is cut off are not served, during another fault": {route: routeStream, change: func(test fixture) {
+			test.observations.addCut(minCutRequests)
+			test.observations.log.add(span{from: at(0), to: at(time.Minute), kind: KindServerErrors})
+		}},
 		"too few successes after the faults": {route: routeStream, change: func(test fixture) {
 			test.observations.faultFreeFrom = at(0)
 			for range minRecoveredRequests {
@@ -280,6 +290,24 @@
 	}
 }
 
+// addCut adds a VM that is cut off from all servers, requests at it and at another VM, and how many of its own are refused.
+func (observations *observations) addCut(refused int) {
+	observations.log.add(span{from: at(0), to: at(10 * time.Second), kind: KindVMCutReset, vm: "vm-0"})
+	for number := range 2 * minCutRequests {
+		id := fmt.Sprintf("cut-%d", number)
+		outcome, run := served(id, routeStream)
+		outcome.Sent, outcome.Ended = at(boundContact+time.Second), at(boundContact+2*time.Second)
+		run.At = outcome.Sent
+		outcome.VM = []string{"vm-0", "vm-1"}[number%2]
+		if outcome.VM == "vm-0" && number/2 < refused {
+			outcome.Status, outcome.Body, outcome.RetryAfter = http.StatusServiceUnavailable, "", time.Second
+		} else {
+			observations.runs[id] = []platformserver.Run{run}
+		}
+		observations.outcomes = append(observations.outcomes, outcome)
+	}
+}
+
 // refuseAfterFaults adds requests on a route that were refused for want of servers after all faults had ended.
 func (observations *observations) refuseAfterFaults(route string) {
 	observations.faultFreeFrom = at(0)
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -279,11 +279,26 @@
 		return errors.Wrap(err, "create VM log file")
 	}
 	environment.closers = append(environment.closers, func() { _ = output.Close() })
-	added.process = startProcess(environment.settings.Program, nil, []string{"MASTWINCH_NODE_FILE=" + added.file}, output)
+	args, err := environment.tuningArgs(added.name, ip)
+	if err != nil {
+		return err
+	}
+	added.process = startProcess(environment.settings.Program, args, []string{"MASTWINCH_NODE_FILE=" + added.file}, output)
 	environment.vms = append(environment.vms, added)
 	return nil
 }
 
+// tuningArgs returns the arguments with which a VM opens connections from its own address, so that proxies tell VMs apart. There
+// are none in runs that don't need it.
+func (environment *environment) tuningArgs(name, ip string) ([]string, error) {
+	if extraKind(environment.settings.Seed) != KindVMCutReset {
+		return nil, nil
+	}
+	file := filepath.Join(environment.settings.Dir, name+".yaml")
+	err := os.WriteFile(file, []byte("network:\n  source: "+ip+"\n"), 0o600)
+	return []string{"--config", file}, errors.Wrap(err, "write VM tuning file")
+}
+
 // writeSite writes the settings file of a VM. moreSlack is added to the slack of the
 // retry budget.
 func (environment *environment) writeSite(vm *vm, ip string, moreSlack int) error {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -97,7 +97,7 @@
 		if err := environment.writeSite(vm, environment.ip(1, event.Target%len(environment.vms)), event.Target%50); err == nil {
 			vm.process.signal(syscall.SIGHUP)
 		}
-	case KindFrontReset, KindFrontDelay, KindStoreCut:
+	case KindFrontReset, KindFrontDelay, KindStoreCut, KindVMCutReset, KindVMCutSilent:
 		affected = vm.name
 		environment.disruptVMConnections(ctx, event, vm)
 	case KindStoreBusy, KindStoreSilent, KindStoreReset, KindStoreLost, KindStoreTrim, KindStoreStale:
@@ -135,6 +135,9 @@
 func (environment *environment) disruptVMConnections(ctx context.Context, event Event, vm *vm) {
 	proxy, mode := vm.front, modeReset
 	switch event.Kind {
+	case KindVMCutReset, KindVMCutSilent:
+		environment.cutFromServers(ctx, event, environment.ip(1, event.Target%len(environment.vms)))
+		return
 	case KindFrontDelay:
 		mode = modeDelay
 	case KindStoreCut:
@@ -145,6 +148,21 @@
 	proxy.setMode(modePass)
 }
 
+// cutFromServers disturbs the connections from the address of a VM to all servers.
+func (environment *environment) cutFromServers(ctx context.Context, event Event, source string) {
+	mode := modeReset
+	if event.Kind == KindVMCutSilent {
+		mode = modeSilent
+	}
+	for _, backend := range environment.backends {
+		backend.link.setCut(source, mode)
+	}
+	wait.For(ctx, event.For)
+	for _, backend := range environment.backends {
+		backend.link.setCut(source, modePass)
+	}
+}
+
 func (environment *environment) disruptStore(ctx context.Context, event Event) {
 	if event.Kind == KindStoreStale {
 		for _, vm := range environment.vms {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -44,6 +44,8 @@
 	KindRevoke       Kind = "revoke"        // an API key is revoked
 	KindRequestCrash Kind = "request_crash" // callers send a request that crashes each server that runs it
 	KindPartCrash    Kind = "part_crash"    // callers send different prompts with a part that crashes each server that runs them
+	KindVMCutReset   Kind = "vm_cut_reset"  // connections of a VM to all servers are accepted and reset
+	KindVMCutSilent  Kind = "vm_cut_silent" // connections of a VM to all servers are accepted and carry no data
 	KindServerRest   Kind = "server_rest"   // refuses requests and requests backoff each time
 	KindServerSays   Kind = "server_says"   // drains and advertises it in responses only, as the store is unavailable
 	KindStoreOlder   Kind = "store_older"   // store rollback: restored from an older copy; writers write their records again
@@ -114,6 +116,8 @@
 	shortestFault     = 200 * time.Millisecond
 	// rateLimitDuration is how long a server advertises rate limits: more than two rateLimitWindows.
 	rateLimitDuration = 9 * time.Second
+	// cutDuration is how long a VM is cut off from all servers: several times boundContact.
+	cutDuration = 9 * time.Second
 	// frequentFaultsPerSecond is the approximate rate at which faults begin, and
 	// rareFaultsPerSecond that in runs of seeds divisible by three. In these a server drains and
 	// neither VMs nor the store have faults, so that bounds which apply only then are checked.
@@ -137,7 +141,11 @@
 	// the distance between such seeds.
 	firstPartCrashSeed    = 500
 	partCrashSeedInterval = 10
-	// extraEvents is the number of events of an extra kind in a run, except of KindRequestCrash and KindPartCrash, of which there is one.
+	// firstCutSeed is the first seed in whose runs VMs are cut off from all servers, and cutSeedInterval the distance between
+	// such seeds.
+	firstCutSeed    = 600
+	cutSeedInterval = 10
+	// extraEvents is the number of events of an extra kind in a run, except of the kinds that NewPlan names, of which there is one.
 	extraEvents = 3
 	// followUpFraction is the fraction of store faults that get the longest duration and
 	// a key revocation followUpDelay after their start: a VM that cannot confirm the key
@@ -190,6 +198,13 @@
 		event := draw(kind, longestFault)
 		event.For = longestFault
 		events = append(events, event)
+	case KindVMCutReset:
+		event := draw(kind, longestFault)
+		event.For = cutDuration
+		if event.Target%2 == 1 {
+			event.Kind = KindVMCutSilent
+		}
+		events = append(events, event)
 	default:
 		for range extraEvents {
 			event := draw(kind, longestFault)
@@ -217,6 +232,8 @@
 func extraKind(seed uint64) Kind {
 	number := seed % extraSeedInterval
 	switch {
+	case seed >= firstCutSeed && seed%cutSeedInterval == 4:
+		return KindVMCutReset
 	case seed >= firstPartCrashSeed && seed%partCrashSeedInterval == 1:
 		return KindPartCrash
 	case number == 1:
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -38,6 +38,8 @@
 	mu      sync.Mutex
 	mode    mode
 	changed chan struct{}
+	// cuts has the modes of connections from single IP addresses, which go before mode.
+	cuts map[string]mode
 	// conns holds the open connections; true means that data from it is discarded until it closes.
 	conns map[net.Conn]bool
 }
@@ -49,7 +51,7 @@
 		return nil, errors.Wrap(err, "listen for proxy")
 	}
 	proxy := &proxy{
-		listener: listener, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]bool),
+		listener: listener, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]bool), cuts: make(map[string]mode),
 	}
 	go proxy.serve()
 	return proxy, nil
@@ -78,6 +80,40 @@
 	}
 }
 
+// setCut changes the mode for open and new connections from an IP address. modePass leaves them to the mode of all.
+func (proxy *proxy) setCut(source string, mode mode) {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	delete(proxy.cuts, source)
+	if mode != modePass {
+		proxy.cuts[source] = mode
+	}
+	close(proxy.changed)
+	proxy.changed = make(chan struct{})
+	for conn := range proxy.conns {
+		if mode == modeReset && sourceOf(conn) == source {
+			reset(conn)
+		}
+	}
+}
+
+// sourceOf returns the IP address that a connection comes from.
+func sourceOf(conn net.Conn) string {
+	host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		return "" // no TCP connection
+	}
+	return host
+}
+
+// modeOf returns the mode of connections from an IP address. The caller must hold mu.
+func (proxy *proxy) modeOf(source string) mode {
+	if mode, cut := proxy.cuts[source]; cut {
+		return mode
+	}
+	return proxy.mode
+}
+
 // silenceOpen discards all further data of the connections that are open now. New connections work.
 func (proxy *proxy) silenceOpen() {
 	proxy.mu.Lock()
@@ -116,7 +152,7 @@
 func (proxy *proxy) track(conn net.Conn) bool {
 	proxy.mu.Lock()
 	defer proxy.mu.Unlock()
-	if proxy.mode == modeReset {
+	if proxy.modeOf(sourceOf(conn)) == modeReset {
 		reset(conn)
 		return false
 	}
@@ -148,21 +184,21 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		proxy.copy(downstream, upstream, true)
+		proxy.copy(downstream, upstream, sourceOf(downstream), true)
 		_ = downstream.Close() // ends the copy in the other direction
 	}()
-	proxy.copy(upstream, downstream, false)
+	proxy.copy(upstream, downstream, sourceOf(downstream), false)
 	_ = upstream.Close() // ends the copy in the other direction
 	<-done
 }
 
 // copy forwards data in one direction until either end is closed.
-func (proxy *proxy) copy(to, from net.Conn, fromTarget bool) {
+func (proxy *proxy) copy(to, from net.Conn, source string, fromTarget bool) {
 	buffer := make([]byte, proxyBufferBytes)
 	for {
 		count, err := from.Read(buffer)
 		if count > 0 {
-			proxy.awaitMode(fromTarget)
+			proxy.awaitMode(source, fromTarget)
 			if proxy.isSilenced(from) {
 				continue // keep reading, so that the sender's TCP window does not fill
 			}
@@ -177,10 +213,10 @@
 }
 
 // awaitMode blocks while the mode forwards nothing in that direction, and delays data in modeDelay.
-func (proxy *proxy) awaitMode(fromTarget bool) {
+func (proxy *proxy) awaitMode(source string, fromTarget bool) {
 	for {
 		proxy.mu.Lock()
-		mode, changed := proxy.mode, proxy.changed
+		mode, changed := proxy.modeOf(source), proxy.changed
 		proxy.mu.Unlock()
 		switch {
 		case mode == modeDelay:
--- a/internal/standin/platformserver/stream.go
+++ b/internal/standin/platformserver/stream.go
@@ -28,9 +28,13 @@
 
 // ServeHTTP implements http.Handler.
 func (engine *Engine) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	if request.URL.Path == "/order" {
+	switch {
+	case request.URL.Path == "/order":
 		engine.serveCommand(writer, request)
 		return
+	case request.URL.Path == "/report" && request.Method == http.MethodGet:
+		engine.serveReport(writer)
+		return
 	}
 	body := readBody(writer, request)
 	drawnFaults, ok := engine.checkRequest(writer, request)
