--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -127,27 +127,6 @@
 	}
 }
 
-// sendErrorResult returns the result of a request that could not be sent or got no response:
-// it was certainly not executed only if no connection was made.
-func sendErrorResult(ctx context.Context, err error) result {
-	var notSent *upstream.NotSentError
-	if errors.As(err, &notSent) {
-		return result{kind: resultNotRun, notSent: true, err: err}
-	}
-	return result{kind: resultUncertain, err: err}.withLoss(ctx)
-}
-
-// withLoss returns the result with what its error says of the connection to the server, unless ctx is
-// done: then the connection ended for that reason.
-func (result result) withLoss(ctx context.Context) result {
-	var path *upstream.PathError
-	isPathError := errors.As(result.err, &path)
-	result.serverNotAtFault = isPathError
-	result.connectionLost = ctx.Err() == nil && !isPathError
-	result.lostThroughVM = ctx.Err() == nil && isPathError && path.ServerEnded()
-	return result
-}
-
 // mayRunAgain reports whether the request may be sent to another server after the next one may have run it.
 func (forwarder *forwarder) mayRunAgain() bool {
 	return forwarder.route.Repeatable() && forwarder.executions+1 < forwarder.route.MaxAttempts
