pool, exchange, gateway: a backoff asked for through a tunnel reaches both VMs

A server that asks for backoff on a connection through another VM sees that VM and not the one that has the request.

A lost datagram is made up for by the next refusal.

--- a/internal/exchange/send.go
+++ b/internal/exchange/send.go
@@ -86,6 +86,25 @@
 	return chunks
 }
 
+// SendReport sends a report to the VM at an address. It sends nothing if no such VM is known.
+func (exchange *Exchange) SendReport(address string, report pool.Report) {
+	update := exchange.update()
+	update.Sendings = encodeReports([]pool.Report{report})
+	exchange.sendTo(exchange.peersAt(address), update)
+}
+
+// peersAt returns the addresses of the known VMs at an address, at most one.
+func (exchange *Exchange) peersAt(address string) []net.Addr {
+	exchange.mu.Lock()
+	defer exchange.mu.Unlock()
+	for _, peer := range exchange.peers {
+		if peer.Address == address {
+			return []net.Addr{peer.address}
+		}
+	}
+	return nil
+}
+
 // SendRequest sends an assignment request to another VM, a coordinator. It sends nothing if the VM is unknown.
 func (exchange *Exchange) SendRequest(vm string, request dispatch.AssignmentRequest) {
 	update := exchange.update()
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mastwinch/mastwinch/internal/call"
+	"github.com/mastwinch/mastwinch/internal/pool"
 	"github.com/mastwinch/mastwinch/internal/upstream"
 )
 
@@ -25,7 +26,7 @@
 var _ upstream.Listener = notices{}
 
 // HandleResponse implements upstream.Listener.
-func (notices notices) HandleResponse(server string, sentAt time.Time, status int, header http.Header) {
+func (notices notices) HandleResponse(server, via string, sentAt time.Time, status int, header http.Header) {
 	gateway := notices.gateway
 	notice := gateway.codec.Notice(status, header)
 	if notice.Draining {
@@ -35,6 +36,9 @@
 	if notice.Backoff > 0 {
 		gateway.metrics.notices.WithLabelValues(noticeBackoff).Inc()
 		gateway.pool.BackOff(server, notice.Backoff)
+		if via != "" { // the server can't tell the two VMs apart
+			gateway.exchange.SendReport(via, pool.Report{Server: server, Phase: pool.PhaseEnded, Health: pool.HealthReceiverBackoff, Backoff: notice.Backoff})
+		}
 	}
 	switch notice.RateLimit.Kind {
 	case call.RateLimitAdvertised:
--- a/internal/gateway/peersink.go
+++ b/internal/gateway/peersink.go
@@ -69,7 +69,7 @@
 			ThroughVM: report.Health == pool.HealthLostThroughVM,
 		}, report.Age)
 	case pool.HealthUnreported, pool.HealthFailed, pool.HealthClosed, pool.HealthUnreportedMemory, pool.HealthDraining, pool.HealthBackoff,
-		pool.HealthRateLimited, pool.HealthNoRateLimit:
+		pool.HealthRateLimited, pool.HealthNoRateLimit, pool.HealthReceiverBackoff:
 	}
 }
 
--- a/internal/pool/active_request.go
+++ b/internal/pool/active_request.go
@@ -97,6 +97,8 @@
 	// HealthLostThroughVM is a connection through another VM that the server ended during the request. It
 	// says something of the request, and nothing of the server.
 	HealthLostThroughVM
+	// HealthReceiverBackoff is HealthBackoff on a connection that led through the VM that receives the report.
+	HealthReceiverBackoff
 )
 
 // attempt is a request at one server.
--- a/internal/pool/backoff.go
+++ b/internal/pool/backoff.go
@@ -11,6 +11,10 @@
 func (pool *Pool) BackOff(id string, duration time.Duration) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
+	pool.backOff(id, duration)
+}
+
+func (pool *Pool) backOff(id string, duration time.Duration) {
 	if pool.servers[id] == nil || !pool.inBackoff.Add(pool.vm, id, pool.now().Add(duration)) {
 		return
 	}
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -174,6 +174,8 @@
 		if pool.servers[report.Server] != nil {
 			pool.inBackoff.Add(vm, report.Server, pool.now().Add(report.Backoff))
 		}
+	case HealthReceiverBackoff:
+		pool.backOff(report.Server, report.Backoff)
 	case HealthRateLimited:
 		pool.recordRateLimit(report.Server, vm, report.PerSecond, pool.now().Add(-report.Age))
 	case HealthNoRateLimit:
--- a/internal/reservation/reservation_test.go
+++ b/internal/reservation/reservation_test.go
@@ -227,4 +227,4 @@
 
 var _ upstream.Listener = noopListener{}
 
-func (noopListener) HandleResponse(string, time.Time, int, http.Header) {}
+func (noopListener) HandleResponse(string, string, time.Time, int, http.Header) {}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -111,8 +111,8 @@
 // fields of all responses, whatever the request was.
 type Listener interface {
 	// HandleResponse handles the header of a response to a request that was sent at sentAt. The state in the header is
-	// from a later time.
-	HandleResponse(server string, sentAt time.Time, status int, header http.Header)
+	// from a later time. via is the address of the VM that the connection led through, or empty for a direct one.
+	HandleResponse(server, via string, sentAt time.Time, status int, header http.Header)
 }
 
 // New returns a client without open connections. It records in links what it observes of the VM's links to the servers, and
@@ -162,7 +162,7 @@
 		client.recordUnanswered(connection)
 		return nil, connection.explain(err)
 	}
-	client.listener.HandleResponse(request.Server, sentAt, response.Status, response.Header)
+	client.listener.HandleResponse(request.Server, connection.via, sentAt, response.Status, response.Header)
 	response.client = client
 	response.Via = connection.via
 	return response, nil
--- a/internal/upstream/listener_test.go
+++ b/internal/upstream/listener_test.go
@@ -23,7 +23,7 @@
 
 var _ upstream.Listener = (*recorder)(nil)
 
-func (recorder *recorder) HandleResponse(server string, _ time.Time, status int, header http.Header) {
+func (recorder *recorder) HandleResponse(server, _ string, _ time.Time, status int, header http.Header) {
 	recorder.mu.Lock()
 	defer recorder.mu.Unlock()
 	recorder.responses = append(recorder.responses, fmt.Sprintf("%s %d %s", server, status, header.Get("Request-Id")))
