gateway: what must run once, where connections are accepted for the servers

More cases of TestUnsafeRequestsRunAtMostOnceThroughOtherVMs: a link that accepts and resets, accepts in silence, the same while the other VMs stop or the link returns.

--- a/internal/gateway/cutnetwork_test.go
+++ b/internal/gateway/cutnetwork_test.go
@@ -33,6 +33,14 @@
 	return mode == cutAcceptsAndResets || mode == cutAcceptsInSilence
 }
 
+// requests is the number of requests of a test, more where a VM takes longer to see that it is cut off.
+func (mode cutMode) requests() int {
+	if mode == cutAcceptsInSilence {
+		return 150
+	}
+	return 60
+}
+
 var (
 	errCutRefused = errors.New("connection refused by the cut")
 	errCutReset   = errors.New("connection reset by the cut")
--- a/internal/gateway/tunnel_test.go
+++ b/internal/gateway/tunnel_test.go
@@ -33,20 +33,27 @@
 // TestUnsafeRequestsRunAtMostOnceThroughOtherVMs guards against requests that run twice, or run although they were refused, when
 // the VM that they lead through stops or is cut off too.
 func TestUnsafeRequestsRunAtMostOnceThroughOtherVMs(t *testing.T) {
-	for name, disturb := range map[string]func(fleet *fleet){
-		"nothing else happens":       func(*fleet) {},
-		"the others are stopped":     func(fleet *fleet) { fleet.vms[1].stop() },
-		"the others are reset":       func(fleet *fleet) { fleet.vms[0].network.begin(cutResets, "10.0.") },
-		"the others are cut off too": func(fleet *fleet) { fleet.vms[1].network.begin(cutResets, serverPrefix) },
+	for name, test := range map[string]struct {
+		mode    cutMode
+		disturb func(fleet *fleet)
+	}{
+		"nothing else happens":                  {cutResets, func(*fleet) {}},
+		"the others are stopped":                {cutResets, func(fleet *fleet) { fleet.vms[1].stop() }},
+		"the others are reset":                  {cutResets, func(fleet *fleet) { fleet.vms[0].network.begin(cutResets, "10.0.") }},
+		"the others are cut off too":            {cutResets, func(fleet *fleet) { fleet.vms[1].network.begin(cutResets, serverPrefix) }},
+		"connections are accepted and reset":    {cutAcceptsAndResets, func(*fleet) {}},
+		"connections are accepted and silent":   {cutAcceptsInSilence, func(*fleet) {}},
+		"accepted and silent, the others stop":  {cutAcceptsInSilence, func(fleet *fleet) { fleet.vms[1].stop() }},
+		"accepted and silent, the links return": {cutAcceptsInSilence, func(fleet *fleet) { fleet.vms[0].network.end() }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withFleet(t, 3, 2, func(fleet *fleet) {
 				for _, server := range fleet.servers {
 					server.script = delayed(300*time.Millisecond, responses(http.StatusOK, "fine"))
 				}
-				fleet.vms[0].network.begin(cutResets, serverPrefix)
-				time.AfterFunc(time.Second, func() { disturb(fleet) })
-				got := fleet.queryFirstVM(plainRequest(http.MethodPost, "pay"), 60, 30*time.Millisecond)
+				fleet.vms[0].network.begin(test.mode, serverPrefix)
+				time.AfterFunc(time.Second, func() { test.disturb(fleet) })
+				got := fleet.queryFirstVM(plainRequest(http.MethodPost, "pay"), test.mode.requests(), 30*time.Millisecond)
 				runs := fleet.runsPerRequest()
 				for id, count := range runs {
 					assert.Check(t, count == 1, "%s ran %d times", id, count)
