gateway, reachability: crashes are evidence while new connections end early

Cause: servers that crash end new connections before their first byte. Two of them made the verdict on the VM's links unreachable, and then the loss under the crashing request was taken for the links' and not recorded, while other VMs told of the harmless requests that were lost beside it.

--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -242,6 +242,16 @@
 	return outcome{}, false
 }
 
+// linksFailed reports whether an attempt failed since the links of this VM are cut. A connection that broke during the request
+// counts as the server's crash unless connections cannot be opened: servers that crash under requests end connections before
+// their first byte too, and their losses say which request is the cause.
+func (gateway *Gateway) linksFailed(result result) bool {
+	if result.connectionLost {
+		return gateway.links.CannotOpen()
+	}
+	return gateway.links.Verdict() == reachability.Unreachable
+}
+
 // recordFailure reports a failed attempt to the pool and the quarantine, and logs it.
 func (forwarder *forwarder) recordFailure(plan placement.Plan, result result) {
 	gateway := forwarder.gateway
@@ -257,7 +267,7 @@
 		gateway.pool.PublishLossThroughVM(failedServer, forwarder.fingerprints, phaseOf(loss))
 		gateway.quarantine.RecordLoss(loss)
 	case result.serverNotAtFault:
-	case gateway.links.Verdict() == reachability.Unreachable: // the links of this VM failed, not the servers
+	case gateway.linksFailed(result): // and not the servers
 	case result.serverClosed:
 		gateway.pool.MarkClosed(failedServer)
 	case result.connectionLost:
--- a/internal/reachability/links.go
+++ b/internal/reachability/links.go
@@ -105,6 +105,13 @@
 	}
 }
 
+// CannotOpen reports whether no connections to several servers could be opened, and none to any server since. Unlike connections
+// that end before their first byte, this cannot be the effect of servers that crash under the VM's own requests.
+func (links *Links) CannotOpen(now time.Time) bool {
+	links.update(now)
+	return len(links.unopened) >= links.settings.MinUnreached
+}
+
 // unreached returns the number of servers that are out of reach.
 func (links *Links) unreached() int {
 	count := len(links.unopened)
--- a/internal/reachability/links_test.go
+++ b/internal/reachability/links_test.go
@@ -111,6 +111,20 @@
 	}
 }
 
+// TestCrashedServersAreNoFailedLinks guards against losses of servers that don't count as evidence on requests, since the VM takes
+// connections that crashing servers end for failed links.
+func TestCrashedServersAreNoFailedLinks(t *testing.T) {
+	links := reachability.New(reachability.DefaultSettings())
+	now := time.Unix(0, 0)
+	links.Unanswered("a", now)
+	links.Unanswered("b", now)
+	assert.Equal(t, links.Verdict(now), reachability.Unreachable)
+	assert.Assert(t, !links.CannotOpen(now))
+	links.Failed("a", now)
+	links.Failed("b", now)
+	assert.Assert(t, links.CannotOpen(now))
+}
+
 // TestProbesAreSpaced guards against probes that cost without need: none while nothing is in doubt, and none at shorter
 // intervals than the settings state.
 func TestProbesAreSpaced(t *testing.T) {
--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -55,6 +55,13 @@
 	return monitor.links.IsUnreached(server)
 }
 
+// CannotOpen reports whether connections to the servers cannot be opened; see Links.CannotOpen.
+func (monitor *Monitor) CannotOpen() bool {
+	monitor.mu.Lock()
+	defer monitor.mu.Unlock()
+	return monitor.links.CannotOpen(monitor.now())
+}
+
 // State returns the verdict, and whether all servers are silent.
 func (monitor *Monitor) State() (verdict Verdict, silent bool) {
 	monitor.mu.Lock()
