review: case 3, an answer without a length is cut by the kill of another VM and passes as complete

Tried: a script with two gateways and three servers, of which two crash for some seconds; the process of the second gateway is killed once it leads a connection to a server for the first one. The script of case 1 now crashes two of three servers in waves, with a health path in the configuration, and resets one answer in ten.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -35,9 +35,9 @@
 }
 
 func run(args []string) int {
-	cases := map[string]caseFunc{"tunnel": playTunnel, "surplus": playSurplus}
+	cases := map[string]caseFunc{"tunnel": playTunnel, "surplus": playSurplus, "kill": playKill}
 	if len(args) != 4 || cases[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin tunnel|surplus GATEWAY CONFIG DIR")
+		fmt.Fprintln(os.Stderr, "usage: standin tunnel|surplus|kill GATEWAY CONFIG DIR")
 		return exitCannotRun
 	}
 	broken, err := play(cases[args[0]], args[1], args[2], args[3])
--- a/review/_standin/server.go
+++ b/review/_standin/server.go
@@ -11,8 +11,8 @@
 
 // exchange is one request that arrived at a server, and the connection that it came on.
 type exchange struct {
-	conn net.Conn
-	id   string
+	conn     net.Conn
+	id, path string
 	// onConn is the number of the request on its connection, from zero, and atServer how often the ID has arrived at
 	// the server, this time included.
 	onConn, atServer int
@@ -22,40 +22,54 @@
 
 // server is a stand-in of a server of a plain service that writes its responses byte by byte as the case says.
 type server struct {
-	id       string
-	listener net.Listener
+	id      string
+	address string
 	// respond handles one request. It reports whether the connection stays open.
 	respond func(server *server, exchange exchange) bool
 	record  *record
 
-	mu sync.Mutex
+	mu       sync.Mutex
+	listener net.Listener
 	// arrivals counts the arrivals by request ID, and runs the runs.
 	arrivals, runs map[string]int
 }
 
 // startServer starts a server of a world at an address of its own, and lists it in the store.
 func startServer(world *world, number int, respond func(*server, exchange) bool) (*server, error) {
-	listener, err := net.Listen("tcp4", world.address(2, number, portServer))
-	if err != nil {
-		return nil, err
-	}
 	started := &server{
-		id: fmt.Sprintf("i-%08x", 0x7f3a9100+number), listener: listener, respond: respond, record: world.record,
+		id: fmt.Sprintf("i-%08x", 0x7f3a9100+number), address: world.address(2, number, portServer), respond: respond, record: world.record,
 		arrivals: make(map[string]int), runs: make(map[string]int),
 	}
+	if err := started.open(); err != nil {
+		return nil, err
+	}
 	world.closers = append(world.closers, started.close)
-	go started.serve()
-	return started, world.list(started.id, listener.Addr().String())
+	return started, world.list(started.id, started.address)
 }
 
-// close stops the server as a crash does: new connections are refused.
+// open accepts connections.
+func (server *server) open() error {
+	listener, err := net.Listen("tcp4", server.address)
+	if err != nil {
+		return err
+	}
+	server.mu.Lock()
+	server.listener = listener
+	server.mu.Unlock()
+	go server.serve(listener)
+	return nil
+}
+
+// close refuses new connections, as a server that crashed does.
 func (server *server) close() {
+	server.mu.Lock()
+	defer server.mu.Unlock()
 	_ = server.listener.Close()
 }
 
-func (server *server) serve() {
+func (server *server) serve(listener net.Listener) {
 	for {
-		conn, err := server.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -75,6 +89,10 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
+		if request.URL.Path == healthPath {
+			server.write(conn, "HTTP/1.1 200 OK\r\nInstance-Id: "+server.id+"\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
 		id := request.Header.Get("Request-Id")
 		if expected := request.Header.Get("Expect-Instance"); id == "" || (expected != "" && expected != server.id) {
 			status := "421 Misdirected Request"
@@ -86,7 +104,7 @@
 		}
 		server.mu.Lock()
 		server.arrivals[id]++
-		arrived := exchange{conn: conn, id: id, onConn: number, atServer: server.arrivals[id], previous: previous}
+		arrived := exchange{conn: conn, id: id, path: request.URL.Path, onConn: number, atServer: server.arrivals[id], previous: previous}
 		server.mu.Unlock()
 		server.record.add("server %s: %s %s arrives, request %s, number %d on its connection", server.id, request.Method, request.URL.Path, id, number+1)
 		if !server.respond(server, arrived) {
@@ -104,6 +122,13 @@
 	server.record.add("server %s: runs request %s", server.id, id)
 }
 
+// allRuns returns how many requests ran at the server.
+func (server *server) allRuns() int {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	return len(server.runs)
+}
+
 // runsOf returns how often a request ran at the server.
 func (server *server) runsOf(id string) int {
 	server.mu.Lock()
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -34,6 +34,7 @@
 	key         = "key-of-register"
 	pathSafe    = "/receipt/"
 	pathUnsafe  = "/lookup/"
+	healthPath  = "/health"
 	routeTimeMS = 4000
 )
 
@@ -60,8 +61,8 @@
 	if err != nil {
 		return nil, err
 	}
-	world := &world{gateway: gateway, config: config, dir: dir, second: 16 + rand.IntN(200), store: metastore.New(), record: record}
-	listener, err := net.Listen("tcp4", world.address(0, 1, portStore))
+	world := &world{gateway: gateway, config: config, dir: dir, store: metastore.New(), record: record}
+	listener, err := world.takeAddresses()
 	if err != nil {
 		world.close()
 		return nil, err
@@ -72,6 +73,19 @@
 	return world, world.configure()
 }
 
+// takeAddresses chooses loopback addresses that nobody uses, and returns the listener of the store.
+func (world *world) takeAddresses() (net.Listener, error) {
+	var err error
+	for range 50 {
+		world.second = 16 + rand.IntN(200)
+		var listener net.Listener
+		if listener, err = net.Listen("tcp4", world.address(0, 1, portStore)); err == nil {
+			return listener, nil
+		}
+	}
+	return nil, err
+}
+
 func (world *world) address(group, number, port int) string {
 	return fmt.Sprintf("127.%d.%d.%d:%d", world.second, group, number, port)
 }
@@ -87,7 +101,7 @@
 	value, err := json.Marshal(map[string]any{
 		"version":  3,
 		"routes":   []any{route("receipt", pathSafe, "safe", 2), route("lookup", pathUnsafe, "unsafe", 1)},
-		"services": []any{map[string]any{"name": service, "max_connections": 96}},
+		"services": []any{map[string]any{"name": service, "health_path": healthPath, "max_connections": 96}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []any{map[string]any{"name": tenant, "api_keys": []string{key}}},
 	})
