upstream: a connection carries a request's ID at most once

Cause: a response belongs to a request if it bears the request's ID. On a connection that has carried the ID before, this doesn't say which of the tries it answers: a server's refusal that comes a second time, late, counted as the response to the next try, "certainly not run", while that try ran.

Ruled out: bytes left over from before (such connections aren't reused), refusals without their header.

Change: a connection remembers (as hashes) the IDs of all requests that it carried, and isn't taken for a second one of the same ID, whatever was sent between. Requests without an ID in their responses (commands to engines) count as one ID. It is closed after upstream.max_requests (512) requests, which bounds the hashes to 4 KB. mastwinch_late_responses_total counts the responses that are skipped.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -53,6 +53,7 @@
 	}
 	dispatch := forwarder.dispatch(plan, reserved)
 	request := upstream.Request{
+		ID:     forwarder.head.ID,
 		Server: plan.Server.ID,
 		Method: forwarder.incoming.Method,
 		Target: forwarder.incoming.RequestURI,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -130,6 +130,9 @@
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "mastwinch_connections_opened_total", Help: "Connections opened to servers.",
 		}, func() float64 { return float64(gateway.upstream.Openings(upstream.OpenSucceeded)) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "mastwinch_late_responses_total", Help: "Responses of servers that were skipped since they belonged to an earlier request.",
+		}, func() float64 { return float64(gateway.upstream.LateResponses()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "mastwinch_servers_unreachable", Help: "1 while this VM reaches no backend server over its own links.",
 		}, func() float64 {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,8 @@
 	IdleTime time.Duration `yaml:"idle_time" validate:"min=10ms"`
 	// IdleMargin is subtracted from the idle timeout, so that the server does not close a connection that is being reused.
 	IdleMargin time.Duration `yaml:"idle_margin" validate:"min=0"`
+	// MaxRequests is the maximum number of requests that a connection carries. For each it keeps 8 bytes.
+	MaxRequests int `yaml:"max_requests" validate:"min=1"`
 	// The timeout for a new connection is OpenFactor times the time that the last one to the server took, but at least
 	// OpenMin. It doubles with each timeout since, up to OpenMax.
 	OpenMin    time.Duration `yaml:"open_min" validate:"min=10ms"`
@@ -50,6 +53,7 @@
 		MaxIdle:          32,
 		IdleTime:         4 * time.Second,
 		IdleMargin:       700 * time.Millisecond,
+		MaxRequests:      512,
 		OpenMin:          150 * time.Millisecond,
 		OpenFactor:       4,
 		OpenMax:          500 * time.Millisecond,
@@ -59,6 +63,10 @@
 
 // Request is a request to a server.
 type Request struct {
+	// ID is what the server's responses identify the request by, or empty if they bear no ID. A connection carries at
+	// most one request of each ID, the empty one included: a late copy of its response could not be told from the
+	// response to a second one.
+	ID string
 	// Server is the ID of the server. It is passed to the Listener and not sent.
 	Server string
 	Method string
@@ -105,6 +113,9 @@
 	// openings counts the attempts to open connections by their result.
 	openings map[OpenResult]int
 	history  *history
+
+	// late counts the responses that belonged to no request in flight.
+	late atomic.Int64
 }
 
 // Listener receives the header of each response before the caller of Send does. Servers report their state in header
@@ -142,14 +153,16 @@
 func (client *Client) Send(
 	ctx context.Context, address string, request Request, matches func(http.Header) bool,
 ) (*Response, error) {
-	connection, err := client.acquire(ctx, address)
+	connection, err := client.acquire(ctx, address, request.ID)
 	if err != nil {
 		return nil, &NotSentError{Address: address, Err: err}
 	}
+	connection.carried.add(request.ID)
 	sentAt := client.now()
 	connection.stop = context.AfterFunc(ctx, connection.close)
 	client.begin(connection, request.Repeatable)
 	response, err := connection.roundTrip(request, matches)
+	client.late.Add(int64(connection.skipped))
 	if err != nil {
 		client.end(connection)
 		connection.close()
@@ -194,10 +207,10 @@
 	delete(client.abandonable, connection)
 }
 
-// acquire returns an idle connection that can be reused, or a new one.
-func (client *Client) acquire(ctx context.Context, address string) (*connection, error) {
+// acquire returns an idle connection that can be reused for the request with an ID, or a new one.
+func (client *Client) acquire(ctx context.Context, address, id string) (*connection, error) {
 	for {
-		pooled := client.pop(address)
+		pooled := client.pop(address, id)
 		if pooled == nil {
 			break
 		}
@@ -214,6 +227,7 @@
 	}
 	opened := &connection{
 		address: address, conn: dialled.Conn, via: dialled.Via, reusableUntil: dialled.ReusableUntil, links: client.links,
+		carried: newCarried(),
 	}
 	opened.reader = bufio.NewReaderSize(opened, readBufferSize)
 	return opened, nil
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -68,6 +68,8 @@
 	reader  *bufio.Reader
 	// pooled says that it came from the idle connections, so that an earlier request was sent on it.
 	pooled bool
+	// carried has the IDs of the requests that were sent on it, no ID twice.
+	carried carried
 	// expiresAt is when it expires while it is idle.
 	expiresAt time.Time
 	// stop unregisters close from the context of the current request. It reports false if close was called.
@@ -88,8 +90,8 @@
 	outstanding bool
 	// heard says that a byte arrived on it.
 	heard bool
-	// skipped says that a response was skipped, so that the connection must not be reused.
-	skipped bool
+	// skipped is how many responses were skipped. After the first one the connection must not be reused.
+	skipped int
 }
 
 var _ io.Reader = (*connection)(nil)
@@ -157,7 +159,7 @@
 		if matches(httpResponse.Header) {
 			return &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, httpResponse: httpResponse, connection: connection}, nil
 		}
-		connection.skipped = true
+		connection.skipped++
 		count, err := io.CopyN(io.Discard, httpResponse.Body, maxSkippedBytes)
 		if !errors.Is(err, io.EOF) {
 			return nil, errors.Newf("could not skip response of %s to an earlier request after %d bytes: %v", connection.address, count, err)
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -26,8 +26,8 @@
 	delete(client.idle, address)
 }
 
-// pop takes the most recently used idle connection that may be reused, or returns nil.
-func (client *Client) pop(address string) *connection {
+// pop takes the most recently used idle connection that may be reused for the request with an ID, or returns nil.
+func (client *Client) pop(address, id string) *connection {
 	verdict, silent := client.links.State()
 	reachable := verdict == reachability.Reachable
 	now := client.now()
@@ -37,7 +37,7 @@
 	for index := len(connections) - 1; index >= 0; index-- {
 		candidate := connections[index]
 		tunnelled := candidate.via != ""
-		if (tunnelled && (reachable || !now.Before(candidate.reusableUntil))) || (!tunnelled && silent) {
+		if (tunnelled && (reachable || !now.Before(candidate.reusableUntil))) || (!tunnelled && silent) || candidate.carried.has(id) {
 			continue
 		}
 		client.idle[address] = slices.Delete(connections, index, index+1)
@@ -46,7 +46,7 @@
 	return nil
 }
 
-// release returns a connection to the idle ones, unless there are MaxIdle already. idle is the idle timeout that the
+// release returns a connection to the idle ones, unless there are MaxIdle already or it has carried MaxRequests. idle is the idle timeout that the
 // server advertised, or zero.
 func (client *Client) release(connection *connection, idle time.Duration) {
 	if idle <= 0 {
@@ -59,7 +59,7 @@
 	client.mu.Lock()
 	defer client.mu.Unlock()
 	connections := client.idle[connection.address]
-	if len(connections) >= client.settings.MaxIdle {
+	if len(connections) >= client.settings.MaxIdle || connection.carried.count() >= client.settings.MaxRequests {
 		connection.close()
 		return
 	}
--- a/internal/upstream/open.go
+++ b/internal/upstream/open.go
@@ -30,6 +30,11 @@
 	return client.openings[result]
 }
 
+// LateResponses returns how many responses came that belonged to no request in flight.
+func (client *Client) LateResponses() int64 {
+	return client.late.Load()
+}
+
 // dial opens a connection to a server, directly or through another VM.
 func (client *Client) dial(ctx context.Context, address string) (tunnel.Connection, error) {
 	direct := func(ctx context.Context) (net.Conn, error) { return client.DialDirect(ctx, address) }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -64,7 +64,7 @@
 	connection := response.connection
 	response.client.end(connection)
 	unregistered := connection.stop()
-	reusable := response.bodyRead && response.IsDelimited() && !response.httpResponse.Close && !connection.skipped &&
+	reusable := response.bodyRead && response.IsDelimited() && !response.httpResponse.Close && connection.skipped == 0 &&
 		connection.isWritten() && connection.reader.Buffered() == 0
 	if !reusable || !unregistered {
 		connection.close()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -28,9 +28,17 @@
 	accepted atomic.Int64
 }
 
+// testingT is a test, or one run of a property test.
+type testingT interface {
+	assert.TestingT
+	Helper()
+	Context() context.Context
+	Cleanup(function func())
+}
+
 // newServer starts a server that runs script for each connection. nth counts the
 // connections from 1.
-func newServer(t *testing.T, script func(conn net.Conn, requests *bufio.Reader, nth int64)) *server {
+func newServer(t testingT, script func(conn net.Conn, requests *bufio.Reader, nth int64)) *server {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -72,7 +80,7 @@
 
 func send(ctx context.Context, client *upstream.Client, address, id, body string) (string, error) {
 	request := upstream.Request{
-		Method: http.MethodPost, Target: "/a%2Fb?c", Host: "h", Header: http.Header{"Request-Id": {id}}, Body: []byte(body),
+		ID: id, Method: http.MethodPost, Target: "/a%2Fb?c", Host: "h", Header: http.Header{"Request-Id": {id}}, Body: []byte(body),
 	}
 	response, err := client.Send(ctx, address, request, func(header http.Header) bool { return header.Get("Request-Id") == id })
 	if err != nil {
