reservation: a late response to a request is no reply to a command

When a late response to an earlier request came first on the connection, memory that the engine had reserved counted as refused (a test: "reserve memory at i-0: refused"), and a copy with 200 as reserved where it wasn't.

Cause: replies to commands bear no ID, and the check of responses was left out for them.

Change: Codec.IsReply; a response with a request's ID is skipped like any other late one.

Test, failing before: TestLateResponseToARequestIsNoReply.

--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -84,6 +84,8 @@
 type Codec interface {
 	Reserve(instance, ticket string, tokens int, ttl time.Duration) upstream.Request
 	Release(instance, ticket string) upstream.Request
+	// IsReply reports whether a response with the header is a reply to a command, and not a late response to a request.
+	IsReply(header http.Header) bool
 	// Reply decodes a reply. It returns an error when the body is not a reply to a command.
 	Reply(status int, body []byte) (Reply, error)
 }
@@ -264,7 +266,7 @@
 	manager := reservation.manager
 	timeoutCtx, cancel := context.WithTimeout(ctx, manager.settings.CommandTimeout)
 	defer cancel()
-	response, err := manager.sender.Send(timeoutCtx, claim.Address, request, func(http.Header) bool { return true })
+	response, err := manager.sender.Send(timeoutCtx, claim.Address, request, manager.codec.IsReply)
 	if err != nil {
 		var notSent *upstream.NotSentError
 		return Reply{}, errors.As(err, &notSent), err //nolint:wrapcheck // the error of Send has the context
--- a/internal/reservation/reservation_test.go
+++ b/internal/reservation/reservation_test.go
@@ -29,6 +29,7 @@
 	unresponsive behaviour = "unresponsive"
 	late         behaviour = "executes reserve commands late, without a reply"
 	unreachable  behaviour = "unreachable"
+	afterLate    behaviour = "replies after a late response to an earlier request"
 )
 
 // testTicket is the ticket of all tests.
@@ -73,9 +74,40 @@
 	default:
 		engine.set(command.ID, ttl)
 	}
+	if behaviour == afterLate {
+		respondAfterLate(writer)
+		return
+	}
 	_, _ = writer.Write([]byte(`{"free": 1}`))
 }
 
+// respondAfterLate sends a refusal of an earlier request and then the reply to a command.
+func respondAfterLate(writer http.ResponseWriter) {
+	conn, buffered, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = buffered.WriteString("HTTP/1.1 503 x\r\nRequest-Id: earlier\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" +
+		"HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"free\": 1}")
+	_ = buffered.Flush()
+	_ = conn.Close()
+}
+
+// TestLateResponseToARequestIsNoReply guards against the late response to an earlier request on the connection being taken for
+// the reply to a command: memory that was reserved counted as refused.
+func TestLateResponseToARequestIsNoReply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		manager, engines, claims, end := newManager(t, afterLate)
+		defer end()
+		reserved, err := manager.Reserve(t.Context(), testTicket, claims)
+		assert.NilError(t, err)
+		assert.Assert(t, engines[0].holds())
+		reserved.Release()
+		time.Sleep(time.Second)
+		assert.Assert(t, !engines[0].holds())
+	})
+}
+
 func (engine *engine) set(ticket string, ttl time.Duration) {
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
