backend: a late response is not taken for the next one on the own interface

A late second copy gave a caller the answer to another request, and made a dispatch that ran count as not run; the reply to a command was mistaken likewise.

Cause: net/http takes what comes next on a reused connection. Dispatches that may run at most once have a connection each, so these were safe.

Change: responses to a dispatch echo the ID of its attempt, which is unique; any other one is an error after which the dispatch may have run. Commands, resumed streams and lists of streams, whose responses bear no such ID, use a connection once. Loads stay on reused ones: a late one is only older. The stand-ins echo the ID; a backend server that doesn't is refused its answers.

Tests, failing before: TestLateResponseIsNotTakenForTheNextOne (answer, refusal), TestLateReplyToACommandIsNotTakenForTheNextOne.

--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -110,6 +110,20 @@
 	return fmt.Sprintf("backend server %s: status %d: %s", e.Address, e.Status, e.Body)
 }
 
+// OtherAttemptError is returned for a response that does not bear the ID of the attempt, as a
+// late one to an earlier attempt. The backend server may have run the attempt.
+type OtherAttemptError struct {
+	Address string
+	Attempt string
+	// Echoed is the ID in the response, or empty.
+	Echoed string
+}
+
+// Error implements error.
+func (e *OtherAttemptError) Error() string {
+	return fmt.Sprintf("backend server %s: response to attempt %q instead of %q", e.Address, e.Echoed, e.Attempt)
+}
+
 // NotFoundError is returned if an engine does not have a stream.
 type NotFoundError struct {
 	Address string
--- a/internal/backend/httpbackend.go
+++ b/internal/backend/httpbackend.go
@@ -32,9 +32,12 @@
 
 // HTTPBackend is a client for engines and services over HTTP.
 type HTTPBackend struct {
+	// pooled reuses connections. It is used for dispatches, whose responses bear the ID of
+	// their attempt, and for loads, where a late response is only an older load.
 	pooled *http.Client
 	// unpooled uses each connection once. It is used for dispatches that may run at most
-	// once: a failed server is then detected when connecting, before anything is sent.
+	// once: a failed server is then detected when connecting, before anything is sent. It is
+	// also used where a late response could not be told from the one that is due.
 	unpooled *http.Client
 }
 
@@ -95,6 +98,10 @@
 	if err != nil {
 		return nil, newDispatchError(address, err)
 	}
+	if echoed := response.Header.Get(HeaderAttempt); echoed != dispatch.Attempt {
+		_ = response.Body.Close() // with bytes left, it closes the connection too
+		return nil, &OtherAttemptError{Address: address, Attempt: dispatch.Attempt, Echoed: echoed}
+	}
 	if response.StatusCode == http.StatusOK {
 		return response, nil
 	}
@@ -154,7 +161,7 @@
 // Resume implements Engine.
 func (httpbackend *HTTPBackend) Resume(ctx context.Context, address, attempt string, from int) (Stream, error) {
 	path := "/v1/streams/" + url.PathEscape(attempt) + "?from=" + strconv.Itoa(from)
-	response, err := httpbackend.send(ctx, http.MethodGet, address, path, nil)
+	response, err := send(ctx, httpbackend.unpooled, http.MethodGet, address, path, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -176,7 +183,7 @@
 // Streams implements Engine.
 func (httpbackend *HTTPBackend) Streams(ctx context.Context, address string) ([]StreamInfo, error) {
 	var infos []StreamInfo
-	err := httpbackend.getJSON(ctx, address, "/v1/streams", &infos)
+	err := getJSON(ctx, httpbackend.unpooled, address, "/v1/streams", &infos)
 	return infos, err
 }
 
@@ -197,13 +204,13 @@
 // Load implements Engine.
 func (httpbackend *HTTPBackend) Load(ctx context.Context, address string) (Load, error) {
 	var load Load
-	err := httpbackend.getJSON(ctx, address, "/v1/load", &load)
+	err := getJSON(ctx, httpbackend.pooled, address, "/v1/load", &load)
 	return load, err
 }
 
 // getJSON decodes the JSON response to a GET request into value.
-func (httpbackend *HTTPBackend) getJSON(ctx context.Context, address, path string, value any) error {
-	response, err := httpbackend.send(ctx, http.MethodGet, address, path, nil)
+func getJSON(ctx context.Context, client *http.Client, address, path string, value any) error {
+	response, err := send(ctx, client, http.MethodGet, address, path, nil)
 	if err != nil {
 		return err
 	}
@@ -218,7 +225,7 @@
 // sendIdempotent sends an idempotent request. A response that the resource does not
 // exist counts as success.
 func (httpbackend *HTTPBackend) sendIdempotent(ctx context.Context, method, address, path string, body []byte) error {
-	response, err := httpbackend.send(ctx, method, address, path, body)
+	response, err := send(ctx, httpbackend.unpooled, method, address, path, body)
 	if err != nil {
 		return err
 	}
@@ -229,15 +236,15 @@
 	return newStatusError(address, response)
 }
 
-// send sends a request over the pooled connections.
-func (httpbackend *HTTPBackend) send(
-	ctx context.Context, method, address, path string, body []byte,
+// send sends a request.
+func send(
+	ctx context.Context, client *http.Client, method, address, path string, body []byte,
 ) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrapf(err, "backend server %s", address)
 	}
-	response, err := httpbackend.pooled.Do(request)
+	response, err := client.Do(request)
 	return response, errors.Wrapf(err, "backend server %s", address)
 }
 
--- /dev/null
+++ b/internal/backend/late_response_test.go
@@ -0,0 +1,103 @@
+package backend_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/backend"
+)
+
+// listen serves each connection to the returned address with a script.
+func listen(t *testing.T, script func(conn net.Conn)) (address string) {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				script(conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// sendLateCopies sends each response once more, late: before the response to the next request on the connection.
+func sendLateCopies(status int, body string) func(conn net.Conn) {
+	return func(conn net.Conn) {
+		requests := bufio.NewReader(conn)
+		earlier := ""
+		for {
+			request, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(conn, earlier)
+			earlier = fmt.Sprintf("HTTP/1.1 %d x\r\nBackend-Attempt: %s\r\nContent-Length: %d\r\n\r\n%s",
+				status, request.Header.Get("Backend-Attempt"), len(body), body)
+			_, _ = io.WriteString(conn, earlier)
+		}
+	}
+}
+
+// TestLateResponseIsNotTakenForTheNextOne guards against a late second copy of a response being taken for the response to the next
+// dispatch on the connection: a caller got the answer to another request, and a request that ran counted as not run.
+func TestLateResponseIsNotTakenForTheNextOne(t *testing.T) {
+	for name, test := range map[string]struct {
+		status int
+		body   string
+	}{
+		"answer":  {status: http.StatusOK, body: "answer"},
+		"refusal": {status: http.StatusServiceUnavailable, body: `{"reason":"full","not_run":true}`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := listen(t, sendLateCopies(test.status, test.body))
+			client := backend.NewHTTPBackend()
+			_, first := client.Call(t.Context(), address, backend.Dispatch{Attempt: "1"})
+			_, second := client.Call(t.Context(), address, backend.Dispatch{Attempt: "2"})
+			if test.status == http.StatusOK {
+				assert.NilError(t, first)
+			}
+			var notRun *backend.NotRunError
+			assert.Assert(t, second != nil && !errors.As(second, &notRun), "the second dispatch may have run: %v", second)
+		})
+	}
+}
+
+// TestLateReplyToACommandIsNotTakenForTheNextOne guards against a late second copy of the reply to a command being taken for the
+// reply to the next one: memory that was released counted as not released.
+func TestLateReplyToACommandIsNotTakenForTheNextOne(t *testing.T) {
+	const refusal = "HTTP/1.1 503 x\r\nContent-Length: 2\r\n\r\n{}"
+	address := listen(t, func(conn net.Conn) {
+		requests := bufio.NewReader(conn)
+		for earlier := ""; ; earlier = refusal {
+			request, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			if request.Method == http.MethodPut {
+				_, _ = io.WriteString(conn, refusal)
+				continue
+			}
+			_, _ = io.WriteString(conn, earlier+"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	client := backend.NewHTTPBackend()
+	assert.Assert(t, client.Reserve(t.Context(), address, "r", backend.Reservation{Tokens: 1}) != nil)
+	assert.NilError(t, client.Release(t.Context(), address, "r"))
+}
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -1,6 +1,6 @@
 package backend
 
-// Headers of the HTTP protocol of backend servers.
+// Headers of the HTTP protocol of backend servers. All responses to a dispatch echo HeaderAttempt.
 const (
 	HeaderAttempt      = "Backend-Attempt"
 	HeaderFence        = "Backend-Fence"
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -36,6 +36,7 @@
 }
 
 func (engine *Engine) handleSubmit(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(backend.HeaderAttempt, r.Header.Get(backend.HeaderAttempt))
 	prompt, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPromptBytes))
 	if err != nil {
 		refuse(w, &RefusalError{Reason: "prompt could not be read"})
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -76,6 +76,7 @@
 }
 
 func (service *Service) handleCall(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(backend.HeaderAttempt, r.Header.Get(backend.HeaderAttempt))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		http.Error(w, "body too large", http.StatusRequestEntityTooLarge)
