tunnel: the VM that serves a tunnel tells how the server's side ended

Cause: the end of a connection was taken for the server's end. The VM in between turned a reset into a regular end, and its own death is one too.

Ruled out: that resets get lost on direct connections (they don't: the same test), and that the length check is at fault (answers with a length or in chunks were never affected).

Change: what a VM passes on from a server is framed (wire.TunnelFrame) if the other VM asked for it, and ends with the cause: ended, reset, failed. Reads give io.EOF for the first only. An end without a frame, and any end through a VM of the old version, is a failed attempt, tried again or told as "may have run". A stream cut within an event through a VM is the server's loss only if the VM says so. Response.SetReadDeadline was used nowhere and is gone.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -53,7 +53,7 @@
 
 // endedEarly reports whether a stream ended inside an event, or before the first one, as when a server crashes that begins it.
 func endedEarly(err error, first bool) bool {
-	return errors.Is(err, io.ErrUnexpectedEOF) || (first && errors.Is(err, io.EOF))
+	return errors.Is(err, events.ErrPartial) || (first && errors.Is(err, io.EOF))
 }
 
 // recordFirstEvent records the time to the first event of an attempt.
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -48,6 +48,19 @@
 	memnet.unreachable[address] = unreachable
 }
 
+// CloseAccepted closes all connections that the listener at an address has accepted, as the system does for a process that was
+// killed.
+func (memnet *Network) CloseAccepted(address string) {
+	memnet.mu.Lock()
+	defer memnet.mu.Unlock()
+	if target := memnet.listeners[address]; target != nil {
+		for _, conn := range target.accepted {
+			_ = conn.Close() // it may be closed already
+		}
+		target.accepted = nil
+	}
+}
+
 // Listen implements network.Network. It returns an error if the address has a listener.
 func (memnet *Network) Listen(_ context.Context, address string) (net.Listener, error) {
 	memnet.mu.Lock()
@@ -75,7 +88,7 @@
 	if target == nil {
 		return nil, errors.WithStack(ErrRefused)
 	}
-	clientConn, serverConn := net.Pipe()
+	clientConn, serverConn := newConns()
 	select {
 	case target.conns <- serverConn:
 		return clientConn, nil
@@ -117,12 +130,17 @@
 	conns   chan net.Conn
 	closed  chan struct{}
 	once    sync.Once
+	// accepted has the connections that were accepted.
+	accepted []net.Conn
 }
 
 // Accept implements net.Listener.
 func (listener *listener) Accept() (net.Conn, error) {
 	select {
 	case conn := <-listener.conns:
+		listener.network.mu.Lock()
+		defer listener.network.mu.Unlock()
+		listener.accepted = append(listener.accepted, conn)
 		return conn, nil
 	case <-listener.closed:
 		return nil, net.ErrClosed
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -246,7 +246,7 @@
 		return nil, errors.Wrapf(err, "connect to VM at %s", peer)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // unblocks the exchange below
-	err = handshake(ctx, conn, peer, address)
+	tunnelled, err := handshake(ctx, conn, peer, address)
 	if !stop() && err == nil {
 		err = errors.WithStack(ctx.Err())
 	}
@@ -254,28 +254,32 @@
 		_ = conn.Close() // nothing was sent through it
 		return nil, err
 	}
-	return conn, nil
+	return tunnelled, nil
 }
 
-// handshake requests a tunnel on a connection to another VM.
-func handshake(ctx context.Context, conn net.Conn, peer, address string) error {
+// handshake requests a tunnel on a connection to another VM. It returns the connection to the server.
+func handshake(ctx context.Context, conn net.Conn, peer, address string) (net.Conn, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodConnect, "http://"+address, nil)
 	if err != nil {
-		return errors.Wrap(err, "tunnel request")
+		return nil, errors.Wrap(err, "tunnel request")
 	}
+	request.Header.Set(headerFrames, framesVersion)
 	if err := request.Write(conn); err != nil {
-		return errors.Wrapf(err, "request tunnel of VM at %s", peer)
+		return nil, errors.Wrapf(err, "request tunnel of VM at %s", peer)
 	}
 	reader := bufio.NewReader(conn)
 	response, err := http.ReadResponse(reader, request) //nolint:bodyclose // the response to CONNECT has no body; the caller closes conn
 	if err != nil {
-		return errors.Wrapf(err, "request tunnel of VM at %s", peer)
+		return nil, errors.Wrapf(err, "request tunnel of VM at %s", peer)
 	}
 	if response.StatusCode != http.StatusOK {
-		return &RefusedError{Peer: peer, Status: response.StatusCode}
+		return nil, &RefusedError{Peer: peer, Status: response.StatusCode}
 	}
 	if reader.Buffered() > 0 {
-		return errors.Newf("bytes before the request in a tunnel of VM at %s", peer)
+		return nil, errors.Newf("bytes before the request in a tunnel of VM at %s", peer)
 	}
-	return nil
+	if response.Header.Get(headerFrames) != framesVersion {
+		return unframedConn{Conn: conn}, nil
+	}
+	return &framedConn{Conn: conn, reader: reader}, nil
 }
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -21,8 +21,11 @@
 // closeWait is how long after the end of a server's response the other VM may take to read it and to close the tunnel.
 const closeWait = 5 * time.Second
 
-// acceptance is the response that opens a tunnel.
-const acceptance = "HTTP/1.1 200 OK\r\n\r\n"
+// Responses that open a tunnel.
+const (
+	acceptance       = "HTTP/1.1 200 OK\r\n\r\n"
+	framedAcceptance = "HTTP/1.1 200 OK\r\n" + headerFrames + ": " + framesVersion + "\r\n\r\n"
+)
 
 // Servers is what a VM that serves tunnels knows of the servers.
 type Servers interface {
@@ -82,7 +85,7 @@
 	conn, status := server.connect(request, mayOpen)
 	server.count(status)
 	if conn != nil {
-		server.serve(writer, conn)
+		server.serve(writer, conn, request.Header.Get(headerFrames) == framesVersion)
 		return
 	}
 	writer.Header().Set("Connection", "close")
@@ -117,8 +120,9 @@
 	server.served[status]++
 }
 
-// serve copies bytes between the connection of the request and that to the server until either ends.
-func (server *Server) serve(writer http.ResponseWriter, toServer net.Conn) {
+// serve copies bytes between the connection of the request and that to the server until either ends. It sends those of the
+// server in frames if the other VM asked for them.
+func (server *Server) serve(writer http.ResponseWriter, toServer net.Conn, framed bool) {
 	defer func() { _ = toServer.Close() }()
 	toPeer, buffered, err := http.NewResponseController(writer).Hijack()
 	if err != nil {
@@ -127,7 +131,11 @@
 	}
 	defer func() { _ = toPeer.Close() }()
 	_ = toPeer.SetDeadline(time.Time{}) // net/http may have set one; on a closed connection the copies fail
-	if _, err := io.WriteString(toPeer, acceptance); err != nil {
+	accepted, copyToPeer := acceptance, copyAll
+	if framed {
+		accepted, copyToPeer = framedAcceptance, copyFrames
+	}
+	if _, err := io.WriteString(toPeer, accepted); err != nil {
 		return
 	}
 	peerDone := make(chan struct{})
@@ -136,7 +144,7 @@
 		copyAll(toServer, buffered)
 		_ = toServer.Close() // the other VM has no use for the response any more
 	}()
-	copyAll(toPeer, toServer)
+	copyToPeer(toPeer, toServer)
 	closeWrite(toPeer)
 	select {
 	case <-peerDone:
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/mastwinch/mastwinch/internal/reachability"
+	"github.com/mastwinch/mastwinch/internal/tunnel"
 )
 
 // maxSkipped is how many responses to earlier requests are skipped before the one to the current request.
@@ -50,10 +51,9 @@
 	return "connection to " + e.Address + " through " + e.Via + " broke: " + e.Err.Error()
 }
 
-// ServerEnded reports whether the server ended the connection, as far as can be told: a VM that serves a tunnel passes on the end of
-// the server's side as an end, while the links between the VMs break by resets and timeouts.
+// ServerEnded reports whether the server ended or reset the connection, as the VM that it led through has told.
 func (e *PathError) ServerEnded() bool {
-	return e.Via != "" && (errors.Is(e.Err, io.EOF) || errors.Is(e.Err, io.ErrUnexpectedEOF))
+	return e.Via != "" && (errors.Is(e.Err, io.EOF) || errors.Is(e.Err, io.ErrUnexpectedEOF) || errors.Is(e.Err, tunnel.ErrServerReset))
 }
 
 // Unwrap returns the error of the connection.
@@ -61,6 +61,12 @@
 	return e.Err
 }
 
+// buffering is a connection that reads from another one and buffers what it received.
+type buffering interface {
+	Buffered() int
+	NetConn() net.Conn
+}
+
 // connection is a connection to a server. It is used by one request at a time.
 type connection struct {
 	address string
@@ -129,7 +135,14 @@
 	if connection.reader.Buffered() > 0 {
 		return false
 	}
-	system, ok := connection.conn.(syscall.Conn)
+	socket := connection.conn
+	if inner, ok := socket.(buffering); ok {
+		if inner.Buffered() > 0 {
+			return false
+		}
+		socket = inner.NetConn()
+	}
+	system, ok := socket.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -42,11 +42,6 @@
 	return response.httpResponse.ContentLength, response.httpResponse.ContentLength >= 0
 }
 
-// SetReadDeadline sets the time at which a pending or later Read fails. The zero time removes the deadline.
-func (response *Response) SetReadDeadline(deadline time.Time) error {
-	return errors.WithStack(response.connection.conn.SetReadDeadline(deadline))
-}
-
 // IsDelimited reports whether the response states its own end, so that it does not end with the connection.
 func (response *Response) IsDelimited() bool {
 	return response.httpResponse.ContentLength >= 0 || len(response.httpResponse.TransferEncoding) > 0
@@ -70,9 +65,5 @@
 		connection.close()
 		return
 	}
-	if err := connection.conn.SetReadDeadline(time.Time{}); err != nil {
-		connection.close()
-		return
-	}
 	response.client.release(connection, idle)
 }
