backend: an answer without a stated end, or beyond the limit, is not whole

Cause: the body was read up to its end or the limit, whichever came first, whatever the end was. net/http reports cuts of answers with a length or chunks only.

Change: such answers are errors after which the call may have run. The protocol of the own interface is ours; its services state a length or send chunks.

--- a/internal/backend/httpbackend.go
+++ b/internal/backend/httpbackend.go
@@ -76,7 +76,13 @@
 		return nil, err
 	}
 	defer closeBody(response)
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxCallBody))
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return nil, errors.Newf("backend server %s: response states neither a length nor chunks", address)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxCallBody+1))
+	if err == nil && len(body) > maxCallBody {
+		return nil, errors.Newf("backend server %s: response exceeds %d bytes", address, maxCallBody)
+	}
 	return body, errors.Wrapf(err, "backend server %s: read response", address)
 }
 
