gateway: a caller that ends its side gets no empty 200

Callers that half-close their connection while they wait got an empty 200 without a seal (the review read it, tests show it for safe and unsafe requests).

Cause: the end of a caller's side cancels the request, for which nothing was written; net/http then completes the response by itself, with 200.

Change: the connection is aborted, as for a response that was started and can't be completed. Serving on was weighed: an end of the caller's side can't be told from a caller that is gone, whose requests must not go on.

Test, failing before: TestCallerThatEndsItsSideGetsNoEmptyAnswer.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -44,8 +44,9 @@
 		gateway.writeOutcome(writer, admitted.head.ID, outcome, outcome.reason.detail())
 	}
 	gateway.recordEnd(admitted, outcome, forwarder)
-	if outcome.truncated {
-		panic(http.ErrAbortHandler) // makes net/http abort the connection, so that the caller sees the response as incomplete
+	if outcome.truncated || outcome.reason == ReasonCallerGone {
+		// Makes net/http abort the connection. Otherwise a caller that still reads would take what it got for the whole response.
+		panic(http.ErrAbortHandler)
 	}
 }
 
