gateway: a response that is no stream is not written into a started one

Read by the review, shown by a test: a response to the attempt that resumes a started stream that was a 4xx, a 2xx of another type or empty was written into the caller's stream, which then ended as complete.

Cause: receiveBuffered didn't ask whether the response to the caller had begun.

Change: such a response is a failed attempt, like a 5xx there.

Test, failing before in three of five cases: TestAnswerThatIsNoStreamIsNotWrittenIntoOne.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -180,6 +180,9 @@
 	if response.Status/100 == 2 && (!decoded.Sealed || decoded.ContentEncoded) {
 		return result{kind: resultUncertain, status: response.Status, err: errors.New("response does not carry the mark that proves it came from the server")}
 	}
+	if forwarder.responseStarted {
+		return result{kind: resultUncertain, status: response.Status, err: errors.Newf("status %d: response is no stream and cannot resume one", response.Status)}
+	}
 	if response.Status/100 == 2 && len(body) > 0 {
 		forwarder.recordBegun()
 	}
