gateway: an unknown key is refused on routes that need none, too

Read by the review, shown by a test: a request with an unknown or revoked key on a route that allows requests without a key was run, without an organisation.

Cause: the route's permission to have no key was taken as one to have any.

Test, failing before: TestUnknownKeyIsRefusedOnOpenRoutesToo.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,7 +14,7 @@
 )
 
 // serve handles one request of a caller. It aborts the connection when a response that was started
-// cannot be completed.
+// cannot be completed, and when the caller has ended its side.
 func (gateway *Gateway) serve(writer http.ResponseWriter, incoming *http.Request) {
 	gateway.clock.Sync() // without it, stale state would seem fresh right after a suspension
 	arrivedAt := gateway.now()
@@ -170,7 +170,7 @@
 		return failure(ReasonStaleConfiguration, false, gateway.retryAfter())
 	}
 	organisation, found := request.catalog.Organisation(key)
-	if !found && !request.route.Anonymous {
+	if !found {
 		return refusal(http.StatusUnauthorized, ReasonKeyUnknown)
 	}
 	request.organisation = organisation
