upstream: the head of a response is bounded

Read by the review, shown by a test: a status line or a header without an end was read into memory until the request's deadline, by each request to such a server.

Cause: bodies, events and replies had limits, heads none.

Change: 64 KB, for each head of a response; informational ones count by themselves and have a limit of their number already. The request then may have run.

Test, failing before (it hung): TestHeadsOfResponsesAreBounded.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -26,6 +26,12 @@
 // maxSkippedBytes bounds the body of a response that is skipped.
 const maxSkippedBytes = 1 << 20
 
+// maxHeadBytes bounds the status line and the header of a response, give or take what is buffered.
+const maxHeadBytes = 64 << 10
+
+// errHeadTooLong is returned for a response whose head exceeds maxHeadBytes.
+var errHeadTooLong = errors.New("head of the response is too long")
+
 // maxInlineBytes is the size up to which a write to a socket does not block. A larger
 // request is written in a goroutine of its own while the response is read, since a
 // server may respond before it has read the request.
@@ -92,6 +98,9 @@
 	links *reachability.Monitor
 	// abandoned is set when the connection was closed since the VM's own links are cut.
 	abandoned atomic.Bool
+	// inHead says that the head of a response is being read, and headBytes how much was received since.
+	inHead    bool
+	headBytes int
 	// outstanding says that a request was sent on a direct connection whose response has not ended.
 	outstanding bool
 	// heard says that a byte arrived on it.
@@ -104,11 +113,15 @@
 
 // Read implements io.Reader. It reads from the network.
 func (connection *connection) Read(buffer []byte) (int, error) {
+	if connection.inHead && connection.headBytes >= maxHeadBytes {
+		return 0, errHeadTooLong
+	}
 	count, err := connection.conn.Read(buffer)
 	if count > 0 && connection.via == "" {
 		connection.heard = true
 		connection.links.Heard()
 	}
+	connection.headBytes += count
 	return count, err //nolint:wrapcheck // callers of io.Reader compare with io.EOF
 }
 
@@ -185,7 +198,7 @@
 // ones (1xx) before it.
 func (connection *connection) readFinalResponse(method string) (*http.Response, error) {
 	for range maxInformational + 1 {
-		response, err := http.ReadResponse(connection.reader, &http.Request{Method: method})
+		response, err := connection.readHead(method)
 		if err != nil {
 			return nil, errors.Wrapf(err, "read response of %s", connection.address)
 		}
@@ -196,6 +209,13 @@
 	return nil, errors.Newf("more than %d informational responses of %s", maxInformational, connection.address)
 }
 
+// readHead reads the head of the next response. The body is read through the response.
+func (connection *connection) readHead(method string) (*http.Response, error) {
+	connection.inHead, connection.headBytes = true, 0
+	defer func() { connection.inHead = false }()
+	return http.ReadResponse(connection.reader, &http.Request{Method: method}) //nolint:wrapcheck // the caller has the address
+}
+
 // write writes the request, in a goroutine of its own if it is larger than maxInlineBytes.
 func (connection *connection) write(data []byte) {
 	connection.written = make(chan struct{})
