pool: a server removed before an outage of the list stays removed

Read by the review, shown by a test: servers that left the list while its source was available, and still had requests, got new ones again when the source failed later, if they outnumbered the listed ones.

Cause: whether a missing server may only have expired was asked of the present alone: any outage made all missing servers expired ones.

Change: when the source is lost, servers that count as gone are marked removed, until they are listed again; but not those that went missing within list.return_time before, since an outage is noticed late and may itself be why they expired.

--- a/internal/pool/listener.go
+++ b/internal/pool/listener.go
@@ -50,6 +50,12 @@
 func (pool *Pool) Lost() {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
+	now := pool.now()
+	for _, server := range pool.servers {
+		// An outage is noticed late: a server that went missing just before may still run.
+		missedEarlier := now.Sub(server.missingSince) > pool.settings.ListRecoveryTime
+		server.removed = server.removed || (pool.isGone(server, now) && missedEarlier)
+	}
 	pool.sourceLost = true
 }
 
@@ -108,6 +114,7 @@
 	entry.Draining = entry.Draining || known.entry.Draining
 	known.entry = entry
 	known.missingSince = time.Time{}
+	known.removed = false
 	known.entryInvalid = false
 }
 
@@ -135,8 +142,8 @@
 
 // isGone reports whether a missing server counts as removed.
 func (pool *Pool) isGone(server *server, now time.Time) bool {
-	if server.missingSince.IsZero() {
-		return false
+	if server.missingSince.IsZero() || server.removed {
+		return server.removed
 	}
 	maybeStale := pool.sourceLost || now.Before(pool.sourceRegainedAt.Add(pool.settings.ListRecoveryTime))
 	return !maybeStale
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -17,6 +17,9 @@
 	entry directory.Entry
 	// missingSince is when the server was found missing from the list, or zero for a listed one.
 	missingSince time.Time
+	// removed is set once the server is known to be removed from the list, which a later outage of the list's source
+	// does not change.
+	removed bool
 	// entryInvalid is set while the server's list entry cannot be parsed.
 	entryInvalid bool
 	// replaced is set once a later start of the server is listed.
