tunnel: requests are led through VMs of allowed regions only

Cause: the choice of the other VM knew no regions, though each VM's data centre is known.

Change: a request has the data centres that it may be led through; tunnels are opened and reused by that. A direct connection is always allowed: the caller chose this VM. Commands to engines carry no body of a request and go through any VM.

Test, failing before (200 where 503 is right): TestRequestsAreLedThroughAllowedRegionsOnly; TestTunnelLeadsThroughAllowedDataCentresOnly for the choice itself.

--- a/internal/exchange/role.go
+++ b/internal/exchange/role.go
@@ -75,16 +75,16 @@
 	return addresses, exchange.joined && (len(live) > 0 || len(exchange.peers) == 0)
 }
 
-// PeerAddresses implements tunnel.Peers. Most VMs of a large fleet send this VM no datagrams, so others may be live too.
+// TunnelPeers implements tunnel.Peers. Most VMs of a large fleet send this VM no datagrams, so others may be live too.
 // The order is random.
-func (exchange *Exchange) PeerAddresses() (live, others []string) {
+func (exchange *Exchange) TunnelPeers() (live, others []tunnel.Peer) {
 	exchange.mu.Lock()
 	defer exchange.mu.Unlock()
 	for _, peer := range exchange.peers {
 		if exchange.live(peer) {
-			live = append(live, peer.Address)
+			live = append(live, tunnel.Peer{Address: peer.Address, DataCentre: peer.DataCentre})
 		} else {
-			others = append(others, peer.Address)
+			others = append(others, tunnel.Peer{Address: peer.Address, DataCentre: peer.DataCentre})
 		}
 	}
 	return live, others
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -61,7 +61,8 @@
 		Header: gateway.codec.ServerHeader(forwarder.incoming.Header, dispatch),
 		Body:   forwarder.body,
 
-		Repeatable: forwarder.mayRunAgain(),
+		DataCentres: forwarder.allowedDataCentres,
+		Repeatable:  forwarder.mayRunAgain(),
 	}
 	response, err := gateway.upstream.Send(ctx, plan.Server.Address, request, func(header http.Header) bool {
 		return gateway.codec.Response(http.StatusOK, header).ID == forwarder.head.ID
--- a/internal/gateway/regions_test.go
+++ b/internal/gateway/regions_test.go
@@ -113,6 +113,34 @@
 	}
 }
 
+// TestRequestsAreLedThroughAllowedRegionsOnly guards against the body of a request that is restricted to a region being led through a VM
+// of another one, when the VM that has the request reaches no server itself.
+func TestRequestsAreLedThroughAllowedRegionsOnly(t *testing.T) {
+	const dataCentres = 3
+	for name, test := range map[string]struct {
+		// alsoCut is the VM that is cut off beside the first one, which is in the region "east".
+		alsoCut    int
+		wantStatus int
+	}{
+		"a VM of the region reaches the servers":   {alsoCut: 2, wantStatus: http.StatusOK},
+		"only a VM of another region reaches them": {alsoCut: 1, wantStatus: http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleetApplyBound(t, 3, 6, evacuationBound, func(fleet *fleet) {
+				fleet.distributeServers(dataCentres)
+				fleet.configure(2, func(configuration map[string]any) { restrictRegions(configuration, "routes", "look", "west") })
+				time.Sleep(evacuationBound)
+				fleet.vms[0].network.begin(cutRefuses, serverPrefix)
+				fleet.vms[test.alsoCut].network.begin(cutRefuses, serverPrefix)
+				appliedAt := time.Now()
+				got := fleet.query(plainRequest(http.MethodGet, "look").with("Deadline-Ms", "2000"))
+				assert.Equal(t, got.status, test.wantStatus, got.body)
+				fleet.assertOnlySentTo([]string{"centre-2"}, dataCentres, appliedAt)
+			})
+		})
+	}
+}
+
 // assertOnlySentTo checks that no server outside the allowed data centres received a request at or after a time.
 func (fleet *fleet) assertOnlySentTo(allowed []string, dataCentres int, from time.Time) {
 	for index := range dataCentres {
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -18,17 +18,23 @@
 	"github.com/mastwinch/mastwinch/internal/reachability"
 )
 
-// Peers returns the addresses of other VMs, those that are known to be live first.
+// Peer is another VM that may serve tunnels.
+type Peer struct {
+	Address    string
+	DataCentre string
+}
+
+// Peers returns other VMs, those that are known to be live first.
 type Peers interface {
-	PeerAddresses() (live, others []string)
+	TunnelPeers() (live, others []Peer)
 }
 
 // Connection is an open connection to a server.
 type Connection struct {
 	net.Conn
 
-	// Via is the address of the VM that the connection leads through, or empty for a direct one.
-	Via string
+	// Via is the VM that the connection leads through, or its zero value for a direct one.
+	Via Peer
 	// ReusableUntil is until when the connection may take further requests. It is zero for a direct one, which has no limit.
 	ReusableUntil time.Time
 }
@@ -75,16 +81,18 @@
 	return dialer.results[result]
 }
 
-// Dial opens a connection to a server. direct opens one over the VM's own link, and records the result of that itself, except
-// when a tunnel is faster.
-func (dialer *Dialer) Dial(ctx context.Context, address string, direct func(ctx context.Context) (net.Conn, error)) (Connection, error) {
+// Dial opens a connection to a server. A tunnel leads through VMs of the data centres only, if there are any. direct opens a
+// connection over the VM's own link, and records the result of that itself, except when a tunnel is faster.
+func (dialer *Dialer) Dial(
+	ctx context.Context, address string, dataCentres []string, direct func(ctx context.Context) (net.Conn, error),
+) (Connection, error) {
 	verdict := dialer.links.Verdict()
 	if !dialer.settings.Enabled || verdict == reachability.Reachable {
 		conn, err := direct(ctx)
 		return Connection{Conn: conn}, err
 	}
 	own := way{open: direct, headStart: dialer.settings.HeadStart}
-	ways := dialer.tunnels(address)
+	ways := dialer.tunnels(address, dataCentres)
 	if verdict == reachability.Doubtful {
 		ways = slices.Insert(ways, 0, own)
 	} else {
@@ -97,7 +105,7 @@
 	if won == nil {
 		return Connection{}, failure(ctx, lost)
 	}
-	if won.way.via == "" {
+	if won.way.via == (Peer{}) {
 		return Connection{Conn: won.conn}, nil
 	}
 	dialer.count(ResultOpened)
@@ -105,39 +113,44 @@
 }
 
 // tunnels returns the ways to a server through other VMs.
-func (dialer *Dialer) tunnels(address string) []way {
-	live, others := dialer.peers.PeerAddresses()
+func (dialer *Dialer) tunnels(address string, dataCentres []string) []way {
+	live, others := dialer.peers.TunnelPeers()
 	shuffle(live)
 	shuffle(others)
 	var ways []way
-	for _, peer := range dialer.usable(append(live, others...)) {
+	for _, peer := range dialer.usable(append(live, others...), dataCentres) {
 		ways = append(ways, way{
 			via: peer, headStart: dialer.settings.Stagger,
-			open: func(ctx context.Context) (net.Conn, error) { return dialer.connect(ctx, peer, address) },
+			open: func(ctx context.Context) (net.Conn, error) { return dialer.connect(ctx, peer.Address, address) },
 		})
 	}
 	return ways
 }
 
 // shuffle spreads the tunnels of many VMs over all that can serve them.
-func shuffle(addresses []string) {
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] }) //nolint:gosec // not used for security
+func shuffle(peers []Peer) {
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] }) //nolint:gosec // not used for security
+}
+
+// IsWithin reports whether a VM is in one of the data centres. An empty list has all.
+func (peer Peer) IsWithin(dataCentres []string) bool {
+	return len(dataCentres) == 0 || slices.Contains(dataCentres, peer.DataCentre)
 }
 
-// usable returns the first VMs that are not avoided, at most Settings.MaxPeers.
-func (dialer *Dialer) usable(peers []string) []string {
+// usable returns the first VMs of the data centres that are not avoided, at most Settings.MaxPeers.
+func (dialer *Dialer) usable(peers []Peer, dataCentres []string) []Peer {
 	dialer.mu.Lock()
 	defer dialer.mu.Unlock()
 	now := dialer.now()
-	var usable []string
+	var usable []Peer
 	for _, peer := range peers {
 		if len(usable) == dialer.settings.MaxPeers {
 			break
 		}
-		if now.Before(dialer.avoided[peer]) {
+		if !peer.IsWithin(dataCentres) || now.Before(dialer.avoided[peer.Address]) {
 			continue
 		}
-		delete(dialer.avoided, peer)
+		delete(dialer.avoided, peer.Address)
 		usable = append(usable, peer)
 	}
 	return usable
@@ -146,7 +159,7 @@
 // recordLost records the attempts that did not open a connection, or not as fast as another one.
 func (dialer *Dialer) recordLost(ctx context.Context, address string, lost []attempt) {
 	for _, attempt := range lost {
-		if attempt.way.via == "" {
+		if attempt.way.via == (Peer{}) {
 			dialer.recordLostDirect(address, attempt)
 		} else {
 			dialer.recordLostTunnel(ctx, address, attempt)
@@ -172,10 +185,10 @@
 	if ctx.Err() != nil {
 		return
 	}
-	dialer.logger.Debug("tunnel failed", "peer", attempt.way.via, "address", address, "error", attempt.err)
+	dialer.logger.Debug("tunnel failed", "peer", attempt.way.via.Address, "address", address, "error", attempt.err)
 	var refused *RefusedError
 	if !errors.As(attempt.err, &refused) || refused.Status != http.StatusBadGateway {
-		dialer.avoid(attempt.way.via, attempt.err)
+		dialer.avoid(attempt.way.via.Address, attempt.err)
 	}
 }
 
--- a/internal/tunnel/ends_test.go
+++ b/internal/tunnel/ends_test.go
@@ -44,7 +44,9 @@
 // onePeer is a tunnel.Peers with one VM.
 type onePeer string
 
-func (onePeer onePeer) PeerAddresses() (live, others []string) { return []string{string(onePeer)}, nil }
+func (onePeer onePeer) TunnelPeers() (live, others []tunnel.Peer) {
+	return []tunnel.Peer{{Address: string(onePeer)}}, nil
+}
 
 // servePeer starts a VM that serves tunnels with a handler.
 func servePeer(t *testing.T, handler http.Handler) onePeer {
@@ -87,7 +89,7 @@
 	links.Failed("10.0.2.3:80")
 	links.TakeProbe()
 	dialer := tunnel.NewDialer(tunnel.DefaultSettings(), links, network.New(network.DefaultSettings()), peer, slog.New(slog.DiscardHandler), time.Now)
-	connection, err := dialer.Dial(t.Context(), address, refuse)
+	connection, err := dialer.Dial(t.Context(), address, nil, refuse)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = connection.Close() })
 	return connection
--- a/internal/tunnel/race.go
+++ b/internal/tunnel/race.go
@@ -10,8 +10,8 @@
 
 // way is one way to open a connection.
 type way struct {
-	// via is the address of the VM that the connection leads through, or empty for a direct one.
-	via  string
+	// via is the VM that the connection leads through, or its zero value for a direct one.
+	via  Peer
 	open func(ctx context.Context) (net.Conn, error)
 	// headStart is how long the way may take before the next one is tried beside it.
 	headStart time.Duration
@@ -32,7 +32,7 @@
 func race(ctx context.Context, ways []way) (won *attempt, lost []attempt) {
 	ctx, cancel := context.WithCancel(ctx)
 	results := make(chan attempt, len(ways))
-	pending := make(map[string]way)
+	pending := make(map[Peer]way)
 	next := 0
 	startNext := func() <-chan time.Time {
 		if next == len(ways) {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -35,11 +35,14 @@
 	peers []string
 }
 
-// PeerAddresses implements tunnel.Peers.
-func (world *world) PeerAddresses() (live, others []string) {
+// TunnelPeers implements tunnel.Peers. All VMs are in the data centre "north".
+func (world *world) TunnelPeers() (live, others []tunnel.Peer) {
 	world.mu.Lock()
 	defer world.mu.Unlock()
-	return append([]string(nil), world.peers...), nil
+	for _, peer := range world.peers {
+		live = append(live, tunnel.Peer{Address: peer, DataCentre: "north"})
+	}
+	return live, nil
 }
 
 func withWorld(t *testing.T, settings tunnel.Settings, test func(world *world)) {
@@ -157,14 +160,14 @@
 				test.prepare(world)
 				world.cut()
 				started := time.Now()
-				connection, err := world.dialer.Dial(world.t.Context(), serverAddress, refuse)
+				connection, err := world.dialer.Dial(world.t.Context(), serverAddress, nil, refuse)
 				if test.want == "" {
 					assert.ErrorIs(t, err, errRefused)
 					return
 				}
 				assert.NilError(t, err)
 				defer func() { _ = connection.Close() }()
-				assert.Equal(t, connection.Via, test.want)
+				assert.Equal(t, connection.Via.Address, test.want)
 				assert.Assert(t, time.Since(started) <= test.within, "took %s", time.Since(started))
 				assert.Assert(t, echoes(connection))
 			})
@@ -190,7 +193,7 @@
 				if test.doubt {
 					world.links.Failed("10.0.2.2:80")
 				}
-				connection, err := world.dialer.Dial(world.t.Context(), serverAddress, func(ctx context.Context) (net.Conn, error) {
+				connection, err := world.dialer.Dial(world.t.Context(), serverAddress, nil, func(ctx context.Context) (net.Conn, error) {
 					select {
 					case <-time.After(test.direct):
 						return world.network.Dial(ctx, serverAddress)
@@ -200,7 +203,7 @@
 				})
 				assert.NilError(t, err)
 				defer func() { _ = connection.Close() }()
-				assert.Equal(t, connection.Via, test.want)
+				assert.Equal(t, connection.Via.Address, test.want)
 				if test.want != "" {
 					assert.Equal(t, world.links.Verdict(), reachability.Unreachable)
 				}
@@ -218,17 +221,17 @@
 		world.cut()
 		var open []tunnel.Connection
 		for range settings.MaxOpen {
-			connection, err := world.dialer.Dial(world.t.Context(), serverAddress, refuse)
+			connection, err := world.dialer.Dial(world.t.Context(), serverAddress, nil, refuse)
 			assert.NilError(t, err)
 			open = append(open, connection)
 		}
-		_, err := world.dialer.Dial(world.t.Context(), serverAddress, refuse)
+		_, err := world.dialer.Dial(world.t.Context(), serverAddress, nil, refuse)
 		assert.ErrorIs(t, err, errRefused)
 		assert.Equal(t, server.Served(http.StatusServiceUnavailable), 1)
 		_ = open[0].Close()
 		time.Sleep(settings.AvoidTime)
 		world.cut()
-		_, err = world.dialer.Dial(world.t.Context(), "10.0.9.9:22", refuse)
+		_, err = world.dialer.Dial(world.t.Context(), "10.0.9.9:22", nil, refuse)
 		assert.ErrorIs(t, err, errRefused)
 		assert.Equal(t, server.Served(http.StatusForbidden), 1)
 		_ = open[1].Close()
@@ -236,3 +239,30 @@
 		assert.Equal(t, server.Open(), int64(0))
 	})
 }
+
+// TestTunnelLeadsThroughAllowedDataCentresOnly guards against the body of a request being led through a VM of a region that its route
+// or organisation does not allow.
+func TestTunnelLeadsThroughAllowedDataCentresOnly(t *testing.T) {
+	settings := tunnel.DefaultSettings()
+	for name, test := range map[string]struct {
+		dataCentres []string
+		wantErr     bool
+	}{
+		"all":         {},
+		"its own":     {dataCentres: []string{"east", "north"}},
+		"others only": {dataCentres: []string{"east", "south"}, wantErr: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withWorld(t, settings, func(world *world) {
+				server := world.addPeer("10.0.1.2:82", settings, newLinks())
+				world.cut()
+				connection, err := world.dialer.Dial(world.t.Context(), serverAddress, test.dataCentres, refuse)
+				assert.Equal(t, err != nil, test.wantErr, "%v", err)
+				assert.Equal(t, server.Served(http.StatusOK) == 0, test.wantErr)
+				if err == nil {
+					_ = connection.Close()
+				}
+			})
+		})
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -75,6 +75,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// DataCentres are those through whose VMs the request may be led; empty allows all. A direct connection is always allowed.
+	DataCentres []string
 	// Repeatable is whether the request may be sent to another server after this one may have run it.
 	Repeatable bool
 }
@@ -153,7 +155,7 @@
 func (client *Client) Send(
 	ctx context.Context, address string, request Request, matches func(http.Header) bool,
 ) (*Response, error) {
-	connection, err := client.acquire(ctx, address, request.ID)
+	connection, err := client.acquire(ctx, address, request)
 	if err != nil {
 		return nil, &NotSentError{Address: address, Err: err}
 	}
@@ -175,15 +177,15 @@
 		client.recordUnanswered(connection)
 		return nil, connection.explain(err)
 	}
-	client.listener.HandleResponse(request.Server, connection.via, sentAt, response.Status, response.Header)
+	client.listener.HandleResponse(request.Server, connection.via.Address, sentAt, response.Status, response.Header)
 	response.client = client
-	response.Via = connection.via
+	response.Via = connection.via.Address
 	return response, nil
 }
 
 // begin records that a request is sent on a connection.
 func (client *Client) begin(connection *connection, repeatable bool) {
-	if connection.via != "" {
+	if connection.isTunnelled() {
 		return
 	}
 	connection.outstanding = true
@@ -207,10 +209,10 @@
 	delete(client.abandonable, connection)
 }
 
-// acquire returns an idle connection that can be reused for the request with an ID, or a new one.
-func (client *Client) acquire(ctx context.Context, address, id string) (*connection, error) {
+// acquire returns an idle connection that can be reused for the request, or a new one.
+func (client *Client) acquire(ctx context.Context, address string, request Request) (*connection, error) {
 	for {
-		pooled := client.pop(address, id)
+		pooled := client.pop(address, request)
 		if pooled == nil {
 			break
 		}
@@ -220,7 +222,7 @@
 		}
 		pooled.close()
 	}
-	dialled, err := client.dial(ctx, address)
+	dialled, err := client.dial(ctx, address, request.DataCentres)
 	client.abandonIfCut()
 	if err != nil {
 		return nil, err
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -90,8 +90,8 @@
 	// written is closed when the write of the request has ended; writeErr is set before.
 	written  chan struct{}
 	writeErr error
-	// via is the address of the VM that the connection leads through, or empty for a direct one.
-	via string
+	// via is the VM that the connection leads through, or its zero value for a direct one.
+	via tunnel.Peer
 	// reusableUntil is until when a connection through a VM may take further requests.
 	reusableUntil time.Time
 	// links records the bytes that arrive on a direct connection.
@@ -117,7 +117,7 @@
 		return 0, errHeadTooLong
 	}
 	count, err := connection.conn.Read(buffer)
-	if count > 0 && connection.via == "" {
+	if count > 0 && !connection.isTunnelled() {
 		connection.heard = true
 		connection.links.Heard()
 	}
@@ -125,13 +125,18 @@
 	return count, err //nolint:wrapcheck // callers of io.Reader compare with io.EOF
 }
 
+// isTunnelled reports whether the connection leads through another VM.
+func (connection *connection) isTunnelled() bool {
+	return connection.via != (tunnel.Peer{})
+}
+
 // explain returns the error of a connection that failed, with what is known of the reason.
 func (connection *connection) explain(err error) error {
 	switch {
 	case connection.abandoned.Load():
 		return &PathError{Address: connection.address, Err: err}
-	case connection.via != "":
-		return &PathError{Address: connection.address, Via: connection.via, Err: err}
+	case connection.isTunnelled():
+		return &PathError{Address: connection.address, Via: connection.via.Address, Err: err}
 	default:
 		return err
 	}
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -26,8 +26,8 @@
 	delete(client.idle, address)
 }
 
-// pop takes the most recently used idle connection that may be reused for the request with an ID, or returns nil.
-func (client *Client) pop(address, id string) *connection {
+// pop takes the most recently used idle connection that may be reused for the request, or returns nil.
+func (client *Client) pop(address string, request Request) *connection {
 	verdict, silent := client.links.State()
 	reachable := verdict == reachability.Reachable
 	now := client.now()
@@ -36,8 +36,11 @@
 	connections := client.idle[address]
 	for index := len(connections) - 1; index >= 0; index-- {
 		candidate := connections[index]
-		tunnelled := candidate.via != ""
-		if (tunnelled && (reachable || !now.Before(candidate.reusableUntil))) || (!tunnelled && silent) || candidate.carried.has(id) {
+		isUsable := !silent
+		if candidate.isTunnelled() {
+			isUsable = !reachable && now.Before(candidate.reusableUntil) && candidate.via.IsWithin(request.DataCentres)
+		}
+		if !isUsable || candidate.carried.has(request.ID) {
 			continue
 		}
 		client.idle[address] = slices.Delete(connections, index, index+1)
@@ -53,7 +56,7 @@
 		idle = client.settings.IdleTime
 	}
 	connection.expiresAt = client.now().Add(idle - client.settings.IdleMargin)
-	if connection.via != "" && connection.reusableUntil.Before(connection.expiresAt) {
+	if connection.isTunnelled() && connection.reusableUntil.Before(connection.expiresAt) {
 		connection.expiresAt = connection.reusableUntil
 	}
 	client.mu.Lock()
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -63,7 +63,7 @@
 
 // recordUnanswered records that a request got no byte on a new connection that the other side ended.
 func (client *Client) recordUnanswered(connection *connection) {
-	if connection.via == "" && !connection.pooled && !connection.heard && !connection.abandoned.Load() {
+	if !connection.isTunnelled() && !connection.pooled && !connection.heard && !connection.abandoned.Load() {
 		client.links.Unanswered(connection.address)
 	}
 }
