soak: answers cut on their way through VMs, and refusals that come again, late

Change: two kinds of faults, from seed 700 on. vm_cut_answers: a VM is cut off from all servers, whose answers state no length and are partly reset, while the other VMs are killed in turn. late_copies: servers refuse most tries with 503, 429 or 408 and send each refusal once more, before the next response on the connection. Proxies pass on resets as resets (TestProxyPassesOnHowConnectionsEnd), and killed servers reset their connections, so an answer is whole if and only if its connection ended regularly.

--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -86,6 +86,8 @@
 	// engine is the stand-in if it is a model engine, and nil for a plain service.
 	engine *platformserver.Engine
 	server *http.Server
+	// listener is that of server.
+	listener *platformserver.Listener
 }
 
 // standIn is a simulated server: a model engine or a server of a plain service.
@@ -222,9 +224,10 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for server stand-in")
 	}
-	server := &http.Server{Handler: backend.standIn, ReadHeaderTimeout: time.Minute}
-	backend.server = server
-	go func() { _ = server.Serve(listener) }() // returns when the server is closed
+	server := &http.Server{Handler: backend.standIn, ReadHeaderTimeout: time.Minute, ConnContext: platformserver.ConnContext}
+	tracked := platformserver.NewListener(listener)
+	backend.server, backend.listener = server, tracked
+	go func() { _ = server.Serve(tracked) }() // returns when the server is closed
 	environment.operator.putServerEntry(identity, false)
 	return nil
 }
@@ -236,7 +239,8 @@
 	if backend.engine != nil {
 		backend.engine.Kill()
 	}
-	_ = backend.server.Close() // aborts the open connections
+	backend.listener.Reset()   // a regular end would complete a response without a length
+	_ = backend.server.Close() // an error leaves nothing to do
 }
 
 // identity returns the identity of the server that runs now.
@@ -291,7 +295,7 @@
 // tuningArgs returns the arguments with which a VM opens connections from its own address, so that proxies tell VMs apart. There
 // are none in runs that don't need it.
 func (environment *environment) tuningArgs(name, ip string) ([]string, error) {
-	if extraKind(environment.settings.Seed) != KindVMCutReset {
+	if kind := extraKind(environment.settings.Seed); kind != KindVMCutReset && kind != KindVMCutAnswers {
 		return nil, nil
 	}
 	file := filepath.Join(environment.settings.Dir, name+".yaml")
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -13,46 +13,48 @@
 
 // Kinds of faults and of planned work.
 const (
-	KindVMKill       Kind = "vm_kill"       // SIGKILL, then a restart
-	KindVMPause      Kind = "vm_pause"      // SIGSTOP, then SIGCONT
-	KindVMStop       Kind = "vm_stop"       // SIGTERM, then a restart
-	KindVMReload     Kind = "vm_reload"     // changed settings file and SIGHUP
-	KindAllKill      Kind = "all_kill"      // SIGKILL to all VMs at once
-	KindFrontReset   Kind = "front_reset"   // callers' connections to a VM are reset
-	KindFrontDelay   Kind = "front_delay"   // callers' connections to a VM are delayed
-	KindStoreCut     Kind = "store_cut"     // connections of a VM to the store carry no data
-	KindStoreBusy    Kind = "store_busy"    // the store responds with status 503
-	KindStoreSilent  Kind = "store_silent"  // the store does not respond
-	KindStoreReset   Kind = "store_reset"   // the store resets connections
-	KindStoreLost    Kind = "store_lost"    // the store executes requests, then resets the connections
-	KindStoreTrim    Kind = "store_trim"    // the store trims its change history
-	KindStoreStale   Kind = "store_stale"   // open connections to the store never carry data again; new ones work
-	KindLinkStale    Kind = "link_stale"    // open connections to a server never carry data again; new ones work
-	KindLinkReset    Kind = "link_reset"    // connections to a server are reset
-	KindLinkSilent   Kind = "link_silent"   // connections to a server carry no data in either direction
-	KindLinkOneWay   Kind = "link_one_way"  // connections to a server carry requests but no responses
-	KindServerErrors Kind = "server_errors" // responds with status 500
-	KindServerRefuse Kind = "server_refuse" // refuses requests
-	KindServerLost   Kind = "server_lost"   // runs requests and loses the responses
-	KindServerCut    Kind = "server_cut"    // truncates responses
-	KindServerExtra  Kind = "server_extra"  // sends a second response
-	KindServerHang   Kind = "server_hang"   // does not respond
-	KindServerSlow   Kind = "server_slow"   // takes four times as long
-	KindServerKill   Kind = "server_kill"   // ends abruptly; a new server starts at its address
-	KindServerLeave  Kind = "server_leave"  // drains through its entry in the store and ends; a new server starts
-	KindConfigure    Kind = "configure"     // new version of the configuration
-	KindRevoke       Kind = "revoke"        // an API key is revoked
-	KindRequestCrash Kind = "request_crash" // callers send a request that crashes each server that runs it
-	KindPartCrash    Kind = "part_crash"    // callers send different prompts with a part that crashes each server that runs them
-	KindVMCutReset   Kind = "vm_cut_reset"  // connections of a VM to all servers are accepted and reset
-	KindVMCutSilent  Kind = "vm_cut_silent" // connections of a VM to all servers are accepted and carry no data
-	KindServerRest   Kind = "server_rest"   // refuses requests and requests backoff each time
-	KindServerSays   Kind = "server_says"   // drains and advertises it in responses only, as the store is unavailable
-	KindStoreOlder   Kind = "store_older"   // store rollback: restored from an older copy; writers write their records again
-	KindBadEntry     Kind = "bad_entry"     // another writer replaces the entry of a server by a malformed one
-	KindEvacuate     Kind = "evacuate"      // the operator evacuates a data centre: its servers must get no requests
-	KindCrowd        Kind = "crowd"         // another organisation sends many more requests than the engines serve
-	KindServerLimit  Kind = "server_limit"  // advertises a rate limit for all VMs together, then another one
+	KindVMKill       Kind = "vm_kill"        // SIGKILL, then a restart
+	KindVMPause      Kind = "vm_pause"       // SIGSTOP, then SIGCONT
+	KindVMStop       Kind = "vm_stop"        // SIGTERM, then a restart
+	KindVMReload     Kind = "vm_reload"      // changed settings file and SIGHUP
+	KindAllKill      Kind = "all_kill"       // SIGKILL to all VMs at once
+	KindFrontReset   Kind = "front_reset"    // callers' connections to a VM are reset
+	KindFrontDelay   Kind = "front_delay"    // callers' connections to a VM are delayed
+	KindStoreCut     Kind = "store_cut"      // connections of a VM to the store carry no data
+	KindStoreBusy    Kind = "store_busy"     // the store responds with status 503
+	KindStoreSilent  Kind = "store_silent"   // the store does not respond
+	KindStoreReset   Kind = "store_reset"    // the store resets connections
+	KindStoreLost    Kind = "store_lost"     // the store executes requests, then resets the connections
+	KindStoreTrim    Kind = "store_trim"     // the store trims its change history
+	KindStoreStale   Kind = "store_stale"    // open connections to the store never carry data again; new ones work
+	KindLinkStale    Kind = "link_stale"     // open connections to a server never carry data again; new ones work
+	KindLinkReset    Kind = "link_reset"     // connections to a server are reset
+	KindLinkSilent   Kind = "link_silent"    // connections to a server carry no data in either direction
+	KindLinkOneWay   Kind = "link_one_way"   // connections to a server carry requests but no responses
+	KindServerErrors Kind = "server_errors"  // responds with status 500
+	KindServerRefuse Kind = "server_refuse"  // refuses requests
+	KindServerLost   Kind = "server_lost"    // runs requests and loses the responses
+	KindServerCut    Kind = "server_cut"     // truncates responses
+	KindServerExtra  Kind = "server_extra"   // sends a second response
+	KindServerHang   Kind = "server_hang"    // does not respond
+	KindServerSlow   Kind = "server_slow"    // takes four times as long
+	KindServerKill   Kind = "server_kill"    // ends abruptly; a new server starts at its address
+	KindServerLeave  Kind = "server_leave"   // drains through its entry in the store and ends; a new server starts
+	KindConfigure    Kind = "configure"      // new version of the configuration
+	KindRevoke       Kind = "revoke"         // an API key is revoked
+	KindRequestCrash Kind = "request_crash"  // callers send a request that crashes each server that runs it
+	KindPartCrash    Kind = "part_crash"     // callers send different prompts with a part that crashes each server that runs them
+	KindVMCutReset   Kind = "vm_cut_reset"   // connections of a VM to all servers are accepted and reset
+	KindVMCutSilent  Kind = "vm_cut_silent"  // connections of a VM to all servers are accepted and carry no data
+	KindVMCutAnswers Kind = "vm_cut_answers" // connections of a VM to all servers are reset, answers state no length, and the other VMs are killed in turn
+	KindLateCopies   Kind = "late_copies"    // servers refuse requests with several statuses and send each refusal once more, late
+	KindServerRest   Kind = "server_rest"    // refuses requests and requests backoff each time
+	KindServerSays   Kind = "server_says"    // drains and advertises it in responses only, as the store is unavailable
+	KindStoreOlder   Kind = "store_older"    // store rollback: restored from an older copy; writers write their records again
+	KindBadEntry     Kind = "bad_entry"      // another writer replaces the entry of a server by a malformed one
+	KindEvacuate     Kind = "evacuate"       // the operator evacuates a data centre: its servers must get no requests
+	KindCrowd        Kind = "crowd"          // another organisation sends many more requests than the engines serve
+	KindServerLimit  Kind = "server_limit"   // advertises a rate limit for all VMs together, then another one
 )
 
 // Kinds returns the kinds that random plans draw from, in order. Kinds that were added later are in extraKind instead, so
@@ -145,6 +147,10 @@
 	// such seeds.
 	firstCutSeed    = 600
 	cutSeedInterval = 10
+	// firstCutAnswersSeed is the first seed in whose runs answers are cut on their way through VMs, or servers send refusals
+	// again. cutAnswersSeedInterval is the distance between seeds with the same one of these.
+	firstCutAnswersSeed    = 700
+	cutAnswersSeedInterval = 20
 	// extraEvents is the number of events of an extra kind in a run, except of the kinds that NewPlan names, of which there is one.
 	extraEvents = 3
 	// followUpFraction is the fraction of store faults that get the longest duration and
@@ -198,6 +204,10 @@
 		event := draw(kind, longestFault)
 		event.For = longestFault
 		events = append(events, event)
+	case KindVMCutAnswers, KindLateCopies:
+		event := draw(kind, longestFault)
+		event.For = cutDuration
+		events = append(events, event)
 	case KindVMCutReset:
 		event := draw(kind, longestFault)
 		event.For = cutDuration
@@ -231,6 +241,20 @@
 // extraKind returns the kind that the run of a seed has in addition to the drawn ones, or an empty string.
 func extraKind(seed uint64) Kind {
 	number := seed % extraSeedInterval
+	if seed >= firstCutAnswersSeed {
+		switch seed % cutAnswersSeedInterval {
+		case 16:
+			return KindVMCutAnswers
+		case 18:
+			return KindLateCopies
+		}
+	}
+	return earlierExtraKind(seed, number)
+}
+
+// earlierExtraKind returns the extra kind of a seed among those that came before KindVMCutAnswers. number is the seed modulo
+// extraSeedInterval.
+func earlierExtraKind(seed, number uint64) Kind {
 	switch {
 	case seed >= firstCutSeed && seed%cutSeedInterval == 4:
 		return KindVMCutReset
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -184,16 +185,24 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		proxy.copy(downstream, upstream, sourceOf(downstream), true)
-		_ = downstream.Close() // ends the copy in the other direction
+		end(downstream, proxy.copy(downstream, upstream, sourceOf(downstream), true))
 	}()
-	proxy.copy(upstream, downstream, sourceOf(downstream), false)
-	_ = upstream.Close() // ends the copy in the other direction
+	end(upstream, proxy.copy(upstream, downstream, sourceOf(downstream), false))
 	<-done
 }
 
-// copy forwards data in one direction until either end is closed.
-func (proxy *proxy) copy(to, from net.Conn, source string, fromTarget bool) {
+// end closes a connection, regularly if the other one ended so. This ends the copy in the other direction.
+func end(conn net.Conn, endedRegularly bool) {
+	if endedRegularly {
+		_ = conn.Close() // it may be closed already
+		return
+	}
+	reset(conn)
+}
+
+// copy forwards data in one direction until either end is closed. It reports whether the source ended regularly and all data was
+// forwarded.
+func (proxy *proxy) copy(to, from net.Conn, source string, fromTarget bool) bool {
 	buffer := make([]byte, proxyBufferBytes)
 	for {
 		count, err := from.Read(buffer)
@@ -203,11 +212,11 @@
 				continue // keep reading, so that the sender's TCP window does not fill
 			}
 			if _, err := to.Write(buffer[:count]); err != nil {
-				return
+				return false
 			}
 		}
 		if err != nil {
-			return
+			return errors.Is(err, io.EOF) && !proxy.isSilenced(from)
 		}
 	}
 }
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -62,3 +63,38 @@
 	proxy.setMode(modePass)
 	assert.Assert(t, !echoes(t, open, 100*time.Millisecond), "a mode change must not revive a silenced connection")
 }
+
+// TestProxyPassesOnHowConnectionsEnd guards against a proxy that turns resets of servers into regular ends, which complete responses
+// without a length.
+func TestProxyPassesOnHowConnectionsEnd(t *testing.T) {
+	for name, test := range map[string]struct {
+		end     func(conn net.Conn)
+		wantErr error
+	}{
+		"regular end": {end: func(conn net.Conn) { _ = conn.Close() }, wantErr: io.EOF},
+		"reset":       {end: reset, wantErr: syscall.ECONNRESET},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = listener.Close() }()
+			go func() {
+				conn, err := listener.Accept()
+				if err == nil {
+					_, _ = conn.Read(make([]byte, 1))
+					test.end(conn)
+				}
+			}()
+			proxy, err := newProxy("127.0.0.1:0", listener.Addr().String())
+			assert.NilError(t, err)
+			defer proxy.close()
+			conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp4", proxy.address())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = conn.Write([]byte("a"))
+			assert.NilError(t, err)
+			_, err = conn.Read(make([]byte, 1))
+			assert.ErrorIs(t, err, test.wantErr)
+		})
+	}
+}
--- a/internal/standin/platformserver/plain.go
+++ b/internal/standin/platformserver/plain.go
@@ -57,6 +57,11 @@
 	id := request.Header.Get(headerID)
 	reply := PlainBody(id)
 	plain.setResponseHeaders(writer, request)
+	if drawnFaults.unframed {
+		defer resetIfAborted(request)
+		plain.replyUnframed(writer, reply, drawnFaults)
+		return
+	}
 	switch {
 	case drawnFaults.lost:
 		panic(http.ErrAbortHandler)
@@ -75,3 +80,18 @@
 		sendExtraResponse(writer)
 	}
 }
+
+// unframedPause is the pause between the two parts of an unframed response.
+const unframedPause = 40 * time.Millisecond
+
+// replyUnframed writes a response that ends with its connection, subject to its faults.
+func (plain *Plain) replyUnframed(writer http.ResponseWriter, reply string, drawnFaults requestFaults) {
+	setUnframed(writer)
+	_, _ = io.WriteString(writer, reply[:len(reply)/2]) //nolint:gosec // plain text; fails only if the client has disconnected
+	_ = http.NewResponseController(writer).Flush()      // fails only if the client has disconnected
+	time.Sleep(unframedPause)
+	if drawnFaults.cut || drawnFaults.lost || drawnFaults.errors {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(writer, reply[len(reply)/2:]) //nolint:gosec // plain text; fails only if the client has disconnected
+}
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -36,11 +36,15 @@
 const maxBodyBytes = 1 << 20
 
 // Faults are the failure modes of a server. Errors, Refused, LostResponses,
-// Truncated and ExtraResponses are fractions (0 to 1) of its requests.
+// Truncated, ExtraResponses and Unframed are fractions (0 to 1) of its requests.
 type Faults struct {
 	// Errors get status 500 after they ran, and Refused get 503 without being run.
 	Errors  float64
 	Refused float64
+	// RefusalStatuses are the statuses of refusals, drawn at random. Empty means 503.
+	RefusalStatuses []int
+	// LateCopies makes the server send each refusal once more, before the next response on its connection. It needs a Listener.
+	LateCopies bool
 	// Backoff is the Retry-After duration of refusals, or zero to omit the header.
 	Backoff time.Duration
 	// RateLimited makes the server advertise a rate limit in all responses. RateLimit is the limit in requests per
@@ -53,6 +57,9 @@
 	LostResponses  float64
 	Truncated      float64
 	ExtraResponses float64
+	// Unframed responses state no length and end with their connection. Those of plain services are sent in two parts.
+	// They are reset where they are cut off, which needs a Listener.
+	Unframed float64
 	// Hang makes the server respond to no request, and Slowdown multiplies its
 	// processing times if above one.
 	Hang     bool
@@ -143,7 +150,10 @@
 
 // requestFaults has the faults that affect one request.
 type requestFaults struct {
-	errors, refused, lost, cut, extra, hang bool
+	errors, refused, lost, cut, extra, hang, unframed bool
+	// refusalStatus is the status of a refusal, and lateCopy whether it is sent once more, late.
+	refusalStatus int
+	lateCopy      bool
 }
 
 // drawFaults draws at random which faults affect a request.
@@ -152,10 +162,15 @@
 	defer server.mu.Unlock()
 	occurs := func(fraction float64) bool { return fraction > 0 && server.random.Float64() < fraction }
 	faults := server.faults
-	return requestFaults{
+	drawn := requestFaults{
 		errors: occurs(faults.Errors), refused: occurs(faults.Refused), lost: occurs(faults.LostResponses),
 		cut: occurs(faults.Truncated), extra: occurs(faults.ExtraResponses), hang: faults.Hang,
+		unframed: occurs(faults.Unframed), refusalStatus: http.StatusServiceUnavailable, lateCopy: faults.LateCopies,
 	}
+	if count := len(faults.RefusalStatuses); count > 0 {
+		drawn.refusalStatus = faults.RefusalStatuses[server.random.IntN(count)]
+	}
+	return drawn
 }
 
 // slowdown returns the factor by which processing times are multiplied.
@@ -171,6 +186,11 @@
 	writer.Header().Set(headerSeal, server.identity.Instance)
 }
 
+// setUnframed makes the response to a request end with its connection.
+func setUnframed(writer http.ResponseWriter) {
+	writer.Header().Set("Transfer-Encoding", "identity")
+}
+
 // writeNotRun writes a response stating that the request was not run. atFault is
 // the address of the server at fault if it is another one, or empty.
 func writeNotRun(writer http.ResponseWriter, request *http.Request, status int, atFault string) {
@@ -209,7 +229,11 @@
 		if arrival.Backoff > 0 {
 			writer.Header().Set(headerRetryAfter, strconv.FormatFloat(arrival.Backoff.Seconds(), 'f', -1, 64))
 		}
-		writeNotRun(writer, request, http.StatusServiceUnavailable, "")
+		writer.Header().Set("Content-Length", "0") // nothing of it follows the flush of a late copy
+		writeNotRun(writer, request, drawnFaults.refusalStatus, "")
+		if drawnFaults.lateCopy {
+			sendAgainLater(writer, request, fmt.Sprint(drawnFaults.refusalStatus, " refused"))
+		}
 		return drawnFaults, false
 	}
 	return drawnFaults, true
--- a/internal/standin/platformserver/stream.go
+++ b/internal/standin/platformserver/stream.go
@@ -200,6 +200,10 @@
 	id := request.Header.Get(headerID)
 	lastEvent := parseCount(request.Header.Get(headerLastEvent))
 	engine.setResponseHeaders(writer, request)
+	if drawnFaults.unframed {
+		defer resetIfAborted(request)
+		setUnframed(writer)
+	}
 	if drawnFaults.errors {
 		writer.WriteHeader(http.StatusInternalServerError)
 		return
