backend: servers that echo no IDs are still served, on a connection each

Since responses to a dispatch have to echo the ID of their attempt, a backend server of an earlier version would have got no answer through. Rolling updates have both.

Change: connections are reused only for servers whose last response echoed the ID. A response without one counts if its connection was not reused, where no late one can come first.

Test, failing before: TestBackendThatDoesNotEchoIsServedOnFreshConnections, whose server sends each response once more, late.

--- a/internal/backend/httpbackend.go
+++ b/internal/backend/httpbackend.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,13 +33,15 @@
 
 // HTTPBackend is a client for engines and services over HTTP.
 type HTTPBackend struct {
-	// pooled reuses connections. It is used for dispatches, whose responses bear the ID of
-	// their attempt, and for loads, where a late response is only an older load.
+	// pooled reuses connections. It is used for dispatches to backend servers whose responses
+	// echo the ID of their attempt, and for loads, where a late response is only an older load.
 	pooled *http.Client
 	// unpooled uses each connection once. It is used for dispatches that may run at most
 	// once: a failed server is then detected when connecting, before anything is sent. It is
 	// also used where a late response could not be told from the one that is due.
 	unpooled *http.Client
+	// echoing has the addresses of backend servers whose last response echoed the ID of its attempt.
+	echoing sync.Map
 }
 
 // NewHTTPBackend returns a client with its own connection pool.
@@ -96,17 +99,18 @@
 		return nil, &NotRunError{Address: address, Reason: err.Error()}
 	}
 	dispatch.setHeaders(request.Header)
+	_, echoes := httpbackend.echoing.Load(address)
 	client := httpbackend.pooled
-	if dispatch.Key != "" {
+	if dispatch.Key != "" || !echoes {
 		client = httpbackend.unpooled
 	}
 	response, err := client.Do(request)
 	if err != nil {
 		return nil, newDispatchError(address, err)
 	}
-	if echoed := response.Header.Get(HeaderAttempt); echoed != dispatch.Attempt {
+	if err := httpbackend.checkEcho(address, dispatch.Attempt, response.Header.Get(HeaderAttempt), client == httpbackend.pooled); err != nil {
 		_ = response.Body.Close() // with bytes left, it closes the connection too
-		return nil, &OtherAttemptError{Address: address, Attempt: dispatch.Attempt, Echoed: echoed}
+		return nil, err
 	}
 	if response.StatusCode == http.StatusOK {
 		return response, nil
@@ -115,6 +119,21 @@
 	return nil, newStatusError(address, response)
 }
 
+// checkEcho returns an error if a response is not that to an attempt by the ID that it echoes. A response without one, of a backend
+// server of an earlier version, is right if its connection was not reused.
+func (httpbackend *HTTPBackend) checkEcho(address, attempt, echoed string, reused bool) error {
+	switch {
+	case echoed == attempt:
+		httpbackend.echoing.Store(address, true)
+		return nil
+	case echoed == "" && !reused:
+		return nil
+	default:
+		httpbackend.echoing.Delete(address)
+		return &OtherAttemptError{Address: address, Attempt: attempt, Echoed: echoed}
+	}
+}
+
 // setHeaders sets the headers of the backend protocol.
 func (dispatch Dispatch) setHeaders(header http.Header) {
 	header.Set(HeaderAttempt, dispatch.Attempt)
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -1,6 +1,7 @@
 package backend
 
-// Headers of the HTTP protocol of backend servers. All responses to a dispatch echo HeaderAttempt.
+// Headers of the HTTP protocol of backend servers. Responses to a dispatch echo HeaderAttempt; those that
+// don't cost a connection each.
 const (
 	HeaderAttempt      = "Backend-Attempt"
 	HeaderFence        = "Backend-Fence"
