--- a/internal/gateway/contained.go
+++ b/internal/gateway/contained.go
@@ -6,7 +6,7 @@
 func (forwarder *forwarder) startContained() bool {
 	tracker := forwarder.gateway.quarantine
 	forwarder.finishContained()
-	contained := tracker.Contained(forwarder.fingerprints.All()...)
+	contained := tracker.Contained(forwarder.allFingerprints...)
 	if !tracker.Start(contained) {
 		forwarder.recordContainedWait()
 		return false
--- a/internal/gateway/coordinated.go
+++ b/internal/gateway/coordinated.go
@@ -104,7 +104,7 @@
 		InterTokenObjective: request.InterTokenObjective, Objective: request.Objective, TimeToObjective: request.TimeToObjective, TimeToCallerDeadline: request.TimeToCallerDeadline,
 		DataCentre: request.DataCentre, Tried: forwarder.triedServers, AllowedDataCentres: forwarder.allowedDataCentres, Retry: forwarder.deliveries > 0 && forwarder.gateway.coordinatorGrantsRetries(),
 		Counted: alreadyCounted, Organisation: request.Organisation, Priority: forwarder.priority(),
-		Contained: forwarder.gateway.quarantine.Contained(forwarder.fingerprints.All()...),
+		Contained: forwarder.gateway.quarantine.Contained(forwarder.allFingerprints...),
 	}
 }
 
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -28,6 +28,8 @@
 	// fingerprints identify the content of the request and the parts that its prompt shares with others;
 	// they are the same for each of the caller's tries.
 	fingerprints fingerprint.Set
+	// allFingerprints are all of fingerprints.
+	allFingerprints []fingerprint.Fingerprint
 	// contained has those of them that count this request as in flight.
 	contained []fingerprint.Fingerprint
 	// waitedForContained is true once the request waited for another one that counts so.
@@ -72,6 +74,7 @@
 }
 
 func newForwarder(gateway *Gateway, admitted *admitted, body []byte, writer http.ResponseWriter) *forwarder {
+	fingerprints := admitted.fingerprints(body)
 	return &forwarder{
 		admitted:  admitted,
 		gateway:   gateway,
@@ -82,7 +85,8 @@
 		unsentBackoff: wait.NewBackoff(unsentPause, unsentPauseMax),
 		seed:          rand.Uint64(), //nolint:gosec // not used for security
 
-		fingerprints: admitted.fingerprints(body),
+		fingerprints:    fingerprints,
+		allFingerprints: fingerprints.All(),
 	}
 }
 
@@ -110,12 +114,12 @@
 func (forwarder *forwarder) forward(ctx context.Context) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer forwarder.gateway.quarantine.Watch(func() { forwarder.cancelIfNoEvents(cancel) }, forwarder.fingerprints.All()...)()
+	defer forwarder.gateway.quarantine.Watch(func() { forwarder.cancelIfNoEvents(cancel) }, forwarder.allFingerprints...)()
 	defer forwarder.finishContained()
 	budget := forwarder.gateway.budget(forwarder.service.Name)
 	budget.Earn()
 	for {
-		if forwarder.gateway.quarantine.Remaining(forwarder.fingerprints.All()...) > 0 {
+		if forwarder.gateway.quarantine.Remaining(forwarder.allFingerprints...) > 0 {
 			return forwarder.failureOutcome(ReasonCrashesServers)
 		}
 		plan, activeRequest, ok := forwarder.place(ctx)
@@ -236,7 +240,7 @@
 	case ctx.Err() != nil:
 		return forwarder.interruptedOutcome(ctx), true
 	case result.kind == resultTruncated, result.kind == resultUncertain && !forwarder.route.Repeatable(),
-		forwarder.executions >= forwarder.route.MaxAttempts, (result.connectionLost || result.lostThroughVM) && gateway.quarantine.OnProbation(forwarder.fingerprints.All()...):
+		forwarder.executions >= forwarder.route.MaxAttempts, (result.connectionLost || result.lostThroughVM) && gateway.quarantine.OnProbation(forwarder.allFingerprints...):
 		return forwarder.failureOutcome(ReasonServerFailed), true
 	}
 	return outcome{}, false
@@ -312,7 +316,7 @@
 func (forwarder *forwarder) retryDelay(reason Reason) time.Duration {
 	switch reason {
 	case ReasonCrashesServers:
-		return forwarder.gateway.quarantine.Remaining(forwarder.fingerprints.All()...)
+		return forwarder.gateway.quarantine.Remaining(forwarder.allFingerprints...)
 	case ReasonServersBackoff:
 		return forwarder.rejection.until.Sub(forwarder.gateway.now()) + forwarder.gateway.retryAfter()
 	case ReasonServersEvacuated:
