reachability: full servers that reset new connections are no cut

In 27 of 100 looks a VM took its links to all servers for cut, and led its requests through the other VM to the same full servers.

Cause: two servers that reset a new connection between two bytes of others' answers are "out of reach, and none reached since".

Change: while connections open and other requests wait for their answers, no longer than reachability.silence, servers that reset may be full, and the links are in doubt only. A cut that resets ends these waits, one that falls silent is seen as silence. Weighed: a time without bytes in place of the waits (the same where servers take long, and later in a cut without other requests).

--- a/internal/reachability/links.go
+++ b/internal/reachability/links.go
@@ -16,7 +16,7 @@
 	Reachable Verdict = "reachable"
 	// Doubtful: a server was out of reach, or all servers are silent.
 	Doubtful Verdict = "doubtful"
-	// Unreachable: several servers are out of reach, and none was reached since.
+	// Unreachable: several servers are out of reach, none was reached since, and it is not that they are full.
 	Unreachable Verdict = "unreachable"
 )
 
@@ -96,7 +96,7 @@
 	links.update(now)
 	unreached := links.unreached()
 	switch {
-	case unreached >= links.settings.MinUnreached:
+	case unreached >= links.settings.MinUnreached && !links.mayBeFull():
 		return Unreachable
 	case unreached > 0 || links.silent:
 		return Doubtful
@@ -105,6 +105,12 @@
 	}
 }
 
+// mayBeFull reports whether the servers that are out of reach may be full instead: connections can be opened, and other requests
+// wait for responses on connections that were not reset, not yet as long as servers that take their time need.
+func (links *Links) mayBeFull() bool {
+	return len(links.unopened) < links.settings.MinUnreached && links.outstanding > 0 && !links.silent
+}
+
 // CannotOpen reports whether no connections to several servers could be opened, and none to any server since. Unlike connections
 // that end before their first byte, this cannot be the effect of servers that crash under the VM's own requests.
 func (links *Links) CannotOpen(now time.Time) bool {
