--- a/internal/gateway/peersink.go
+++ b/internal/gateway/peersink.go
@@ -42,7 +42,7 @@
 	for _, loss := range peerSink.quarantine.RecentLosses() {
 		reports = append(reports, pool.Report{
 			Server: loss.Server, Phase: phaseOf(loss), Health: healthOf(loss),
-			Fingerprint: loss.Fingerprint, Parts: lostParts(loss), Age: peerSink.now().Sub(loss.At),
+			Fingerprint: loss.Fingerprint, Parts: loss.Parts, Age: peerSink.now().Sub(loss.At),
 		})
 	}
 	return append(reports, peerSink.OwnLimitReports(peerSink.isCoordinator())...)
@@ -89,14 +89,6 @@
 	return pool.HealthConnectionLost
 }
 
-// lostParts returns the parts under which a server was lost.
-func lostParts(loss quarantine.Loss) []fingerprint.Fingerprint {
-	if loss.HadEvent {
-		return nil
-	}
-	return loss.Parts
-}
-
 // Suspects implements exchange.Sink.
 func (peerSink peerSink) Suspects() []quarantine.Suspect {
 	return peerSink.quarantine.Suspects()
--- a/internal/quarantine/observation.go
+++ b/internal/quarantine/observation.go
@@ -11,17 +11,25 @@
 func (tracker *Tracker) RecordLoss(loss Loss) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	loss.At = tracker.now()
+	loss = loss.at(tracker.now())
 	tracker.own = append(tracker.recentLosses(), loss)
 	tracker.addLoss(loss)
 }
 
+// at returns the loss with its time, and with the parts that count.
+func (loss Loss) at(at time.Time) Loss {
+	loss.At = at
+	if loss.HadEvent {
+		loss.Parts = nil
+	}
+	return loss
+}
+
 // RecordRemoteLoss records a loss that another VM observed the given time ago.
 func (tracker *Tracker) RecordRemoteLoss(loss Loss, age time.Duration) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	loss.At = tracker.now().Add(-age)
-	tracker.addLoss(loss)
+	tracker.addLoss(loss.at(tracker.now().Add(-age)))
 }
 
 // RecentLosses returns the losses that this VM observed within Settings.RepublishTime, to be
@@ -65,9 +73,6 @@
 	lost := tracker.crashFor(loss)
 	known := tracker.suspect(loss.Fingerprint, false)
 	known.hadEvent = known.hadEvent || loss.HadEvent
-	if loss.HadEvent {
-		loss.Parts = nil
-	}
 	for _, part := range loss.Parts {
 		tracker.addPartLoss(known, tracker.suspect(part, true), lost)
 	}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -82,7 +82,7 @@
 	// HadEvent is set if an event of the response had arrived by then.
 	HadEvent bool
 	// Parts has the parts that the request's prompt may share with others. They count only without
-	// HadEvent.
+	// HadEvent, and are dropped from recorded losses with it.
 	Parts []fingerprint.Fingerprint
 	// ThroughVM is set if the connection led through another VM.
 	ThroughVM bool
