--- a/internal/gateway/not_run_test.go
+++ b/internal/gateway/not_run_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,7 +15,7 @@
 // callers, but without the header Not-Executed. No caller may receive such a status.
 func TestNotRunStatusNeedsNotExecutedHeader(t *testing.T) {
 	notRunStatuses := []int{
-		http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
 	}
 	for _, status := range notRunStatuses {
 		for name, callerRequest := range map[string]callerRequest{
@@ -28,11 +29,22 @@
 					for _, server := range fleet.servers {
 						server.script = responses(status, "it ran")
 					}
-					for _, response := range fleet.queryEvery(callerRequest, 50*time.Millisecond, 200*time.Millisecond) {
+					responses := fleet.queryEvery(callerRequest, 50*time.Millisecond, 200*time.Millisecond)
+					for _, response := range responses {
 						assert.Assert(t, !slices.Contains(notRunStatuses, response.status), "%d %s", response.status, response.body)
 					}
+					if strings.HasPrefix(name, "non-") {
+						fleet.assertRanOnce()
+					}
 				})
 			})
 		}
 	}
 }
+
+// assertRanOnce checks that each request that reached a server reached one.
+func (fleet *fleet) assertRanOnce() {
+	for id, runs := range fleet.runsPerRequest() {
+		assert.Check(fleet.t, runs == 1, "%s ran %d times", id, runs)
+	}
+}
--- a/internal/standin/platformserver/engine_test.go
+++ b/internal/standin/platformserver/engine_test.go
@@ -149,7 +149,7 @@
 		wantRuns   int
 	}{
 		"served":                        {prompt: 5000, wantStatus: http.StatusOK, wantRuns: 1},
-		"intended for another instance": {prompt: 5000, header: map[string]string{"Expect-Instance": "i-9"}, wantStatus: http.StatusMisdirectedRequest},
+		"intended for another instance": {prompt: 5000, header: map[string]string{"Expect-Instance": "i-9"}, wantStatus: http.StatusMisdirectedRequest, wantNotRun: true},
 		"refused by a fault":            {prompt: 5000, faults: platformserver.Faults{Refused: 1}, wantStatus: http.StatusServiceUnavailable, wantNotRun: true},
 		"server error":                  {prompt: 5000, faults: platformserver.Faults{Errors: 1}, wantStatus: http.StatusInternalServerError, wantRuns: 1},
 		"prompt exceeds the memory":     {prompt: 240_000, wantStatus: http.StatusServiceUnavailable, wantNotRun: true},
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -219,8 +219,7 @@
 	switch {
 	case expected != "" && expected != server.identity.Instance:
 		writer.Header().Set(headerInstance, server.identity.Instance)
-		writer.Header().Set(headerID, request.Header.Get(headerID))
-		writer.WriteHeader(http.StatusMisdirectedRequest)
+		writeNotRun(writer, request, http.StatusMisdirectedRequest, "")
 		return drawnFaults, false
 	case drawnFaults.hang:
 		<-request.Context().Done()
