entry: a cut answer of another entry is not whole

Cause: copyResponse returned alike for the end of the answer and for its failure.

Change: a failure aborts the connection to the caller.

--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -157,6 +158,7 @@
 	return true
 }
 
+// copyResponse copies the response of another entry. It aborts the connection to the caller if the response is cut off.
 func copyResponse(w http.ResponseWriter, response *http.Response) {
 	for _, name := range []string{"Content-Type", "Cache-Control", HeaderRequestID, headerRetry} {
 		if value := response.Header.Get(name); value != "" {
@@ -174,9 +176,12 @@
 				return
 			}
 		}
-		if err != nil {
+		if errors.Is(err, io.EOF) {
 			return
 		}
+		if err != nil {
+			panic(http.ErrAbortHandler) // so that the caller sees the answer as incomplete
+		}
 	}
 }
 
