--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -88,7 +88,14 @@
 // Dial implements Network with TCP over IPv4.
 func (system System) Dial(ctx context.Context, address string) (net.Conn, error) {
 	conn, err := system.dialer.DialContext(ctx, "tcp4", address)
-	return conn, errors.WithStack(err)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil, errors.AssertionFailedf("connection to %s is a %T", address, conn)
+	}
+	return &dialledConn{Conn: tcp, socket: tcp}, nil
 }
 
 // ListenPacket implements Network with UDP over IPv4.
--- a/internal/tunnel/ends_test.go
+++ b/internal/tunnel/ends_test.go
@@ -18,6 +18,9 @@
 
 const sentByServer = "bytes of the server"
 
+// copiedBytes is more than a tunnel copies at once.
+const copiedBytes = 64 << 10
+
 // listenTCP serves each connection to a loopback address with a script.
 func listenTCP(t *testing.T, script func(conn *net.TCPConn)) (address string) {
 	t.Helper()
@@ -173,6 +176,29 @@
 	}
 }
 
+// TestTunnelTellsOfAResetWhileTheBodyIsSent guards against a reset by the server being taken for its regular end by the VM that serves
+// the tunnel, since it was the copy of the request that came upon it.
+func TestTunnelTellsOfAResetWhileTheBodyIsSent(t *testing.T) {
+	for range 30 {
+		address := listenTCP(t, func(conn *net.TCPConn) {
+			_, _ = conn.Read(make([]byte, 1))
+			_, _ = io.WriteString(conn, sentByServer)
+			time.Sleep(5 * time.Millisecond) // until the bytes were read
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+		})
+		connection := dialThrough(t, newPeer(t, network.New(network.DefaultSettings()).Dial), address)
+		go func() {
+			for err := error(nil); err == nil; {
+				_, err = connection.Write(make([]byte, copiedBytes))
+			}
+		}()
+		got, err := io.ReadAll(connection)
+		assert.Equal(t, string(got), sentByServer)
+		assert.Assert(t, err != nil, "a reset passes as the server's regular end")
+	}
+}
+
 // TestVMOfTheOldVersionGetsNoFrames requests a tunnel as the old version did.
 func TestVMOfTheOldVersionGetsNoFrames(t *testing.T) {
 	address := listenTCP(t, func(conn *net.TCPConn) {
