--- a/internal/tunnel/ends_test.go
+++ b/internal/tunnel/ends_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -176,6 +177,13 @@
 	}
 }
 
+// writeUntilError writes to a connection until that fails.
+func writeUntilError(conn net.Conn) {
+	for err := error(nil); err == nil; {
+		_, err = conn.Write(make([]byte, copiedBytes))
+	}
+}
+
 // TestTunnelTellsOfAResetWhileTheBodyIsSent guards against a reset by the server being taken for its regular end by the VM that serves
 // the tunnel, since it was the copy of the request that came upon it.
 func TestTunnelTellsOfAResetWhileTheBodyIsSent(t *testing.T) {
@@ -188,14 +196,62 @@
 			_ = conn.Close()
 		})
 		connection := dialThrough(t, newPeer(t, network.New(network.DefaultSettings()).Dial), address)
-		go func() {
-			for err := error(nil); err == nil; {
-				_, err = connection.Write(make([]byte, copiedBytes))
-			}
-		}()
+		go writeUntilError(connection)
 		got, err := io.ReadAll(connection)
 		assert.Equal(t, string(got), sentByServer)
-		assert.Assert(t, err != nil, "a reset passes as the server's regular end")
+		assert.ErrorIs(t, err, tunnel.ErrServerReset)
+	}
+}
+
+// lateReader is a connection that is not read until a write to it has failed.
+type lateReader struct {
+	net.Conn
+
+	failed chan struct{}
+	once   sync.Once
+}
+
+func (latereader *lateReader) Write(buffer []byte) (int, error) {
+	count, err := latereader.Conn.Write(buffer)
+	if err != nil {
+		latereader.once.Do(func() { close(latereader.failed) })
+	}
+	return count, err //nolint:wrapcheck // the error is that of the connection
+}
+
+func (latereader *lateReader) Read(buffer []byte) (int, error) {
+	<-latereader.failed
+	return latereader.Conn.Read(buffer) //nolint:wrapcheck // callers of io.Reader compare with io.EOF
+}
+
+// TestAnswerBeforeTheBodyWasReadPassesTheTunnel guards against an answer, or how it ended, being lost at the VM that serves the tunnel: a
+// server answers before it has read the whole request, and reads no more of it.
+func TestAnswerBeforeTheBodyWasReadPassesTheTunnel(t *testing.T) {
+	dial := network.New(network.DefaultSettings()).Dial
+	for name, test := range map[string]struct {
+		end     func(conn *net.TCPConn) error
+		wantErr error
+	}{
+		"server resets": {end: func(conn *net.TCPConn) error { return conn.SetLinger(0) }, wantErr: tunnel.ErrServerReset},
+		"server ends":   {end: (*net.TCPConn).CloseWrite},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := listenTCP(t, func(conn *net.TCPConn) {
+				_, _ = conn.Read(make([]byte, 1))
+				_, _ = io.WriteString(conn, sentByServer)
+				_ = test.end(conn)
+				_ = conn.Close()
+			})
+			peer := newPeer(t, func(ctx context.Context, address string) (net.Conn, error) {
+				conn, err := dial(ctx, address)
+				return &lateReader{Conn: conn, failed: make(chan struct{})}, err
+			})
+			connection := dialThrough(t, peer, address)
+			go writeUntilError(connection)
+			got, err := io.ReadAll(connection)
+			assert.Equal(t, string(got), sentByServer)
+			assert.ErrorIs(t, err, test.wantErr)
+		})
 	}
 }
 
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -141,8 +141,7 @@
 	peerDone := make(chan struct{})
 	go func() {
 		defer close(peerDone)
-		copyAll(toServer, buffered)
-		_ = toServer.Close() // the other VM has no use for the response any more
+		copyToServer(toServer, buffered)
 	}()
 	copyToPeer(toPeer, toServer)
 	closeWrite(toPeer)
@@ -152,6 +151,15 @@
 	}
 }
 
+// copyToServer copies what the other VM sends until its side ends, and closes the connection to the server then: the other VM has no
+// use for the response any more. A server may respond and read no more of the request, so what it does not take is discarded and
+// its response is read on.
+func copyToServer(toServer io.WriteCloser, fromPeer io.Reader) {
+	copyAll(toServer, fromPeer)
+	_, _ = io.Copy(io.Discard, fromPeer) // ends with the connection
+	_ = toServer.Close()
+}
+
 // copyAll copies until the source ends or either side fails; both mean that the tunnel ends.
 func copyAll(to io.Writer, from io.Reader) {
 	buffer := make([]byte, copyBufferSize)
