--- a/internal/tunnel/ends_test.go
+++ b/internal/tunnel/ends_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -255,19 +256,32 @@
 	}
 }
 
-// TestVMOfTheOldVersionGetsNoFrames requests a tunnel as the old version did.
+// TestVMOfTheOldVersionGetsNoFrames requests a tunnel as the old version did. It guards against a VM of that version taking a reset by the
+// server for its regular end, which the old version tells apart by the connection alone.
 func TestVMOfTheOldVersionGetsNoFrames(t *testing.T) {
-	address := listenTCP(t, func(conn *net.TCPConn) {
-		_, _ = io.WriteString(conn, sentByServer)
-		_ = conn.Close()
-	})
-	network := network.New(network.DefaultSettings())
-	conn, err := network.Dial(t.Context(), string(newPeer(t, network.Dial)))
-	assert.NilError(t, err)
-	defer func() { _ = conn.Close() }()
-	_, err = io.WriteString(conn, "CONNECT "+address+" HTTP/1.1\r\nHost: "+address+"\r\n\r\n")
-	assert.NilError(t, err)
-	got, err := io.ReadAll(conn)
-	assert.NilError(t, err)
-	assert.Equal(t, string(got), "HTTP/1.1 200 OK\r\n\r\n"+sentByServer)
+	for name, test := range map[string]struct {
+		end     func(conn *net.TCPConn)
+		wantErr error
+	}{
+		"server ends":   {end: func(*net.TCPConn) {}},
+		"server resets": {end: func(conn *net.TCPConn) { _ = conn.SetLinger(0) }, wantErr: syscall.ECONNRESET},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := listenTCP(t, func(conn *net.TCPConn) {
+				_, _ = conn.Read(make([]byte, 1))
+				_, _ = io.WriteString(conn, sentByServer)
+				test.end(conn)
+				_ = conn.Close()
+			})
+			network := network.New(network.DefaultSettings())
+			conn, err := network.Dial(t.Context(), string(newPeer(t, network.Dial)))
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, "CONNECT "+address+" HTTP/1.1\r\nHost: "+address+"\r\n\r\nx")
+			assert.NilError(t, err)
+			got, err := io.ReadAll(conn)
+			assert.Equal(t, string(got), "HTTP/1.1 200 OK\r\n\r\n"+sentByServer)
+			assert.ErrorIs(t, err, test.wantErr)
+		})
+	}
 }
--- a/internal/tunnel/frames.go
+++ b/internal/tunnel/frames.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"net"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -22,7 +23,7 @@
 
 // copyFrames sends what it reads from a server in frames until the server's side ends, and then how it ended. It returns when
 // either side has failed.
-func copyFrames(to io.Writer, from io.Reader) {
+func copyFrames(to net.Conn, from io.Reader) {
 	writer := bufio.NewWriterSize(to, copyBufferSize+frameOverheadBytes)
 	buffer := make([]byte, copyBufferSize)
 	for {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -131,7 +131,7 @@
 	}
 	defer func() { _ = toPeer.Close() }()
 	_ = toPeer.SetDeadline(time.Time{}) // net/http may have set one; on a closed connection the copies fail
-	accepted, copyToPeer := acceptance, copyAll
+	accepted, copyToPeer := acceptance, copyUnframed
 	if framed {
 		accepted, copyToPeer = framedAcceptance, copyFrames
 	}
@@ -155,16 +155,17 @@
 // use for the response any more. A server may respond and read no more of the request, so what it does not take is discarded and
 // its response is read on.
 func copyToServer(toServer io.WriteCloser, fromPeer io.Reader) {
-	copyAll(toServer, fromPeer)
+	_ = copyAll(toServer, fromPeer)
 	_, _ = io.Copy(io.Discard, fromPeer) // ends with the connection
 	_ = toServer.Close()
 }
 
-// copyAll copies until the source ends or either side fails; both mean that the tunnel ends.
-func copyAll(to io.Writer, from io.Reader) {
+// copyAll copies until the source ends regularly or either side fails. It returns the failure.
+func copyAll(to io.Writer, from io.Reader) error {
 	buffer := make([]byte, copyBufferSize)
 	// The wrappers keep io.CopyBuffer from using a buffer of its own.
-	_, _ = io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, buffer) // the sides see the end of the connection
+	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, buffer)
+	return errors.WithStack(err)
 }
 
 // closeWrite ends what the other VM reads. It closes the connection where that cannot be done for one direction, since bytes
