--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/mastwinch/mastwinch/internal/buildinfo"
 	"github.com/mastwinch/mastwinch/internal/clock"
 	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/gateway"
@@ -35,6 +36,7 @@
 	return &cli.Command{
 		Name:                  "mw-gateway",
 		Usage:                 "serve callers' requests on the platform",
+		Version:               buildinfo.Read().String(),
 		EnableShellCompletion: true,
 		Flags: []cli.Flag{
 			&cli.StringFlag{
@@ -75,6 +77,8 @@
 	output := logging.New(os.Stdout, tuning.Logging.MaxQueuedLines)
 	defer output.Close()
 	logger := newJSONLogger(output, tuning.Logging.Level).With("vm", site.VM)
+	build := buildinfo.Read()
+	logger.Info("starting", "revision", build.Revision, "build", build.ID, "go", build.GoVersion)
 	sockets := network.New(tuning.Network)
 	clock, err := clock.New(clock.Boottime)
 	if err != nil {
--- a/internal/cmd/gatewaycmd_test.go
+++ b/internal/cmd/gatewaycmd_test.go
@@ -12,6 +12,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/buildinfo"
 )
 
 // freePorts returns loopback addresses with ports that are currently not in use.
@@ -54,6 +56,8 @@
 		}
 	}
 	assert.NilError(t, command.Wait())
+	build := `"msg":"starting","vm":"vm-1","revision":"` + buildinfo.Read().Revision + `","build":"` + buildinfo.Read().ID
+	assert.Assert(t, strings.Contains(logged.String(), build), logged.String())
 	assert.Assert(t, strings.Contains(logged.String(), `"settings read again"`), logged.String())
 	assert.Assert(t, strings.Contains(logged.String(), `"gateway stopped"`), logged.String())
 }
