--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -46,7 +46,9 @@
 	retrySlack float64
 	// memoryBytes is the memory of each VM; zero means that of newSite.
 	memoryBytes int64
-	vms         []*fleetVM
+	// unframed has the numbers of the VMs that don't tell others how connections of servers end, as in an older version.
+	unframed []int
+	vms      []*fleetVM
 	// servers has the servers of both services, which alternate.
 	servers []*fleetServer
 }
@@ -135,8 +137,10 @@
 	site.Bounds.Apply = fleet.applyBound
 	site.MemoryBytes = cmp.Or(fleet.memoryBytes, site.MemoryBytes)
 	site.Bounds.RetrySlack = cmp.Or(fleet.retrySlack, site.Bounds.RetrySlack)
+	settings := gateway.DefaultSettings()
+	settings.Tunnel.Frames = !slices.Contains(fleet.unframed, vm.number)
 	vm.stopped = make(chan error, 1)
-	vm.instance, vm.stop = fleet.startOn(vm.network, site, vm.stopped)
+	vm.instance, vm.stop = fleet.startOn(vm.network, settings, site, vm.stopped)
 }
 
 func (fleet *fleet) stop(vm *fleetVM) {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -211,11 +211,13 @@
 
 // startAt starts a VM with site settings. The result of its Run is sent to stopped.
 func (harness *harness) startAt(site gateway.Site, stopped chan<- error) (*gateway.Gateway, context.CancelFunc) {
-	return harness.startOn(harness.network, site, stopped)
+	return harness.startOn(harness.network, gateway.DefaultSettings(), site, stopped)
 }
 
-// startOn is startAt for a VM with a network of its own.
-func (harness *harness) startOn(hostNetwork network.Network, site gateway.Site, stopped chan<- error) (*gateway.Gateway, context.CancelFunc) {
+// startOn is startAt for a VM with a network and settings of its own.
+func (harness *harness) startOn(
+	hostNetwork network.Network, settings gateway.Settings, site gateway.Site, stopped chan<- error,
+) (*gateway.Gateway, context.CancelFunc) {
 	logger := slog.New(slog.DiscardHandler)
 	transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 		return harness.network.Dial(ctx, address)
@@ -223,7 +225,7 @@
 	clock := harness.newClock()
 	epochs := epoch.New(clock.Now)
 	store := platform.NewStore(storeAddress, transport, epochs)
-	instance, err := gateway.New(gateway.DefaultSettings(), site, platform.Codec{}, platform.EngineCodec{}, gateway.Sources{
+	instance, err := gateway.New(settings, site, platform.Codec{}, platform.EngineCodec{}, gateway.Sources{
 		Configuration: platform.NewConfigurationSource(store),
 		Servers:       platform.NewServersSource(store),
 		Registry:      platform.NewMembers(store, logger),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -159,7 +159,7 @@
 
 // registerTunnels registers the metrics of connections to servers that lead through another VM.
 func registerTunnels(registry *prometheus.Registry, gateway *Gateway) {
-	for _, result := range []tunnel.Result{tunnel.ResultOpened, tunnel.ResultFailed, tunnel.ResultSlower} {
+	for _, result := range tunnel.Results() {
 		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "mastwinch_tunnels_total", Help: "Attempts to reach a server through another VM, by how they came out.",
 			ConstLabels: prometheus.Labels{labelResult: string(result)},
--- a/internal/gateway/no_length_test.go
+++ b/internal/gateway/no_length_test.go
@@ -91,18 +91,12 @@
 // TestAnswersWithoutALength guards against part of an answer without a length passing as the whole: after a reset by the server, or the
 // death of another VM, on the way through that VM.
 func TestAnswersWithoutALength(t *testing.T) {
-	kinds := map[string]kindOfAnswer{
-		"safe":             {request: plainRequest(http.MethodGet, "look"), repeatable: true, whole: wholeAnswer},
-		"unsafe":           {request: plainRequest(http.MethodPost, "pay"), whole: wholeAnswer},
-		"resumable stream": {request: streamRequest("chat"), repeatable: true, resumable: true, whole: completeStream(3)},
-		"stream":           {request: streamRequest("bill"), whole: completeStream(3)},
-	}
 	for way, endings := range map[string][]ending{
 		"direct":       {endsWhole, resetByServer, resetAfterLast},
 		"through a VM": {endsWhole, resetByServer, resetAfterLast, otherVMDies},
 	} {
 		for _, ending := range endings {
-			for name, kind := range kinds {
+			for name, kind := range kindsOfAnswers() {
 				t.Run(fmt.Sprintf("%s, %s, %s", way, ending, name), func(t *testing.T) {
 					for sent := range partsOfStream + 1 {
 						got := queryWithoutLength(t, way == "direct", ending, kind.request, sent)
--- a/internal/gateway/tunnel_test.go
+++ b/internal/gateway/tunnel_test.go
@@ -18,13 +18,16 @@
 	return runs
 }
 
-// queryFirstVM sends copies of a request to the first VM, one per interval, and returns all responses.
-func (fleet *fleet) queryFirstVM(callerRequest callerRequest, count int, interval time.Duration) []callerResponse {
+// queryInterval is the time between the requests of queryFirstVM.
+const queryInterval = 30 * time.Millisecond
+
+// queryFirstVM sends copies of a request to the first VM, one per queryInterval, and returns all responses.
+func (fleet *fleet) queryFirstVM(callerRequest callerRequest, count int) []callerResponse {
 	got := make([]callerResponse, count)
 	var callers sync.WaitGroup
 	for number := range count {
 		callers.Go(func() { got[number] = fleet.query(callerRequest) })
-		time.Sleep(interval)
+		time.Sleep(queryInterval)
 	}
 	callers.Wait()
 	return got
@@ -53,7 +56,7 @@
 				}
 				fleet.vms[0].network.begin(test.mode, serverPrefix)
 				time.AfterFunc(time.Second, func() { test.disturb(fleet) })
-				got := fleet.queryFirstVM(plainRequest(http.MethodPost, "pay"), test.mode.requests(), 30*time.Millisecond)
+				got := fleet.queryFirstVM(plainRequest(http.MethodPost, "pay"), test.mode.requests())
 				runs := fleet.runsPerRequest()
 				for id, count := range runs {
 					assert.Check(t, count == 1, "%s ran %d times", id, count)
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -37,6 +37,16 @@
 	Via Peer
 	// ReusableUntil is until when the connection may take further requests. It is zero for a direct one, which has no limit.
 	ReusableUntil time.Time
+	// EndUntold is whether the connection leads through a VM that does not tell how the server's side ended.
+	EndUntold bool
+}
+
+// Requirements are what a request requires of the way to its server. Its zero value allows all ways.
+type Requirements struct {
+	// DataCentres are those through whose VMs a tunnel may lead; empty allows all.
+	DataCentres []string
+	// EndTold is whether a tunnel may lead only through VMs that tell how the server's side ended.
+	EndTold bool
 }
 
 // Result is how an attempt to open a tunnel came out. The values are labels of metrics.
@@ -47,8 +57,18 @@
 	ResultOpened Result = "opened"
 	ResultFailed Result = "failed"
 	ResultSlower Result = "slower"
+	// ResultEndUntold: the other VM does not tell how the server's side ends, and one that does was used, or is required.
+	ResultEndUntold Result = "end_untold"
 )
 
+// Results returns all results.
+func Results() []Result {
+	return []Result{ResultOpened, ResultFailed, ResultSlower, ResultEndUntold}
+}
+
+// untoldMemory is how long a VM that does not tell how the server's side ends is asked after the others.
+const untoldMemory = 10 * time.Second
+
 // Dialer opens connections to servers, directly or through other VMs. It is safe for concurrent use.
 type Dialer struct {
 	settings Settings
@@ -61,6 +81,8 @@
 	mu sync.Mutex
 	// avoided has the VMs that failed to open a tunnel, with the time until which they are avoided.
 	avoided map[string]time.Time
+	// untold has the VMs that don't tell how the server's side ends, with the time until which they are asked after the others.
+	untold  map[string]time.Time
 	results map[Result]int
 }
 
@@ -70,7 +92,7 @@
 ) *Dialer {
 	return &Dialer{
 		settings: settings, links: links, network: network, peers: peers, logger: logger, now: now,
-		avoided: make(map[string]time.Time), results: make(map[Result]int),
+		avoided: make(map[string]time.Time), untold: make(map[string]time.Time), results: make(map[Result]int),
 	}
 }
 
@@ -81,26 +103,26 @@
 	return dialer.results[result]
 }
 
-// Dial opens a connection to a server. A tunnel leads through VMs of the data centres only, if there are any. direct opens a
-// connection over the VM's own link, and records the result of that itself, except when a tunnel is faster.
+// Dial opens a connection to a server, over a way that meets the requirements. direct opens a connection over the VM's own
+// link, and records the result of that itself, except when a tunnel is faster.
 func (dialer *Dialer) Dial(
-	ctx context.Context, address string, dataCentres []string, direct func(ctx context.Context) (net.Conn, error),
+	ctx context.Context, address string, requirements Requirements, direct func(ctx context.Context) (net.Conn, error),
 ) (Connection, error) {
 	verdict := dialer.links.Verdict()
 	if !dialer.settings.Enabled || verdict == reachability.Reachable {
 		conn, err := direct(ctx)
 		return Connection{Conn: conn}, err
 	}
-	own := way{open: direct, headStart: dialer.settings.HeadStart}
-	ways := dialer.tunnels(address, dataCentres)
-	if verdict == reachability.Doubtful {
-		ways = slices.Insert(ways, 0, own)
-	} else {
+	own := way{open: direct, headStart: dialer.settings.HeadStart, lastResort: verdict == reachability.Unreachable}
+	ways := dialer.tunnels(address, requirements)
+	if own.lastResort {
 		ways = append(ways, own)
+	} else {
+		ways = slices.Insert(ways, 0, own)
 	}
 	bounded, cancel := context.WithTimeout(ctx, dialer.settings.OpenTimeout)
 	defer cancel()
-	won, lost := race(bounded, ways)
+	won, lost := race(bounded, ways, dialer.settings.Stagger)
 	dialer.recordLost(ctx, address, lost)
 	if won == nil {
 		return Connection{}, failure(ctx, lost)
@@ -109,19 +131,23 @@
 		return Connection{Conn: won.conn}, nil
 	}
 	dialer.count(ResultOpened)
-	return Connection{Conn: won.conn, Via: won.way.via, ReusableUntil: dialer.now().Add(dialer.settings.ReuseTime)}, nil
+	return Connection{
+		Conn: won.conn, Via: won.way.via, ReusableUntil: dialer.now().Add(dialer.settings.ReuseTime), EndUntold: !tellsEnd(won.conn),
+	}, nil
 }
 
 // tunnels returns the ways to a server through other VMs.
-func (dialer *Dialer) tunnels(address string, dataCentres []string) []way {
+func (dialer *Dialer) tunnels(address string, requirements Requirements) []way {
 	live, others := dialer.peers.TunnelPeers()
 	shuffle(live)
 	shuffle(others)
 	var ways []way
-	for _, peer := range dialer.usable(append(live, others...), dataCentres) {
+	for _, peer := range dialer.usable(append(live, others...), requirements.DataCentres) {
 		ways = append(ways, way{
 			via: peer, headStart: dialer.settings.Stagger,
-			open: func(ctx context.Context) (net.Conn, error) { return dialer.connect(ctx, peer.Address, address) },
+			open: func(ctx context.Context) (net.Conn, error) {
+				return dialer.connect(ctx, peer.Address, address, requirements.EndTold)
+			},
 		})
 	}
 	return ways
@@ -137,23 +163,49 @@
 	return len(dataCentres) == 0 || slices.Contains(dataCentres, peer.DataCentre)
 }
 
-// usable returns the first VMs of the data centres that are not avoided, at most Settings.MaxPeers.
+// usable returns the first VMs of the data centres that are not avoided, at most Settings.MaxPeers. Those that don't tell how the
+// server's side ends come after the others.
 func (dialer *Dialer) usable(peers []Peer, dataCentres []string) []Peer {
 	dialer.mu.Lock()
 	defer dialer.mu.Unlock()
 	now := dialer.now()
-	var usable []Peer
+	var usable, untold []Peer
 	for _, peer := range peers {
-		if len(usable) == dialer.settings.MaxPeers {
-			break
+		if !peer.IsWithin(dataCentres) || isCurrent(dialer.avoided, peer.Address, now) {
+			continue
 		}
-		if !peer.IsWithin(dataCentres) || now.Before(dialer.avoided[peer.Address]) {
+		if isCurrent(dialer.untold, peer.Address, now) {
+			untold = append(untold, peer)
 			continue
 		}
-		delete(dialer.avoided, peer.Address)
 		usable = append(usable, peer)
 	}
-	return usable
+	usable = append(usable, untold...)
+	return usable[:min(dialer.settings.MaxPeers, len(usable))]
+}
+
+// isCurrent reports whether a VM has an entry that has not expired. It removes one that has.
+func isCurrent(entries map[string]time.Time, peer string, now time.Time) bool {
+	until, found := entries[peer]
+	if found && !now.Before(until) {
+		delete(entries, peer)
+	}
+	return found && now.Before(until)
+}
+
+// recordFraming records whether a VM tells how the server's side ends.
+func (dialer *Dialer) recordFraming(peer string, tellsEnd bool) {
+	dialer.mu.Lock()
+	defer dialer.mu.Unlock()
+	now := dialer.now()
+	if tellsEnd {
+		delete(dialer.untold, peer)
+		return
+	}
+	if !isCurrent(dialer.untold, peer, now) {
+		dialer.logger.Info("VM does not tell how connections of servers end", "peer", peer)
+	}
+	dialer.untold[peer] = now.Add(untoldMemory)
 }
 
 // recordLost records the attempts that did not open a connection, or not as fast as another one.
@@ -177,9 +229,13 @@
 // recordLostTunnel records that a tunnel failed or was slower than another way. The other VM is avoided unless it could not
 // reach the server, or the attempt ended with ctx.
 func (dialer *Dialer) recordLostTunnel(ctx context.Context, address string, attempt attempt) {
-	if errors.Is(attempt.err, errSlower) {
+	switch {
+	case errors.Is(attempt.err, errSlower):
 		dialer.count(ResultSlower)
 		return
+	case errors.Is(attempt.err, errEndUntold):
+		dialer.count(ResultEndUntold)
+		return
 	}
 	dialer.count(ResultFailed)
 	if ctx.Err() != nil {
@@ -252,17 +308,21 @@
 	return e.Peer + " refused to open a tunnel: " + http.StatusText(e.Status)
 }
 
-// connect opens a tunnel through another VM.
-func (dialer *Dialer) connect(ctx context.Context, peer, address string) (net.Conn, error) {
+// connect opens a tunnel through another VM, which with endTold must be one that tells how the server's side ends.
+func (dialer *Dialer) connect(ctx context.Context, peer, address string, endTold bool) (net.Conn, error) {
 	conn, err := dialer.network.Dial(ctx, peer)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to VM at %s", peer)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // unblocks the exchange below
-	tunnelled, err := handshake(ctx, conn, peer, address)
+	tunnelled, err := dialer.handshake(ctx, conn, peer, address)
 	if !stop() && err == nil {
 		err = errors.WithStack(ctx.Err())
 	}
+	if err == nil {
+		dialer.recordFraming(peer, tellsEnd(tunnelled))
+		err = checkEndTold(tunnelled, endTold)
+	}
 	if err != nil {
 		_ = conn.Close() // nothing was sent through it
 		return nil, err
@@ -270,13 +330,23 @@
 	return tunnelled, nil
 }
 
+// checkEndTold returns an error if a connection has to tell how the server's side ended and does not.
+func checkEndTold(conn net.Conn, required bool) error {
+	if required && !tellsEnd(conn) {
+		return errors.WithStack(errEndUntold)
+	}
+	return nil
+}
+
 // handshake requests a tunnel on a connection to another VM. It returns the connection to the server.
-func handshake(ctx context.Context, conn net.Conn, peer, address string) (net.Conn, error) {
+func (dialer *Dialer) handshake(ctx context.Context, conn net.Conn, peer, address string) (net.Conn, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodConnect, "http://"+address, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "tunnel request")
 	}
-	request.Header.Set(headerFrames, framesVersion)
+	if dialer.settings.Frames {
+		request.Header.Set(headerFrames, framesVersion)
+	}
 	if err := request.Write(conn); err != nil {
 		return nil, errors.Wrapf(err, "request tunnel of VM at %s", peer)
 	}
--- a/internal/tunnel/ends_test.go
+++ b/internal/tunnel/ends_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -67,7 +66,7 @@
 // newPeer starts a VM that serves tunnels as this version does.
 func newPeer(t *testing.T, dial func(ctx context.Context, address string) (net.Conn, error)) onePeer {
 	t.Helper()
-	return servePeer(t, tunnel.NewServer(tunnel.DefaultSettings(), newLinks(), anyServer{}, dial, slog.New(slog.DiscardHandler)))
+	return servePeer(t, tunnel.NewServer(tunnel.DefaultSettings(), newLinks(), anyServer{}, dial, discard()))
 }
 
 // endingPeer starts a VM that accepts a request for a tunnel, sends some bytes after it received one, and then dies: the system ends
@@ -93,8 +92,8 @@
 	links.Failed("10.0.2.2:80")
 	links.Failed("10.0.2.3:80")
 	links.TakeProbe()
-	dialer := tunnel.NewDialer(tunnel.DefaultSettings(), links, network.New(network.DefaultSettings()), peer, slog.New(slog.DiscardHandler), time.Now)
-	connection, err := dialer.Dial(t.Context(), address, nil, refuse)
+	dialer := tunnel.NewDialer(tunnel.DefaultSettings(), links, network.New(network.DefaultSettings()), peer, discard(), time.Now)
+	connection, err := dialer.Dial(t.Context(), address, tunnel.Requirements{}, refuse)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = connection.Close() })
 	return connection
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -85,7 +85,7 @@
 	conn, status := server.connect(request, mayOpen)
 	server.count(status)
 	if conn != nil {
-		server.serve(writer, conn, request.Header.Get(headerFrames) == framesVersion)
+		server.serve(writer, conn, server.settings.Frames && request.Header.Get(headerFrames) == framesVersion)
 		return
 	}
 	writer.Header().Set("Connection", "close")
--- a/internal/tunnel/settings.go
+++ b/internal/tunnel/settings.go
@@ -6,6 +6,8 @@
 type Settings struct {
 	// Enabled is whether this VM opens tunnels through others and serves theirs.
 	Enabled bool `yaml:"enabled"`
+	// Frames is whether this VM asks VMs that serve its tunnels to tell how the server's side ended, and tells those that ask.
+	Frames bool `yaml:"frames"`
 	// HeadStart is how long a connection over a doubtful link of this VM may take before a tunnel is opened beside it. A
 	// sound server in the region accepts a connection in a fraction of that.
 	HeadStart time.Duration `yaml:"head_start" validate:"min=1ms"`
@@ -28,6 +30,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Enabled:     true,
+		Frames:      true,
 		HeadStart:   40 * time.Millisecond,
 		Stagger:     80 * time.Millisecond,
 		MaxPeers:    4,
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -49,7 +49,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		world := &world{t: t, network: memnet.New(), links: newLinks()}
-		world.dialer = tunnel.NewDialer(settings, world.links, world.network, world, slog.New(slog.DiscardHandler), time.Now)
+		world.dialer = tunnel.NewDialer(settings, world.links, world.network, world, discard(), time.Now)
 		echo, err := world.network.Listen(t.Context(), serverAddress)
 		assert.NilError(t, err)
 		world.closers = append(world.closers, echo)
@@ -72,8 +72,10 @@
 	})
 }
 
+func discard() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
 func newLinks() *reachability.Monitor {
-	return reachability.NewMonitor(reachability.DefaultSettings(), slog.New(slog.DiscardHandler), time.Now)
+	return reachability.NewMonitor(reachability.DefaultSettings(), discard(), time.Now)
 }
 
 // HasAddress implements tunnel.Servers.
@@ -81,7 +83,7 @@
 
 // addPeer adds a VM that serves tunnels.
 func (world *world) addPeer(address string, settings tunnel.Settings, links *reachability.Monitor) *tunnel.Server {
-	server := tunnel.NewServer(settings, links, world, world.network.Dial, slog.New(slog.DiscardHandler))
+	server := tunnel.NewServer(settings, links, world, world.network.Dial, discard())
 	world.addHandler(address, server)
 	return server
 }
@@ -160,7 +162,7 @@
 				test.prepare(world)
 				world.cut()
 				started := time.Now()
-				connection, err := world.dialer.Dial(world.t.Context(), serverAddress, nil, refuse)
+				connection, err := world.dialer.Dial(world.t.Context(), serverAddress, tunnel.Requirements{}, refuse)
 				if test.want == "" {
 					assert.ErrorIs(t, err, errRefused)
 					return
@@ -193,7 +195,7 @@
 				if test.doubt {
 					world.links.Failed("10.0.2.2:80")
 				}
-				connection, err := world.dialer.Dial(world.t.Context(), serverAddress, nil, func(ctx context.Context) (net.Conn, error) {
+				connection, err := world.dialer.Dial(world.t.Context(), serverAddress, tunnel.Requirements{}, func(ctx context.Context) (net.Conn, error) {
 					select {
 					case <-time.After(test.direct):
 						return world.network.Dial(ctx, serverAddress)
@@ -221,17 +223,17 @@
 		world.cut()
 		var open []tunnel.Connection
 		for range settings.MaxOpen {
-			connection, err := world.dialer.Dial(world.t.Context(), serverAddress, nil, refuse)
+			connection, err := world.dialer.Dial(world.t.Context(), serverAddress, tunnel.Requirements{}, refuse)
 			assert.NilError(t, err)
 			open = append(open, connection)
 		}
-		_, err := world.dialer.Dial(world.t.Context(), serverAddress, nil, refuse)
+		_, err := world.dialer.Dial(world.t.Context(), serverAddress, tunnel.Requirements{}, refuse)
 		assert.ErrorIs(t, err, errRefused)
 		assert.Equal(t, server.Served(http.StatusServiceUnavailable), 1)
 		_ = open[0].Close()
 		time.Sleep(settings.AvoidTime)
 		world.cut()
-		_, err = world.dialer.Dial(world.t.Context(), "10.0.9.9:22", nil, refuse)
+		_, err = world.dialer.Dial(world.t.Context(), "10.0.9.9:22", tunnel.Requirements{}, refuse)
 		assert.ErrorIs(t, err, errRefused)
 		assert.Equal(t, server.Served(http.StatusForbidden), 1)
 		_ = open[1].Close()
@@ -256,7 +258,7 @@
 			withWorld(t, settings, func(world *world) {
 				server := world.addPeer("10.0.1.2:82", settings, newLinks())
 				world.cut()
-				connection, err := world.dialer.Dial(world.t.Context(), serverAddress, test.dataCentres, refuse)
+				connection, err := world.dialer.Dial(world.t.Context(), serverAddress, tunnel.Requirements{DataCentres: test.dataCentres}, refuse)
 				assert.Equal(t, err != nil, test.wantErr, "%v", err)
 				assert.Equal(t, server.Served(http.StatusOK) == 0, test.wantErr)
 				if err == nil {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -211,8 +211,9 @@
 
 // acquire returns an idle connection that can be reused for the request, or a new one.
 func (client *Client) acquire(ctx context.Context, address string, request Request) (*connection, error) {
+	requirements := tunnel.Requirements{DataCentres: request.DataCentres}
 	for {
-		pooled := client.pop(address, request)
+		pooled := client.pop(address, request.ID, requirements)
 		if pooled == nil {
 			break
 		}
@@ -222,13 +223,13 @@
 		}
 		pooled.close()
 	}
-	dialled, err := client.dial(ctx, address, request.DataCentres)
+	dialled, err := client.dial(ctx, address, requirements)
 	client.abandonIfCut()
 	if err != nil {
 		return nil, err
 	}
 	opened := &connection{
-		address: address, conn: dialled.Conn, via: dialled.Via, reusableUntil: dialled.ReusableUntil, links: client.links,
+		address: address, conn: dialled.Conn, via: dialled.Via, reusableUntil: dialled.ReusableUntil, endUntold: dialled.EndUntold, links: client.links,
 		carried: newCarried(),
 	}
 	opened.reader = bufio.NewReaderSize(opened, readBufferSize)
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -67,6 +67,8 @@
 	via tunnel.Peer
 	// reusableUntil is until when a connection through a VM may take further requests.
 	reusableUntil time.Time
+	// endUntold says that it leads through a VM that does not tell how the server's side ended.
+	endUntold bool
 	// links records the bytes that arrive on a direct connection.
 	links *reachability.Monitor
 	// abandoned is set when the connection was closed since the VM's own links are cut.
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mastwinch/mastwinch/internal/reachability"
+	"github.com/mastwinch/mastwinch/internal/tunnel"
 )
 
 // HasIdle reports whether there is an idle connection to a server.
@@ -26,8 +27,8 @@
 	delete(client.idle, address)
 }
 
-// pop takes the most recently used idle connection that may be reused for the request, or returns nil.
-func (client *Client) pop(address string, request Request) *connection {
+// pop takes the most recently used idle connection that may be reused for a request with an ID, or returns nil.
+func (client *Client) pop(address, id string, requirements tunnel.Requirements) *connection {
 	verdict, silent := client.links.State()
 	reachable := verdict == reachability.Reachable
 	now := client.now()
@@ -38,9 +39,10 @@
 		candidate := connections[index]
 		isUsable := !silent
 		if candidate.isTunnelled() {
-			isUsable = !reachable && now.Before(candidate.reusableUntil) && candidate.via.IsWithin(request.DataCentres)
+			isUsable = !reachable && now.Before(candidate.reusableUntil) && candidate.via.IsWithin(requirements.DataCentres) &&
+				(!candidate.endUntold || !requirements.EndTold)
 		}
-		if !isUsable || candidate.carried.has(request.ID) {
+		if !isUsable || candidate.carried.has(id) {
 			continue
 		}
 		client.idle[address] = slices.Delete(connections, index, index+1)
--- a/internal/upstream/open.go
+++ b/internal/upstream/open.go
@@ -35,14 +35,14 @@
 	return client.late.Load()
 }
 
-// dial opens a connection to a server, directly or through another VM of the data centres, if there are any.
-func (client *Client) dial(ctx context.Context, address string, dataCentres []string) (tunnel.Connection, error) {
+// dial opens a connection to a server, directly or through another VM that meets the requirements.
+func (client *Client) dial(ctx context.Context, address string, requirements tunnel.Requirements) (tunnel.Connection, error) {
 	direct := func(ctx context.Context) (net.Conn, error) { return client.DialDirect(ctx, address) }
 	if client.tunnels == nil {
 		conn, err := direct(ctx)
 		return tunnel.Connection{Conn: conn}, err
 	}
-	return client.tunnels.Dial(ctx, address, dataCentres, direct) //nolint:wrapcheck // NotSentError has the context
+	return client.tunnels.Dial(ctx, address, requirements, direct) //nolint:wrapcheck // NotSentError has the context
 }
 
 // DialDirect opens a connection over the VM's own link to a server, and records the result.
