--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,6 +63,7 @@
 
 		DataCentres: forwarder.allowedDataCentres,
 		Repeatable:  forwarder.mayRunAgain(),
+		Kind:        upstream.Kind{Service: forwarder.service.Name, Route: forwarder.route.Name},
 	}
 	response, err := gateway.upstream.Send(ctx, plan.Server.Address, request, func(header http.Header) bool {
 		return gateway.codec.Response(http.StatusOK, header).ID == forwarder.head.ID
--- a/internal/gateway/two_versions_test.go
+++ b/internal/gateway/two_versions_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -53,3 +54,68 @@
 		})
 	}
 }
+
+// TestRequestIsNotSentWhereItsAnswerCouldNotBeUsed guards against requests that run and whose sound answers are thrown away: answers of the
+// route state no length, and only a VM of an older version can lead to the servers.
+func TestRequestIsNotSentWhereItsAnswerCouldNotBeUsed(t *testing.T) {
+	for name, kind := range kindsOfAnswers() {
+		t.Run(name, func(t *testing.T) {
+			withTwoVersions(t, 2, func(fleet *fleet) {
+				before := fleet.query(kind.request)
+				assert.Equal(t, before.body, kind.whole)
+				ran := len(fleet.requests())
+				fleet.vms[0].network.begin(cutRefuses, serverPrefix)
+				time.AfterFunc(15*time.Second, fleet.vms[0].network.end)
+				got := fleet.queryFirstVM(kind.request, queriesPerKind)
+				assert.Equal(t, len(fleet.requests()), ran)
+				assert.Equal(t, countStatus(got, http.StatusServiceUnavailable), queriesPerKind)
+			})
+		})
+	}
+}
+
+// TestRequestWaitsForTheLinkWhereItsAnswerCouldNotBeUsed guards against refusals during a cut that ends within the requests' time.
+func TestRequestWaitsForTheLinkWhereItsAnswerCouldNotBeUsed(t *testing.T) {
+	for name, kind := range kindsOfAnswers() {
+		t.Run(name, func(t *testing.T) {
+			withTwoVersions(t, 2, func(fleet *fleet) {
+				fleet.query(kind.request)
+				fleet.vms[0].network.begin(cutRefuses, serverPrefix)
+				time.AfterFunc(600*time.Millisecond, fleet.vms[0].network.end)
+				got := fleet.queryFirstVM(kind.request, 10)
+				assert.Equal(t, countServed(got), 10)
+				for id, count := range fleet.runsPerRequest() {
+					assert.Check(t, count == 1, "%s ran %d times", id, count)
+				}
+			})
+		})
+	}
+}
+
+// TestAnswersWithALengthNeedNoEvidence guards against refusals of requests whose answers state their length, where only a VM of an
+// older version can lead to the servers.
+func TestAnswersWithALengthNeedNoEvidence(t *testing.T) {
+	for name, kind := range kindsOfAnswers() {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, 2, 2, &fleet{unframed: []int{2}}, func(fleet *fleet) {
+				fleet.query(kind.request)
+				fleet.vms[0].network.begin(cutRefuses, serverPrefix)
+				got := fleet.queryFirstVM(kind.request, queriesPerKind)
+				assert.Equal(t, countServed(got), queriesPerKind)
+			})
+		})
+	}
+}
+
+// TestFewAnswersAreThrownAwayWhereNothingIsKnown guards against more than the first answers being thrown away at a VM that has seen none
+// of the route, as after its restart.
+func TestFewAnswersAreThrownAwayWhereNothingIsKnown(t *testing.T) {
+	withTwoVersions(t, 2, func(fleet *fleet) {
+		fleet.vms[0].network.begin(cutRefuses, serverPrefix)
+		first := fleet.query(plainRequest(http.MethodPost, "pay"))
+		assert.Equal(t, first.status, http.StatusBadGateway, "%s", first.body)
+		got := fleet.queryFirstVM(plainRequest(http.MethodPost, "pay"), queriesPerKind)
+		assert.Equal(t, countStatus(got, http.StatusServiceUnavailable), queriesPerKind)
+		assert.Equal(t, len(fleet.requests()), 1)
+	})
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -79,6 +79,8 @@
 	DataCentres []string
 	// Repeatable is whether the request may be sent to another server after this one may have run it.
 	Repeatable bool
+	// Kind tells which responses are likely to state their ends alike. It is not sent.
+	Kind Kind
 }
 
 // NotSentError is returned if no connection could be opened, so that no part of the request reached the server.
@@ -115,6 +117,7 @@
 	// openings counts the attempts to open connections by their result.
 	openings map[OpenResult]int
 	history  *history
+	ends     *ends
 
 	// late counts the responses that belonged to no request in flight.
 	late atomic.Int64
@@ -143,6 +146,7 @@
 		now:      now,
 		dialer:   dialer,
 		history:  newHistory(settings, now),
+		ends:     newEnds(now),
 		idle:     make(map[string][]*connection),
 		openings: make(map[OpenResult]int),
 	}
@@ -180,6 +184,7 @@
 	client.listener.HandleResponse(request.Server, connection.via.Address, sentAt, response.Status, response.Header)
 	response.client = client
 	response.Via = connection.via.Address
+	client.ends.record(request.Kind, response.statesEnd(request.Method))
 	return response, nil
 }
 
@@ -211,7 +216,7 @@
 
 // acquire returns an idle connection that can be reused for the request, or a new one.
 func (client *Client) acquire(ctx context.Context, address string, request Request) (*connection, error) {
-	requirements := tunnel.Requirements{DataCentres: request.DataCentres}
+	requirements := tunnel.Requirements{DataCentres: request.DataCentres, EndTold: client.ends.mayBeUnstated(request.Kind)}
 	for {
 		pooled := client.pop(address, request.ID, requirements)
 		if pooled == nil {
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -74,6 +74,7 @@
 // Sweep closes the idle connections that have expired. It is to be called at intervals.
 func (client *Client) Sweep() {
 	client.history.sweep()
+	client.ends.sweep()
 	client.abandonIfCut()
 	now := client.now()
 	client.mu.Lock()
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -47,6 +47,11 @@
 	return response.httpResponse.ContentLength >= 0 || len(response.httpResponse.TransferEncoding) > 0
 }
 
+// statesEnd reports whether the end of the response to a request with the given method needs no evidence of the connection.
+func (response *Response) statesEnd(method string) bool {
+	return response.IsDelimited() || method == http.MethodHead
+}
+
 // Unfinished returns the error of a response that doesn't state its own end and ended with the connection before it was complete.
 func (response *Response) Unfinished() error {
 	return response.connection.explain(io.ErrUnexpectedEOF)
