--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -6,7 +6,6 @@
 	"net"
 
 	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/mastwinch/mastwinch/internal/wire"
 )
@@ -31,52 +30,50 @@
 type framedConn struct {
 	net.Conn
 
-	reader *bufio.Reader
-	// unread are bytes of the last frame.
-	unread []byte
-	// end is the error of all reads after unread, or nil.
+	frames *frameReader
+	// end is the error of all further reads, or nil.
 	end error
 }
 
 var _ net.Conn = (*framedConn)(nil)
 
+func newFramedConn(conn net.Conn, reader *bufio.Reader) *framedConn {
+	return &framedConn{Conn: conn, frames: &frameReader{reader: reader}}
+}
+
 // Read implements net.Conn.
 func (framedconn *framedConn) Read(buffer []byte) (int, error) {
-	for len(framedconn.unread) == 0 {
-		if framedconn.end != nil {
-			return 0, framedconn.end
-		}
-		framedconn.readFrame()
+	if framedconn.end != nil || len(buffer) == 0 {
+		return 0, framedconn.end
 	}
-	count := copy(buffer, framedconn.unread)
-	framedconn.unread = framedconn.unread[count:]
-	return count, nil
-}
-
-func (framedconn *framedConn) readFrame() {
-	frame := &wire.TunnelFrame{}
-	options := protodelim.UnmarshalOptions{MaxSize: copyBufferSize + frameOverheadBytes}
-	if err := options.UnmarshalFrom(framedconn.reader, frame); err != nil {
+	count, end, err := framedconn.frames.read(buffer)
+	switch {
+	case count > 0:
+	case err != nil:
 		framedconn.end = &BrokenError{Cause: err.Error()}
-		return
+	case end != wire.TunnelEnd_TUNNEL_END_NONE:
+		framedconn.end = errorOf(end)
 	}
-	framedconn.unread = frame.GetData()
-	switch frame.GetEnd() {
-	case wire.TunnelEnd_TUNNEL_END_NONE:
+	return count, framedconn.end
+}
+
+// errorOf returns the error of reads after the server's side ended.
+func errorOf(end wire.TunnelEnd) error {
+	switch end {
 	case wire.TunnelEnd_TUNNEL_END_REGULAR:
-		framedconn.end = io.EOF
+		return io.EOF
 	case wire.TunnelEnd_TUNNEL_END_RESET:
-		framedconn.end = ErrServerReset
+		return ErrServerReset
 	case wire.TunnelEnd_TUNNEL_END_FAILED:
-		framedconn.end = &BrokenError{Cause: "the other VM lost the server"}
+		return &BrokenError{Cause: "the other VM lost the server"}
 	default:
-		framedconn.end = &BrokenError{Cause: "end " + frame.GetEnd().String()}
+		return &BrokenError{Cause: "end " + end.String()}
 	}
 }
 
-// Buffered returns how many bytes were received and not yet read.
+// Buffered returns how many bytes were received and not yet read, and how many the frame that was begun has left.
 func (framedconn *framedConn) Buffered() int {
-	return len(framedconn.unread) + framedconn.reader.Buffered()
+	return framedconn.frames.frameLeft + framedconn.frames.reader.Buffered()
 }
 
 // NetConn returns the connection to the other VM.
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -364,5 +364,5 @@
 	if response.Header.Get(headerFrames) != framesVersion {
 		return unframedConn{Conn: conn}, nil
 	}
-	return &framedConn{Conn: conn, reader: reader}, nil
+	return newFramedConn(conn, reader), nil
 }
