--- a/internal/backend/late_response_test.go
+++ b/internal/backend/late_response_test.go
@@ -12,27 +12,13 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mastwinch/mastwinch/internal/backend"
+	"github.com/mastwinch/mastwinch/internal/tcptest"
 )
 
 // listen serves each connection to the returned address with a script.
 func listen(t *testing.T, script func(conn net.Conn)) (address string) {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				script(conn)
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return tcptest.NewServer(t, func(conn *net.TCPConn, _ int64) { script(conn) }).Address()
 }
 
 // sendLateCopies sends each response once more, late: before the response to the next request on the connection.
--- a/internal/network/conn_test.go
+++ b/internal/network/conn_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mastwinch/mastwinch/internal/network"
+	"github.com/mastwinch/mastwinch/internal/tcptest"
 )
 
 const sentByPeer = "bytes of the peer"
@@ -17,17 +18,8 @@
 // dialScript opens a connection to a peer on loopback that runs a script.
 func dialScript(t *testing.T, script func(conn *net.TCPConn)) net.Conn {
 	t.Helper()
-	system := network.New(network.DefaultSettings())
-	listener, err := system.Listen(t.Context(), "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		conn, err := listener.Accept()
-		if err == nil {
-			script(conn.(*net.TCPConn))
-		}
-	}()
-	conn, err := system.Dial(t.Context(), listener.Addr().String())
+	address := tcptest.NewServer(t, func(conn *net.TCPConn, _ int64) { script(conn) }).Address()
+	conn, err := network.New(network.DefaultSettings()).Dial(t.Context(), address)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	return conn
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -9,24 +9,14 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/tcptest"
 )
 
 // echo starts a TCP echo server and returns its address.
 func echo(t *testing.T) string {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() { _, _ = io.Copy(conn, conn) }()
-		}
-	}()
-	return listener.Addr().String()
+	return tcptest.NewServer(t, func(conn *net.TCPConn, _ int64) { _, _ = io.Copy(conn, conn) }).Address()
 }
 
 // echoes reports whether a byte comes back on a connection within a time.
--- a/internal/tunnel/ends_test.go
+++ b/internal/tunnel/ends_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mastwinch/mastwinch/internal/network"
+	"github.com/mastwinch/mastwinch/internal/tcptest"
 	"github.com/mastwinch/mastwinch/internal/tunnel"
 )
 
@@ -25,19 +26,7 @@
 // listenTCP serves each connection to a loopback address with a script.
 func listenTCP(t *testing.T, script func(conn *net.TCPConn)) (address string) {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go script(conn.(*net.TCPConn))
-		}
-	}()
-	return listener.Addr().String()
+	return tcptest.NewServer(t, func(conn *net.TCPConn, _ int64) { script(conn) }).Address()
 }
 
 // anyServer is a tunnel.Servers that knows all addresses.
@@ -132,6 +121,7 @@
 			server: func(conn *net.TCPConn) {
 				awaitRequest(conn)
 				_, _ = io.WriteString(conn, sentByServer)
+				awaitRequest(conn)
 			},
 			peer: func(t *testing.T) onePeer {
 				t.Helper()
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -32,7 +32,7 @@
 				_, _ = io.WriteString(conn, test.head)
 				<-done // the connection stays open: only a bound ends the wait for the rest
 			})
-			_, err := send(t.Context(), newClient(), server.address(), "id-0", "")
+			_, err := send(t.Context(), newClient(), server.Address(), "id-0", "")
 			assert.Equal(t, err != nil, test.wantErr, "%v", err)
 		})
 	}
--- a/internal/upstream/late_copy_test.go
+++ b/internal/upstream/late_copy_test.go
@@ -87,7 +87,7 @@
 				client := newClient()
 				sent := make(map[string]int)
 				for _, id := range ids {
-					got, err := send(t.Context(), client, server.address(), id, "b")
+					got, err := send(t.Context(), client, server.Address(), id, "b")
 					assert.NilError(t, err)
 					assert.Equal(t, got, expected(sent[id]))
 					sent[id]++
@@ -105,7 +105,7 @@
 	})
 	client := newClient()
 	for i := range 2 {
-		_, err := send(t.Context(), client, server.address(), fmt.Sprint("id-", i), "")
+		_, err := send(t.Context(), client, server.Address(), fmt.Sprint("id-", i), "")
 		assert.NilError(t, err)
 	}
 	assert.Equal(t, client.LateResponses(), int64(2))
@@ -119,7 +119,7 @@
 		client := newClient()
 		sent := make(map[string]int)
 		for _, id := range rapid.SliceOfN(rapid.SampledFrom([]string{"", "a", "b", "c"}), 1, 30).Draw(t, "ids") {
-			got, err := send(t.Context(), client, server.address(), id, "b")
+			got, err := send(t.Context(), client, server.Address(), id, "b")
 			assert.NilError(t, err)
 			assert.Equal(t, got, expected(sent[id]))
 			sent[id]++
@@ -129,7 +129,7 @@
 		for _, count := range sent {
 			most = max(most, count)
 		}
-		assert.Equal(t, int(server.accepted.Load()), most)
+		assert.Equal(t, int(server.Accepted()), most)
 	})
 }
 
@@ -140,8 +140,8 @@
 	settings.MaxRequests = 4
 	client := upstream.New(settings, network.New(network.DefaultSettings()), &recorder{}, newLinks(), nil, time.Now)
 	for i := range 9 {
-		_, err := send(t.Context(), client, server.address(), fmt.Sprint("id-", i), "")
+		_, err := send(t.Context(), client, server.Address(), fmt.Sprint("id-", i), "")
 		assert.NilError(t, err)
 	}
-	assert.Equal(t, server.accepted.Load(), int64(3))
+	assert.Equal(t, server.Accepted(), int64(3))
 }
--- a/internal/upstream/listener_test.go
+++ b/internal/upstream/listener_test.go
@@ -41,7 +41,7 @@
 	request := upstream.Request{
 		Server: "s1", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Request-Id": {"r"}},
 	}
-	response, err := client.Send(t.Context(), server.address(), request, func(header http.Header) bool {
+	response, err := client.Send(t.Context(), server.Address(), request, func(header http.Header) bool {
 		return header.Get("Request-Id") == "r"
 	})
 	assert.NilError(t, err)
--- a/internal/upstream/reset_body_test.go
+++ b/internal/upstream/reset_body_test.go
@@ -24,7 +24,7 @@
 			_ = conn.(*net.TCPConn).SetLinger(0)
 		})
 		request := upstream.Request{ID: "a", Method: http.MethodPost, Target: "/", Host: "h", Body: make([]byte, 8<<20)}
-		response, err := newClient().Send(t.Context(), server.address(), request, func(http.Header) bool { return true })
+		response, err := newClient().Send(t.Context(), server.Address(), request, func(http.Header) bool { return true })
 		assert.NilError(t, err)
 		body, err := io.ReadAll(response)
 		response.Close(0)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,49 +18,14 @@
 
 	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/reachability"
+	"github.com/mastwinch/mastwinch/internal/tcptest"
 	"github.com/mastwinch/mastwinch/internal/upstream"
 )
 
-// server is a TCP server on loopback that runs a script for each connection.
-type server struct {
-	listener net.Listener
-	accepted atomic.Int64
-}
-
-// testingT is a test, or one run of a property test.
-type testingT interface {
-	assert.TestingT
-	Helper()
-	Context() context.Context
-	Cleanup(function func())
-}
-
-// newServer starts a server that runs script for each connection. nth counts the
-// connections from 1.
-func newServer(t testingT, script func(conn net.Conn, requests *bufio.Reader, nth int64)) *server {
+// newServer starts a server that runs script for each connection. nth counts the connections from 1.
+func newServer(t tcptest.TestingT, script func(conn net.Conn, requests *bufio.Reader, nth int64)) *tcptest.Server {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	server := &server{listener: listener}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			nth := server.accepted.Add(1)
-			go func() {
-				defer func() { _ = conn.Close() }()
-				script(conn, bufio.NewReader(conn), nth)
-			}()
-		}
-	}()
-	return server
-}
-
-func (server *server) address() string {
-	return server.listener.Addr().String()
+	return tcptest.NewServer(t, func(conn *net.TCPConn, nth int64) { script(conn, bufio.NewReader(conn), nth) })
 }
 
 // readRequest reads one request with its body. It reports false if that failed.
@@ -174,10 +138,10 @@
 			server := newServer(t, test.script)
 			client := newClient()
 			for i, want := range test.wantBodies {
-				got, err := send(t.Context(), client, server.address(), fmt.Sprintf("id-%d", i), "b")
+				got, err := send(t.Context(), client, server.Address(), fmt.Sprintf("id-%d", i), "b")
 				checkBody(t, got, err, want)
 			}
-			assert.Equal(t, server.accepted.Load(), test.wantOpened)
+			assert.Equal(t, server.Accepted(), test.wantOpened)
 			assert.Equal(t, client.Openings(upstream.OpenSucceeded), int(test.wantOpened))
 		})
 	}
@@ -232,7 +196,7 @@
 	client := newClient()
 	body := strings.Repeat("b", 64<<20)
 	for i := range 2 {
-		got, err := send(t.Context(), client, server.address(), fmt.Sprintf("id-%d", i), body)
+		got, err := send(t.Context(), client, server.Address(), fmt.Sprintf("id-%d", i), body)
 		checkBody(t, got, err, "x")
 	}
 	close(done)
@@ -241,8 +205,8 @@
 
 func TestSendFailsIfNothingListens(t *testing.T) {
 	server := newServer(t, nil)
-	_ = server.listener.Close()
-	_, err := send(t.Context(), newClient(), server.address(), "id", "b")
+	server.Close()
+	_, err := send(t.Context(), newClient(), server.Address(), "id", "b")
 	var notSent *upstream.NotSentError
 	assert.Assert(t, errors.As(err, &notSent))
 }
@@ -256,7 +220,7 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(20*time.Millisecond, cancel)
-	_, err := send(ctx, newClient(), server.address(), "id", "b")
+	_, err := send(ctx, newClient(), server.Address(), "id", "b")
 	assert.ErrorIs(t, err, context.Canceled)
 	<-closed
 }
@@ -314,14 +278,14 @@
 		}
 	})
 	client := newClient()
-	sendTogether(t, client, server.address(), idle)
+	sendTogether(t, client, server.Address(), idle)
 
 	ctx, cancel := context.WithCancelCause(t.Context())
 	time.AfterFunc(100*time.Millisecond, func() { cancel(errors.New("server does not respond")) })
-	_, err := send(ctx, client, server.address(), "lost", "")
+	_, err := send(ctx, client, server.Address(), "lost", "")
 	assert.ErrorContains(t, err, "server does not respond")
-	assert.Assert(t, !client.HasIdle(server.address()), "the other idle connections are closed too")
-	got, err := send(t.Context(), client, server.address(), "after", "")
+	assert.Assert(t, !client.HasIdle(server.Address()), "the other idle connections are closed too")
+	got, err := send(t.Context(), client, server.Address(), "after", "")
 	assert.NilError(t, err)
 	assert.Equal(t, got, "whole")
 }
@@ -348,10 +312,10 @@
 		}
 	})
 	client := newClient()
-	sendTogether(t, client, server.address(), idle)
+	sendTogether(t, client, server.Address(), idle)
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(50*time.Millisecond, cancel)
-	_, err := send(ctx, client, server.address(), "cancelled", "")
+	_, err := send(ctx, client, server.Address(), "cancelled", "")
 	assert.ErrorIs(t, err, context.Canceled)
-	assert.Assert(t, client.HasIdle(server.address()))
+	assert.Assert(t, client.HasIdle(server.Address()))
 }
