--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -20,7 +20,7 @@
 	first := true
 	for {
 		event, err := reader.Next()
-		if endedEarly(err, first) && !activeAttempt.response.IsDelimited() {
+		if endedEarly(err, first) && !activeAttempt.response.StatesEnd() {
 			err = activeAttempt.response.Unfinished()
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -184,7 +184,7 @@
 	client.listener.HandleResponse(request.Server, connection.via.Address, sentAt, response.Status, response.Header)
 	response.client = client
 	response.Via = connection.via.Address
-	client.ends.record(request.Kind, response.statesEnd(request.Method))
+	client.ends.record(request.Kind, response.StatesEnd())
 	return response, nil
 }
 
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastwinch/mastwinch/internal/network"
 )
 
 var _ io.Reader = (*Response)(nil)
@@ -42,14 +44,9 @@
 	return response.httpResponse.ContentLength, response.httpResponse.ContentLength >= 0
 }
 
-// IsDelimited reports whether the response states its own end, so that it does not end with the connection.
-func (response *Response) IsDelimited() bool {
-	return response.httpResponse.ContentLength >= 0 || len(response.httpResponse.TransferEncoding) > 0
-}
-
-// statesEnd reports whether the end of the response to a request with the given method needs no evidence of the connection.
-func (response *Response) statesEnd(method string) bool {
-	return response.IsDelimited() || method == http.MethodHead
+// StatesEnd reports whether the response states its own end, so that it does not end with the connection.
+func (response *Response) StatesEnd() bool {
+	return network.StatesEnd(response.httpResponse)
 }
 
 // Unfinished returns the error of a response that doesn't state its own end and ended with the connection before it was complete.
@@ -64,7 +61,7 @@
 	connection := response.connection
 	response.client.end(connection)
 	unregistered := connection.stop()
-	reusable := response.bodyRead && response.IsDelimited() && !response.httpResponse.Close && connection.skipped == 0 &&
+	reusable := response.bodyRead && response.StatesEnd() && !response.httpResponse.Close && connection.skipped == 0 &&
 		connection.isWritten() && connection.reader.Buffered() == 0
 	if !reusable || !unregistered {
 		connection.close()
