--- a/internal/backend/httpbackend.go
+++ b/internal/backend/httpbackend.go
@@ -10,10 +10,11 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastwinch/mastwinch/internal/network"
 )
 
 // Limits of connections to backend servers and of the responses read from them.
@@ -40,8 +41,8 @@
 	// once: a failed server is then detected when connecting, before anything is sent. It is
 	// also used where a late response could not be told from the one that is due.
 	unpooled *http.Client
-	// echoing has the addresses of backend servers whose last response echoed the ID of its attempt.
-	echoing sync.Map
+	// echoing has the backend servers whose last response echoed the ID of its attempt.
+	echoing *echoing
 }
 
 // NewHTTPBackend returns a client with its own connection pool.
@@ -49,6 +50,7 @@
 	return &HTTPBackend{
 		pooled:   newClient(false),
 		unpooled: newClient(true),
+		echoing:  newEchoing(time.Now),
 	}
 }
 
@@ -79,7 +81,7 @@
 		return nil, err
 	}
 	defer closeBody(response)
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if !network.StatesEnd(response) {
 		return nil, errors.Newf("backend server %s: response states neither a length nor chunks", address)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxCallBody+1))
@@ -99,9 +101,8 @@
 		return nil, &NotRunError{Address: address, Reason: err.Error()}
 	}
 	dispatch.setHeaders(request.Header)
-	_, echoes := httpbackend.echoing.Load(address)
 	client := httpbackend.pooled
-	if dispatch.Key != "" || !echoes {
+	if dispatch.Key != "" || !httpbackend.echoing.has(address) {
 		client = httpbackend.unpooled
 	}
 	response, err := client.Do(request)
@@ -124,12 +125,12 @@
 func (httpbackend *HTTPBackend) checkEcho(address, attempt, echoed string, reused bool) error {
 	switch {
 	case echoed == attempt:
-		httpbackend.echoing.Store(address, true)
+		httpbackend.echoing.add(address)
 		return nil
 	case echoed == "" && !reused:
 		return nil
 	default:
-		httpbackend.echoing.Delete(address)
+		httpbackend.echoing.remove(address)
 		return &OtherAttemptError{Address: address, Attempt: attempt, Echoed: echoed}
 	}
 }
