--- a/internal/cmd/soakcmd.go
+++ b/internal/cmd/soakcmd.go
@@ -17,6 +17,7 @@
 	flagSeeds   = "seeds"
 	flagFrom    = "from"
 	flagGateway = "gateway"
+	flagOlder   = "older"
 	flagKeep    = "keep"
 	flagLength  = "length"
 	flagVMs     = "vms"
@@ -35,6 +36,7 @@
 		EnableShellCompletion: true,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: flagGateway, Value: "bin/mw-gateway", Usage: "path of the gateway's `PROGRAM`"},
+			&cli.StringFlag{Name: flagOlder, Usage: "path of an older build of the gateway's `PROGRAM`, which some VMs run until they are updated"},
 			&cli.Uint64Flag{Name: flagFrom, Value: 1, Usage: "first `SEED`"},
 			&cli.Uint64Flag{Name: flagSeeds, Value: 1, Usage: "number of `SEEDS`, which run one after the other"},
 			&cli.DurationFlag{Name: flagLength, Value: defaults.Length, Usage: "duration of the load"},
@@ -52,6 +54,7 @@
 func runSoak(ctx context.Context, command *cli.Command) error {
 	settings := soak.DefaultSettings()
 	settings.Program = command.String(flagGateway)
+	settings.Older = command.String(flagOlder)
 	settings.Length = command.Duration(flagLength)
 	settings.VMs = command.Int(flagVMs)
 	settings.Engines = command.Int(flagEngines)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -49,6 +49,8 @@
 	slackDraining = time.Second
 	// slackDeadline is how long before the route's timeout a request may be aborted.
 	slackDeadline = 100 * time.Millisecond
+	// slackAtWork is how long before a connection to a caller ends the server may be told so.
+	slackAtWork = 50 * time.Millisecond
 	// minRecoveredFraction is the fraction of requests that must succeed after all faults have ended.
 	minRecoveredFraction = 0.9
 	// minRecoveredRequests is the smallest number of requests for which that fraction is checked.
@@ -119,7 +121,8 @@
 }
 
 func (observations *observations) checkOutcome(outcome Outcome, add addFunc) {
-	describe := fmt.Sprintf("%s on %s at %s, status %d", outcome.ID, outcome.Route, outcome.VM, outcome.Status)
+	describe := fmt.Sprintf("%s on %s at %s, sent at %s, status %d",
+		outcome.ID, outcome.Route, outcome.VM, outcome.Sent.UTC().Format("15:04:05.000000"), outcome.Status)
 	if outcome.succeeded() && (outcome.Body != outcome.WantBody || outcome.Seal == "") {
 		add(InvariantCompleteResponse, "%s: %d bytes of %d, seal %q", describe, len(outcome.Body), len(outcome.WantBody), outcome.Seal)
 	}
@@ -149,7 +152,24 @@
 // mayFail reports whether a request may have failed: a fault was active, or the VM's
 // process was not running.
 func (observations *observations) mayFail(outcome Outcome) bool {
-	return observations.sentWhileDown(outcome) || observations.affectedByFault(outcome, boundContact)
+	return observations.sentWhileDown(outcome) || observations.affectedByFault(outcome, boundContact) || observations.outlastsGrace(outcome)
+}
+
+// outlastsGrace reports whether a request was sent no later than stopNotice after the planned stop of its VM began, and cut in the
+// last sixth of the grace period while its server was still at work on it.
+func (observations *observations) outlastsGrace(outcome Outcome) bool {
+	runs := observations.runs[outcome.ID]
+	if len(runs) == 0 {
+		return false
+	}
+	ended := runs[len(runs)-1].Ended
+	if !ended.IsZero() && ended.Before(outcome.Ended.Add(-slackAtWork)) {
+		return false
+	}
+	return slices.ContainsFunc(observations.log.between(outcome.Sent, outcome.Ended), func(span span) bool {
+		return span.kind == KindVMStop && span.vm == outcome.VM &&
+			!outcome.Sent.After(span.from.Add(stopNotice)) && !outcome.Ended.Before(span.from.Add(boundGrace-boundGrace/6))
+	})
 }
 
 // sentWhileDown reports whether a request was sent while the VM's process was not running.
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -117,6 +117,27 @@
 			test.outcome.Err, test.outcome.Complete = "reset", false
 			test.observations.log.add(span{from: at(0), to: at(9 * time.Second), kind: KindVMStop, vm: "vm-0"})
 		}, want: []Invariant{InvariantNoneLost}},
+		"cut before the last sixth of the grace period": {route: routeStream, change: func(test fixture) {
+			test.outcome.Err, test.outcome.Complete, test.outcome.Ended = "reset", false, at(4500*time.Millisecond)
+			test.observations.log.add(span{from: at(-1800 * time.Millisecond), to: at(9 * time.Second), kind: KindVMStop, vm: "vm-0"})
+		}, want: []Invariant{InvariantNoneLost}},
+		"cut in the last sixth of the grace period while the server is at work": {route: routeStream, change: func(test fixture) {
+			test.outcome.Err, test.outcome.Complete, test.outcome.Ended = "reset", false, at(5*time.Second)
+			test.observations.log.add(span{from: at(-1800 * time.Millisecond), to: at(9 * time.Second), kind: KindVMStop, vm: "vm-0"})
+		}},
+		"cut then after the server was done": {route: routeStream, change: func(test fixture) {
+			test.outcome.Err, test.outcome.Complete, test.outcome.Ended = "reset", false, at(5*time.Second)
+			test.observations.runs["r"][0].Ended = at(4900 * time.Millisecond)
+			test.observations.log.add(span{from: at(-1800 * time.Millisecond), to: at(9 * time.Second), kind: KindVMStop, vm: "vm-0"})
+		}, want: []Invariant{InvariantNoneLost}},
+		"cut then by another VM's stop": {route: routeStream, change: func(test fixture) {
+			test.outcome.Err, test.outcome.Complete, test.outcome.Ended = "reset", false, at(5*time.Second)
+			test.observations.log.add(span{from: at(-1800 * time.Millisecond), to: at(9 * time.Second), kind: KindVMStop, vm: "vm-1"})
+		}, want: []Invariant{InvariantNoneLost}},
+		"cut then, sent after the notice": {route: routeStream, change: func(test fixture) {
+			test.outcome.Err, test.outcome.Complete, test.outcome.Ended = "reset", false, at(5*time.Second)
+			test.observations.log.add(span{from: at(-2100 * time.Millisecond), to: at(9 * time.Second), kind: KindVMStop, vm: "vm-0"})
+		}, want: []Invariant{InvariantNoneLost}},
 		"sent while the VM process is down": {route: routeStream, change: func(test fixture) {
 			test.outcome.Err, test.outcome.Status, test.outcome.Complete, test.outcome.Body = "reset", 0, false, ""
 			test.observations.runs = nil
--- a/internal/soak/cut.go
+++ b/internal/soak/cut.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -18,7 +19,7 @@
 // requests that no other fault affected count, and not those whose keys were revoked.
 func (observations *observations) checkCutVMs(add addFunc) {
 	for _, cut := range observations.log.between(time.Time{}, observations.lastSent().Add(time.Second)) {
-		if cut.kind != KindVMCutReset && cut.kind != KindVMCutSilent {
+		if !slices.Contains([]Kind{KindVMCutReset, KindVMCutSilent, KindVMUpdate}, cut.kind) {
 			continue
 		}
 		atCut, atOthers := observations.servedDuring(cut)
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,8 @@
 	boundDrain = 2 * time.Second
 	// boundGrace is the time until a VM's process has ended after SIGTERM.
 	boundGrace = 8 * time.Second
+	// stopNotice is how long after SIGTERM a VM must take requests like any other.
+	stopNotice = 3 * time.Second
 	// boundRevoke is the time until a revoked key is rejected.
 	boundRevoke = 5 * time.Second
 	// boundContact is the time until VMs have recovered from a fault, or have quarantined a request that crashes servers.
@@ -47,9 +50,11 @@
 	// Program is the path of the gateway program, and Dir the directory for settings files and logs.
 	Program string
 	Dir     string
-	Seed    uint64
-	Length  time.Duration
-	VMs     int
+	// Older is the path of an older build of the program, for KindVMUpdate; empty means the same program with other settings.
+	Older  string
+	Seed   uint64
+	Length time.Duration
+	VMs    int
 	// Engines and Plains are the numbers of model engines and of servers of the plain service.
 	Engines int
 	Plains  int
@@ -283,23 +288,27 @@
 		return errors.Wrap(err, "create VM log file")
 	}
 	environment.closers = append(environment.closers, func() { _ = output.Close() })
-	args, err := environment.tuningArgs(added.name, ip)
+	program, tuning := environment.settings.Program, ""
+	if environment.startsOlder(number) {
+		program, tuning = environment.settings.olderProgram()
+	}
+	args, err := environment.tuningArgs(added.name, ip, tuning)
 	if err != nil {
 		return err
 	}
-	added.process = startProcess(environment.settings.Program, args, []string{"MASTWINCH_NODE_FILE=" + added.file}, output)
+	added.process = startProcess(program, args, []string{"MASTWINCH_NODE_FILE=" + added.file}, output)
 	environment.vms = append(environment.vms, added)
 	return nil
 }
 
 // tuningArgs returns the arguments with which a VM opens connections from its own address, so that proxies tell VMs apart. There
-// are none in runs that don't need it.
-func (environment *environment) tuningArgs(name, ip string) ([]string, error) {
-	if kind := extraKind(environment.settings.Seed); kind != KindVMCutReset && kind != KindVMCutAnswers {
+// are none in runs that don't need it. tuning has further settings.
+func (environment *environment) tuningArgs(name, ip, tuning string) ([]string, error) {
+	if !slices.Contains([]Kind{KindVMCutReset, KindVMCutAnswers, KindVMUpdate}, extraKind(environment.settings.Seed)) {
 		return nil, nil
 	}
 	file := filepath.Join(environment.settings.Dir, name+".yaml")
-	err := os.WriteFile(file, []byte("network:\n  source: "+ip+"\n"), 0o600)
+	err := os.WriteFile(file, []byte("network:\n  source: "+ip+"\n"+tuning), 0o600)
 	return []string{"--config", file}, errors.Wrap(err, "write VM tuning file")
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -97,7 +97,7 @@
 		if err := environment.writeSite(vm, environment.ip(1, event.Target%len(environment.vms)), event.Target%50); err == nil {
 			vm.process.signal(syscall.SIGHUP)
 		}
-	case KindFrontReset, KindFrontDelay, KindStoreCut, KindVMCutReset, KindVMCutSilent:
+	case KindFrontReset, KindFrontDelay, KindStoreCut, KindVMCutReset, KindVMCutSilent, KindVMUpdate:
 		affected = vm.name
 		environment.disruptVMConnections(ctx, event, vm)
 	case KindStoreBusy, KindStoreSilent, KindStoreReset, KindStoreLost, KindStoreTrim, KindStoreStale, KindStoreOlder:
@@ -139,6 +139,9 @@
 	case KindVMCutReset, KindVMCutSilent:
 		environment.cutFromServers(ctx, event, environment.ip(1, event.Target%len(environment.vms)))
 		return
+	case KindVMUpdate:
+		environment.update(ctx, event)
+		return
 	case KindFrontDelay:
 		mode = modeDelay
 	case KindStoreCut:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -47,6 +47,7 @@
 	KindVMCutReset   Kind = "vm_cut_reset"   // connections of a VM to all servers are accepted and reset
 	KindVMCutSilent  Kind = "vm_cut_silent"  // connections of a VM to all servers are accepted and carry no data
 	KindVMCutAnswers Kind = "vm_cut_answers" // connections of a VM to all servers are reset, answers state no length, and the other VMs are killed in turn
+	KindVMUpdate     Kind = "vm_update"      // the first VM is cut off, answers state no length, and VMs of an older build are restarted with the newer one in turn
 	KindLateCopies   Kind = "late_copies"    // servers refuse requests with several statuses and send each refusal once more, late
 	KindServerRest   Kind = "server_rest"    // refuses requests and requests backoff each time
 	KindServerSays   Kind = "server_says"    // drains and advertises it in responses only, as the store is unavailable
@@ -74,6 +75,13 @@
 	return slices.Contains([]Kind{KindVMStop, KindVMReload, KindServerLeave, KindServerSays, KindBadEntry, KindConfigure, KindRevoke, KindEvacuate}, kind)
 }
 
+// suitsUpdate reports whether a kind may strike during an update of the VMs. Faults don't, since what an older build does with them
+// is not under test, and nor do further stops, which could leave the VM that is cut off with VMs of the older build alone, and
+// revoked keys, with which few requests would be left to judge by.
+func (kind Kind) suitsUpdate() bool {
+	return kind.planned() && kind != KindVMStop && kind != KindRevoke
+}
+
 // affectsStore reports whether a kind affects the store or the connections to it.
 func (kind Kind) affectsStore() bool {
 	return strings.HasPrefix(string(kind), "store_")
@@ -151,6 +159,10 @@
 	// again. cutAnswersSeedInterval is the distance between seeds with the same one of these.
 	firstCutAnswersSeed    = 700
 	cutAnswersSeedInterval = 20
+	// firstUpdateSeed is the first seed in whose runs VMs of an older build are updated, and updateSeedInterval the distance between such
+	// seeds.
+	firstUpdateSeed    = 800
+	updateSeedInterval = 20
 	// extraEvents is the number of events of an extra kind in a run, except of the kinds that NewPlan names, of which there is one.
 	extraEvents = 3
 	// followUpFraction is the fraction of store faults that get the longest duration and
@@ -184,6 +196,9 @@
 		kinds = slices.DeleteFunc(kinds, Kind.suspendsBounds)
 		events = append(events, draw(KindServerLeave, longestFault))
 	}
+	if extraKind(seed) == KindVMUpdate {
+		kinds = slices.DeleteFunc(kinds, func(kind Kind) bool { return !kind.suitsUpdate() })
+	}
 	for range 1 + int(window.Seconds()*perSecond) {
 		kind := kinds[random.IntN(len(kinds))]
 		if !kind.affectsStore() {
@@ -208,6 +223,10 @@
 		event := draw(kind, longestFault)
 		event.For = cutDuration
 		events = append(events, event)
+	case KindVMUpdate:
+		event := draw(kind, longestFault)
+		event.For, event.Target = cutDuration, 0 // a VM of the newer build
+		events = append(events, event)
 	case KindVMCutReset:
 		event := draw(kind, longestFault)
 		event.For = cutDuration
@@ -241,6 +260,9 @@
 // extraKind returns the kind that the run of a seed has in addition to the drawn ones, or an empty string.
 func extraKind(seed uint64) Kind {
 	number := seed % extraSeedInterval
+	if seed >= firstUpdateSeed && seed%updateSeedInterval == 6 {
+		return KindVMUpdate
+	}
 	if seed >= firstCutAnswersSeed {
 		switch seed % cutAnswersSeedInterval {
 		case 16:
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -63,7 +63,7 @@
 	command.Env = append(os.Environ(), process.env...)
 	command.Stdout, command.Stderr = process.output, process.output
 	if err := command.Start(); err != nil {
-		_, _ = process.output.WriteString(errors.Wrap(err, "start gateway").Error() + "\n") // the output is the only log
+		process.log(errors.Wrap(err, "start gateway"))
 		return nil
 	}
 	process.running = command
@@ -71,6 +71,18 @@
 	return command
 }
 
+// log writes an error to the output, which is the only log.
+func (process *process) log(err error) {
+	_, _ = process.output.WriteString(err.Error() + "\n") // nothing is left to report a failure to
+}
+
+// update makes later starts run another program.
+func (process *process) update(program string) {
+	process.mu.Lock()
+	defer process.mu.Unlock()
+	process.program = program
+}
+
 // signal sends a signal to the process, if it is running.
 func (process *process) signal(signal syscall.Signal) {
 	process.mu.Lock()
@@ -106,6 +118,9 @@
 // servingTime is how long after its start a process must serve at the latest.
 const servingTime = 500 * time.Millisecond
 
+// closingTime is how long before the end of a process was seen it may have closed its connections.
+const closingTime = 20 * time.Millisecond
+
 // down reports whether the process was not running, or still starting, at any time in
 // a span.
 func (process *process) down(from, to time.Time) bool {
@@ -116,7 +131,7 @@
 		if index+1 < len(process.startTimes) {
 			servesFrom = process.startTimes[index+1].Add(servingTime)
 		}
-		if end.Before(to) && servesFrom.After(from) {
+		if end.Add(-closingTime).Before(to) && servesFrom.After(from) {
 			return true
 		}
 	}
--- a/internal/standin/platformserver/plain.go
+++ b/internal/standin/platformserver/plain.go
@@ -43,7 +43,7 @@
 		writeNotRun(writer, request, http.StatusServiceUnavailable, "")
 		return
 	}
-	plain.recordRun(request, body)
+	defer plain.recordRun(request, body)()
 	select {
 	case <-time.After(time.Duration(plain.slowdown() * float64(plain.processingTime))):
 	case <-request.Context().Done():
--- a/internal/standin/platformserver/record.go
+++ b/internal/standin/platformserver/record.go
@@ -20,6 +20,8 @@
 	Target string
 	Body   string
 	At     time.Time
+	// Ended is when the server was done with it, or zero if it still is at work.
+	Ended time.Time
 }
 
 // Arrival is a request received by the server instance that it was intended for, with what the server advertised in
@@ -48,10 +50,17 @@
 	violations []string
 }
 
-func (record *Record) recordRun(run Run) {
+// recordRun records a run. The caller must call end when the server is done with it.
+func (record *Record) recordRun(run Run) (end func()) {
 	record.mu.Lock()
 	defer record.mu.Unlock()
+	index := len(record.runs)
 	record.runs = append(record.runs, run)
+	return func() {
+		record.mu.Lock()
+		defer record.mu.Unlock()
+		record.runs[index].Ended = time.Now()
+	}
 }
 
 func (record *Record) recordArrival(arrival Arrival) {
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -238,9 +238,9 @@
 	return drawnFaults, true
 }
 
-// recordRun records that the request runs from now on. If the request crashes the server, it aborts the handler.
-func (server *server) recordRun(request *http.Request, body string) {
-	server.record.recordRun(Run{
+// recordRun records that the request runs from now on, until end is called. If the request crashes the server, it aborts the handler.
+func (server *server) recordRun(request *http.Request, body string) (end func()) {
+	end = server.record.recordRun(Run{
 		ID: request.Header.Get(headerID), Service: server.identity.Service, Instance: server.identity.Instance,
 		Organisation: request.Header.Get(headerOrganisation), KeySeen: request.Header.Get(headerKey) != "",
 		Target: request.RequestURI, Body: body, At: time.Now(),
@@ -253,6 +253,7 @@
 		crash.StopServer()
 		panic(http.ErrAbortHandler) // closes the connection without a response
 	}
+	return end
 }
 
 // readBody reads the whole body. Until then, net/http doesn't detect that the
--- a/internal/standin/platformserver/stream.go
+++ b/internal/standin/platformserver/stream.go
@@ -49,7 +49,7 @@
 	if !engine.awaitAdmission(writer, request, generation) {
 		return
 	}
-	engine.recordRun(request, body)
+	defer engine.recordRun(request, body)()
 	engine.stream(writer, request, generation, drawnFaults)
 }
 
