--- a/internal/gateway/probes.go
+++ b/internal/gateway/probes.go
@@ -29,7 +29,8 @@
 			continue
 		}
 		probes.Go(func() {
-			result := gateway.upstream.Probe(ctx, target, gateway.settings.Reachability.ProbeTimeout)
+			settings := gateway.settings.Reachability
+			result := gateway.upstream.Probe(ctx, target, upstream.ProbeTimes{Timeout: settings.ProbeTimeout, Compare: settings.ProbeCompare})
 			gateway.metrics.probes.WithLabelValues(string(result)).Inc()
 		})
 	}
--- a/internal/gateway/unreachable_test.go
+++ b/internal/gateway/unreachable_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mastwinch/mastwinch/internal/tunnel"
 )
 
 // Bounds of the platform for VMs that reach no server.
@@ -26,8 +28,8 @@
 }
 
 // queryDuringCut sends streams and plain requests to all VMs in turn while some of them are cut off, and returns the first tries
-// sent at least contactTime after the start of the cut, at the VMs that are cut off and at the others.
-func (fleet *fleet) queryDuringCut(mode cutMode, cutVMs int) (atCut, atOthers firstTries) {
+// sent between two times after the start of the cut, at the VMs that are cut off and at the others.
+func (fleet *fleet) queryDuringCut(mode cutMode, cutVMs int, from, to time.Duration) (atCut, atOthers firstTries) {
 	const interval = 50 * time.Millisecond
 	requests := []callerRequest{streamRequest("chat"), plainRequest(http.MethodGet, "look"), streamRequest("chat"), plainRequest(http.MethodPost, "pay")}
 	var mu sync.Mutex
@@ -43,7 +45,7 @@
 		vm := number % len(fleet.vms)
 		attempt := requests[number/len(fleet.vms)%len(requests)]
 		attempt.vm = fleet.vms[vm].address()
-		counted := !cutAt.IsZero() && time.Since(cutAt) >= contactTime
+		counted := !cutAt.IsZero() && time.Since(cutAt) >= from && time.Since(cutAt) < to
 		callers.Go(func() {
 			got := fleet.query(attempt)
 			if !counted {
@@ -74,7 +76,22 @@
 	for _, mode := range []cutMode{cutResets, cutSilences, cutRefuses, cutAcceptsAndResets, cutAcceptsInSilence} {
 		t.Run(string(mode), func(t *testing.T) {
 			withFleet(t, 4, 3, func(fleet *fleet) {
-				atCut, atOthers := fleet.queryDuringCut(mode, 2)
+				atCut, atOthers := fleet.queryDuringCut(mode, 2, contactTime, cutTime)
+				assert.Assert(t, atOthers.served == atOthers.sent, "others: %+v", atOthers)
+				failed := atCut.sent - atCut.served
+				assert.Assert(t, failed <= atCut.sent/50, "VMs that are cut off: %+v, others: %+v", atCut, atOthers)
+			})
+		})
+	}
+}
+
+// TestCutThatHangsIsSeenWithinASecond guards against requests that are lost in the first seconds of a cut in which nothing is refused: from a
+// second after its start on, callers must be served like those of cuts that refuse connections.
+func TestCutThatHangsIsSeenWithinASecond(t *testing.T) {
+	for _, mode := range []cutMode{cutSilences, cutAcceptsInSilence} {
+		t.Run(string(mode), func(t *testing.T) {
+			withFleet(t, 4, 3, func(fleet *fleet) {
+				atCut, atOthers := fleet.queryDuringCut(mode, 2, time.Second, contactTime)
 				assert.Assert(t, atOthers.served == atOthers.sent, "others: %+v", atOthers)
 				failed := atCut.sent - atCut.served
 				assert.Assert(t, failed <= atCut.sent/50, "VMs that are cut off: %+v, others: %+v", atCut, atOthers)
@@ -82,3 +99,21 @@
 		})
 	}
 }
+
+// TestProbesThatAreAnsweredAskNoOtherVM guards against connections through other VMs on quiet days, on which nothing is heard for seconds
+// while a server reads a long prompt.
+func TestProbesThatAreAnsweredAskNoOtherVM(t *testing.T) {
+	withFleet(t, 2, 2, func(fleet *fleet) {
+		for _, server := range fleet.servers {
+			server.script = delayed(1500*time.Millisecond, responses(http.StatusOK, "fine"))
+		}
+		for range 5 {
+			got := fleet.query(plainRequest(http.MethodPost, "pay"))
+			assert.Equal(t, got.status, http.StatusOK, "%s", got.body)
+		}
+		assert.Assert(t, fleet.metric(`mastwinch_probes_total{result="answered"}`) > 0)
+		for _, result := range tunnel.Results() {
+			assert.Equal(t, fleet.metric(`mastwinch_tunnels_total{result="`+string(result)+`"}`), 0.0)
+		}
+	})
+}
--- a/internal/reachability/links.go
+++ b/internal/reachability/links.go
@@ -84,6 +84,12 @@
 	links.unanswered[server] = now
 }
 
+// AnsweredElsewhere records that a server answered a probe through another VM, while the one over the own link, which was sent before,
+// is unanswered.
+func (links *Links) AnsweredElsewhere(server string, now time.Time) {
+	links.Unanswered(server, now)
+}
+
 // Silent reports whether requests are, or were, outstanding for Settings.SilenceTime without any byte from any server, and
 // none arrived since. A connection that was open before may then be cut off without a reset.
 func (links *Links) Silent(now time.Time) bool {
--- a/internal/reachability/links_test.go
+++ b/internal/reachability/links_test.go
@@ -30,6 +30,9 @@
 	began, ended := (*reachability.Links).Began, (*reachability.Links).Ended
 	heard, opened := (*reachability.Links).Heard, (*reachability.Links).Opened
 	answered := func(links *reachability.Links, now time.Time) { links.ProbeEnded(true, now) }
+	elsewhere := func(server string) func(*reachability.Links, time.Time) {
+		return func(links *reachability.Links, now time.Time) { links.AnsweredElsewhere(server, now) }
+	}
 	const second = time.Second
 	for name, test := range map[string]struct {
 		events []event
@@ -104,6 +107,18 @@
 		"two servers failed, then a probe was answered": {
 			events: []event{{0, failed("a")}, {0, unanswered("b")}, {second, answered}}, at: second, want: reachability.Reachable,
 		},
+		"silent, one server answered elsewhere": {
+			events: []event{{0, began}, {second, elsewhere("a")}}, at: second, want: reachability.Doubtful, silent: true,
+		},
+		"silent, two servers answered elsewhere": {
+			events: []event{{0, began}, {second, elsewhere("a")}, {second, elsewhere("b")}}, at: second, want: reachability.Unreachable, silent: true,
+		},
+		"silent, two servers answered elsewhere, then one here": {
+			events: []event{{0, began}, {second, elsewhere("a")}, {second, elsewhere("b")}, {second, answered}}, at: second, want: reachability.Reachable,
+		},
+		"two servers answered elsewhere, while others' responses are awaited": {
+			events: []event{{0, began}, {0, elsewhere("a")}, {0, elsewhere("b")}}, at: second / 10, want: reachability.Doubtful,
+		},
 		"no request outstanding": {
 			events: []event{{0, began}, {0, heard}, {0, ended}}, at: 5 * second, want: reachability.Reachable,
 		},
--- a/internal/reachability/monitor.go
+++ b/internal/reachability/monitor.go
@@ -43,6 +43,11 @@
 	monitor.record(func(links *Links, now time.Time) { links.Unanswered(server, now) })
 }
 
+// AnsweredElsewhere records that a server answered a probe through another VM; see Links.AnsweredElsewhere.
+func (monitor *Monitor) AnsweredElsewhere(server string) {
+	monitor.record(func(links *Links, now time.Time) { links.AnsweredElsewhere(server, now) })
+}
+
 // ProbeEnded records the end of a probe, and whether a byte of the server arrived.
 func (monitor *Monitor) ProbeEnded(answered bool) {
 	monitor.record(func(links *Links, now time.Time) { links.ProbeEnded(answered, now) })
--- a/internal/reachability/settings.go
+++ b/internal/reachability/settings.go
@@ -18,6 +18,9 @@
 	ProbeIntervalMax time.Duration `yaml:"probe_max" validate:"gtefield=ProbeInterval"`
 	// ProbeStagger is how long one server may take to answer a probe before another one is probed beside it.
 	ProbeStagger time.Duration `yaml:"probe_stagger" validate:"min=10ms"`
+	// ProbeCompare is how long a server may take to answer a probe until the same is asked through another VM. Sound servers answer
+	// probes in a fraction of that. Zero asks no other VM.
+	ProbeCompare time.Duration `yaml:"probe_compare" validate:"min=0"`
 	// ProbeTimeout is how long a server may take to answer a probe. A sound server may be silent for a second.
 	ProbeTimeout time.Duration `yaml:"probe_timeout" validate:"min=10ms,ltfield=FailureMemory"`
 }
@@ -31,6 +34,7 @@
 		ProbeInterval:    500 * time.Millisecond,
 		ProbeIntervalMax: 4 * time.Second,
 		ProbeStagger:     200 * time.Millisecond,
+		ProbeCompare:     100 * time.Millisecond,
 		ProbeTimeout:     1200 * time.Millisecond,
 	}
 }
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -45,6 +45,8 @@
 type Requirements struct {
 	// DataCentres are those through whose VMs a tunnel may lead; empty allows all.
 	DataCentres []string
+	// Excluded has the addresses of VMs through which no tunnel may lead.
+	Excluded []string
 	// EndTold is whether a tunnel may lead only through VMs that tell how the server's side ended.
 	EndTold bool
 }
@@ -120,6 +122,20 @@
 	} else {
 		ways = slices.Insert(ways, 0, own)
 	}
+	return dialer.open(ctx, address, ways)
+}
+
+// DialThrough opens a connection to a server through another VM than those at the excluded addresses, whatever is known of the VM's
+// own links.
+func (dialer *Dialer) DialThrough(ctx context.Context, address string, excluded []string) (Connection, error) {
+	if !dialer.settings.Enabled {
+		return Connection{}, &NoWayError{}
+	}
+	return dialer.open(ctx, address, dialer.tunnels(address, Requirements{Excluded: excluded}))
+}
+
+// open opens a connection over one of several ways.
+func (dialer *Dialer) open(ctx context.Context, address string, ways []way) (Connection, error) {
 	bounded, cancel := context.WithTimeout(ctx, dialer.settings.OpenTimeout)
 	defer cancel()
 	won, lost := race(bounded, ways, dialer.settings.Stagger)
@@ -142,7 +158,7 @@
 	shuffle(live)
 	shuffle(others)
 	var ways []way
-	for _, peer := range dialer.usable(append(live, others...), requirements.DataCentres) {
+	for _, peer := range dialer.usable(append(live, others...), requirements) {
 		ways = append(ways, way{
 			via: peer, headStart: dialer.settings.Stagger,
 			open: func(ctx context.Context) (net.Conn, error) {
@@ -163,15 +179,15 @@
 	return len(dataCentres) == 0 || slices.Contains(dataCentres, peer.DataCentre)
 }
 
-// usable returns the first VMs of the data centres that are not avoided, at most Settings.MaxPeers. Those that don't tell how the
+// usable returns the first VMs that meet the requirements and are not avoided, at most Settings.MaxPeers. Those that don't tell how the
 // server's side ends come after the others.
-func (dialer *Dialer) usable(peers []Peer, dataCentres []string) []Peer {
+func (dialer *Dialer) usable(peers []Peer, requirements Requirements) []Peer {
 	dialer.mu.Lock()
 	defer dialer.mu.Unlock()
 	now := dialer.now()
 	var usable, untold []Peer
 	for _, peer := range peers {
-		if !peer.IsWithin(dataCentres) || isCurrent(dialer.avoided, peer.Address, now) {
+		if !requirements.allow(peer) || isCurrent(dialer.avoided, peer.Address, now) {
 			continue
 		}
 		if isCurrent(dialer.untold, peer.Address, now) {
@@ -184,6 +200,11 @@
 	return usable[:min(dialer.settings.MaxPeers, len(usable))]
 }
 
+// allow reports whether a tunnel may lead through a VM.
+func (requirements Requirements) allow(peer Peer) bool {
+	return peer.IsWithin(requirements.DataCentres) && !slices.Contains(requirements.Excluded, peer.Address)
+}
+
 // isCurrent reports whether a VM has an entry that has not expired. It removes one that has.
 func isCurrent(entries map[string]time.Time, peer string, now time.Time) bool {
 	until, found := entries[peer]
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -24,23 +24,57 @@
 	ProbeUnanswered ProbeResult = "unanswered"
 	// ProbeNotSent: no connection opened.
 	ProbeNotSent ProbeResult = "not_sent"
+	// ProbeAnsweredElsewhere: no byte arrived over the VM's own link, and one did through another VM meanwhile.
+	ProbeAnsweredElsewhere ProbeResult = "answered_elsewhere"
 )
 
-// Probe sends a probe to a server over the VM's own link, and records in links what comes of it. The caller must have taken the
-// probe from links.
-func (client *Client) Probe(ctx context.Context, target ProbeTarget, timeout time.Duration) ProbeResult {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// ProbeTimes are the times of a probe.
+type ProbeTimes struct {
+	// Timeout is how long the server may take to answer.
+	Timeout time.Duration
+	// Compare is after how long without an answer the same is asked through another VM, and again through another one; zero is never.
+	Compare time.Duration
+}
+
+// Probe sends a probe to a server over the VM's own link, and records in links what comes of it. When no answer comes soon, it sends
+// the same through other VMs: a server that answers there is out of reach here. The caller must have taken the probe from links.
+func (client *Client) Probe(ctx context.Context, target ProbeTarget, times ProbeTimes) ProbeResult {
+	ctx, cancel := context.WithTimeout(ctx, times.Timeout)
 	defer cancel()
-	result := client.probe(ctx, target)
+	own := make(chan ProbeResult, 1)
+	go func() {
+		own <- probe(ctx, target, func(ctx context.Context) (net.Conn, error) { return client.DialDirect(ctx, target.Address) })
+	}()
+	comparison := newComparison(client, target, times.Compare)
+	answeredElsewhere := false
+	for {
+		select {
+		case result := <-own:
+			return client.recordProbe(target, result, answeredElsewhere)
+		case <-comparison.due():
+			comparison.start(ctx)
+		case <-comparison.answered:
+			answeredElsewhere = true
+			client.links.AnsweredElsewhere(target.Address)
+			comparison.stop()
+		}
+	}
+}
+
+// recordProbe records the end of a probe over the VM's own link, and returns the result.
+func (client *Client) recordProbe(target ProbeTarget, result ProbeResult, answeredElsewhere bool) ProbeResult {
 	if result == ProbeUnanswered {
 		client.links.Unanswered(target.Address)
 	}
 	client.links.ProbeEnded(result == ProbeAnswered)
+	if result != ProbeAnswered && answeredElsewhere {
+		return ProbeAnsweredElsewhere
+	}
 	return result
 }
 
-func (client *Client) probe(ctx context.Context, target ProbeTarget) ProbeResult {
-	conn, err := client.DialDirect(ctx, target.Address)
+func probe(ctx context.Context, target ProbeTarget, dial func(ctx context.Context) (net.Conn, error)) ProbeResult {
+	conn, err := dial(ctx)
 	if err != nil {
 		return ProbeNotSent
 	}
