--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -225,7 +225,7 @@
 		events = append(events, event)
 	case KindVMUpdate:
 		event := draw(kind, longestFault)
-		event.For, event.Target = cutDuration, 0 // a VM of the newer build
+		event.For, event.Target = updateCutDuration, 0 // a VM of the newer build
 		events = append(events, event)
 	case KindVMCutReset:
 		event := draw(kind, longestFault)
--- a/internal/soak/update.go
+++ b/internal/soak/update.go
@@ -11,9 +11,11 @@
 
 // Times of the restarts of VMs of the older build.
 const (
-	// updateDelay is the time until the first one: with the first updateInterval it leaves two seconds of the time in which the VM that is cut off must serve.
-	updateDelay    = boundContact + 500*time.Millisecond
+	// updateDelay is the time from the start of the cut in which none is restarted. In most of it the VM that is cut off must serve.
+	updateDelay    = 2 * boundContact
 	updateInterval = 1500 * time.Millisecond
+	// updateCutDuration is how long the VM is cut off.
+	updateCutDuration = 12 * time.Second
 )
 
 // startsOlder reports whether the VM with a number starts with the older build. Every second one does, so that one of the newer build
