--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -1,14 +1,11 @@
 package tunnel
 
 import (
-	"bufio"
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -18,17 +15,6 @@
 	"github.com/mastwinch/mastwinch/internal/reachability"
 )
 
-// Peer is another VM that may serve tunnels.
-type Peer struct {
-	Address    string
-	DataCentre string
-}
-
-// Peers returns other VMs, those that are known to be live first.
-type Peers interface {
-	TunnelPeers() (live, others []Peer)
-}
-
 // Connection is an open connection to a server.
 type Connection struct {
 	net.Conn
@@ -41,16 +27,6 @@
 	EndUntold bool
 }
 
-// Requirements are what a request requires of the way to its server. Its zero value allows all ways.
-type Requirements struct {
-	// DataCentres are those through whose VMs a tunnel may lead; empty allows all.
-	DataCentres []string
-	// Excluded has the addresses of VMs through which no tunnel may lead.
-	Excluded []string
-	// EndTold is whether a tunnel may lead only through VMs that tell how the server's side ended.
-	EndTold bool
-}
-
 // Result is how an attempt to open a tunnel came out. The values are labels of metrics.
 type Result string
 
@@ -68,9 +44,6 @@
 	return []Result{ResultOpened, ResultFailed, ResultSlower, ResultEndUntold}
 }
 
-// untoldMemory is how long a VM that does not tell how the server's side ends is asked after the others.
-const untoldMemory = 10 * time.Second
-
 // Dialer opens connections to servers, directly or through other VMs. It is safe for concurrent use.
 type Dialer struct {
 	settings Settings
@@ -169,66 +142,6 @@
 	return ways
 }
 
-// shuffle spreads the tunnels of many VMs over all that can serve them.
-func shuffle(peers []Peer) {
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] }) //nolint:gosec // not used for security
-}
-
-// IsWithin reports whether a VM is in one of the data centres. An empty list has all.
-func (peer Peer) IsWithin(dataCentres []string) bool {
-	return len(dataCentres) == 0 || slices.Contains(dataCentres, peer.DataCentre)
-}
-
-// usable returns the first VMs that meet the requirements and are not avoided, at most Settings.MaxPeers. Those that don't tell how the
-// server's side ends come after the others.
-func (dialer *Dialer) usable(peers []Peer, requirements Requirements) []Peer {
-	dialer.mu.Lock()
-	defer dialer.mu.Unlock()
-	now := dialer.now()
-	var usable, untold []Peer
-	for _, peer := range peers {
-		if !requirements.allow(peer) || isCurrent(dialer.avoided, peer.Address, now) {
-			continue
-		}
-		if isCurrent(dialer.untold, peer.Address, now) {
-			untold = append(untold, peer)
-			continue
-		}
-		usable = append(usable, peer)
-	}
-	usable = append(usable, untold...)
-	return usable[:min(dialer.settings.MaxPeers, len(usable))]
-}
-
-// allow reports whether a tunnel may lead through a VM.
-func (requirements Requirements) allow(peer Peer) bool {
-	return peer.IsWithin(requirements.DataCentres) && !slices.Contains(requirements.Excluded, peer.Address)
-}
-
-// isCurrent reports whether a VM has an entry that has not expired. It removes one that has.
-func isCurrent(entries map[string]time.Time, peer string, now time.Time) bool {
-	until, found := entries[peer]
-	if found && !now.Before(until) {
-		delete(entries, peer)
-	}
-	return found && now.Before(until)
-}
-
-// recordFraming records whether a VM tells how the server's side ends.
-func (dialer *Dialer) recordFraming(peer string, tellsEnd bool) {
-	dialer.mu.Lock()
-	defer dialer.mu.Unlock()
-	now := dialer.now()
-	if tellsEnd {
-		delete(dialer.untold, peer)
-		return
-	}
-	if !isCurrent(dialer.untold, peer, now) {
-		dialer.logger.Info("VM does not tell how connections of servers end", "peer", peer)
-	}
-	dialer.untold[peer] = now.Add(untoldMemory)
-}
-
 // recordLost records the attempts that did not open a connection, or not as fast as another one.
 func (dialer *Dialer) recordLost(ctx context.Context, address string, lost []attempt) {
 	for _, attempt := range lost {
@@ -269,17 +182,6 @@
 	}
 }
 
-// avoid avoids a VM for Settings.AvoidTime.
-func (dialer *Dialer) avoid(peer string, reason error) {
-	dialer.mu.Lock()
-	defer dialer.mu.Unlock()
-	now := dialer.now()
-	if !now.Before(dialer.avoided[peer]) {
-		dialer.logger.Info("VM is avoided for tunnels", "peer", peer, "error", reason)
-	}
-	dialer.avoided[peer] = now.Add(dialer.settings.AvoidTime)
-}
-
 func (dialer *Dialer) count(result Result) {
 	dialer.mu.Lock()
 	defer dialer.mu.Unlock()
@@ -297,93 +199,3 @@
 	}
 	return err
 }
-
-// NoWayError is returned when no way to a server could be opened. Errs has the error of each.
-type NoWayError struct {
-	Errs []error
-}
-
-// Error implements error.
-func (e *NoWayError) Error() string {
-	texts := make([]string, 0, len(e.Errs))
-	for _, err := range e.Errs {
-		texts = append(texts, err.Error())
-	}
-	return "no way to the server: " + strings.Join(texts, "; ")
-}
-
-// Unwrap returns the errors of all ways.
-func (e *NoWayError) Unwrap() []error {
-	return e.Errs
-}
-
-// RefusedError is the refusal of another VM to open a tunnel.
-type RefusedError struct {
-	Peer string
-	// Status is the HTTP status of the refusal. 502 means that the VM did not reach the server.
-	Status int
-}
-
-// Error implements error.
-func (e *RefusedError) Error() string {
-	return e.Peer + " refused to open a tunnel: " + http.StatusText(e.Status)
-}
-
-// connect opens a tunnel through another VM, which with endTold must be one that tells how the server's side ends.
-func (dialer *Dialer) connect(ctx context.Context, peer, address string, endTold bool) (net.Conn, error) {
-	conn, err := dialer.network.Dial(ctx, peer)
-	if err != nil {
-		return nil, errors.Wrapf(err, "connect to VM at %s", peer)
-	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // unblocks the exchange below
-	tunnelled, err := dialer.handshake(ctx, conn, peer, address)
-	if !stop() && err == nil {
-		err = errors.WithStack(ctx.Err())
-	}
-	if err == nil {
-		dialer.recordFraming(peer, tellsEnd(tunnelled))
-		err = checkEndTold(tunnelled, endTold)
-	}
-	if err != nil {
-		_ = conn.Close() // nothing was sent through it
-		return nil, err
-	}
-	return tunnelled, nil
-}
-
-// checkEndTold returns an error if a connection has to tell how the server's side ended and does not.
-func checkEndTold(conn net.Conn, required bool) error {
-	if required && !tellsEnd(conn) {
-		return errors.WithStack(errEndUntold)
-	}
-	return nil
-}
-
-// handshake requests a tunnel on a connection to another VM. It returns the connection to the server.
-func (dialer *Dialer) handshake(ctx context.Context, conn net.Conn, peer, address string) (net.Conn, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodConnect, "http://"+address, nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "tunnel request")
-	}
-	if dialer.settings.Frames {
-		request.Header.Set(headerFrames, framesVersion)
-	}
-	if err := request.Write(conn); err != nil {
-		return nil, errors.Wrapf(err, "request tunnel of VM at %s", peer)
-	}
-	reader := bufio.NewReader(conn)
-	response, err := http.ReadResponse(reader, request) //nolint:bodyclose // the response to CONNECT has no body; the caller closes conn
-	if err != nil {
-		return nil, errors.Wrapf(err, "request tunnel of VM at %s", peer)
-	}
-	if response.StatusCode != http.StatusOK {
-		return nil, &RefusedError{Peer: peer, Status: response.StatusCode}
-	}
-	if reader.Buffered() > 0 {
-		return nil, errors.Newf("bytes before the request in a tunnel of VM at %s", peer)
-	}
-	if response.Header.Get(headerFrames) != framesVersion {
-		return unframedConn{Conn: conn}, nil
-	}
-	return newFramedConn(conn, reader), nil
-}
