--- a/internal/gateway/probes.go
+++ b/internal/gateway/probes.go
@@ -28,14 +28,25 @@
 		if !found || !gateway.links.TakeProbe() {
 			continue
 		}
+		times := gateway.probeTimes()
 		probes.Go(func() {
-			settings := gateway.settings.Reachability
-			result := gateway.upstream.Probe(ctx, target, upstream.ProbeTimes{Timeout: settings.ProbeTimeout, Compare: settings.ProbeCompare})
+			result := gateway.upstream.Probe(ctx, target, times)
 			gateway.metrics.probes.WithLabelValues(string(result)).Inc()
 		})
 	}
 }
 
+// probeTimes returns the times of the next probe. Links that count as cut are probed for their return alone, which other VMs can't
+// tell.
+func (gateway *Gateway) probeTimes() upstream.ProbeTimes {
+	settings := gateway.settings.Reachability
+	times := upstream.ProbeTimes{Timeout: settings.ProbeTimeout}
+	if gateway.links.Verdict() != reachability.Unreachable {
+		times.Compare = settings.ProbeCompare
+	}
+	return times
+}
+
 // probeTarget returns a random server that can be probed, if possible one that is not known to be out of reach.
 func (gateway *Gateway) probeTarget() (upstream.ProbeTarget, bool) {
 	current := gateway.operatorState.current.Load()
--- a/internal/gateway/unreachable_test.go
+++ b/internal/gateway/unreachable_test.go
@@ -117,3 +117,15 @@
 		}
 	})
 }
+
+// TestLinksThatAreCutAreNotCompared guards against connections through other VMs for each probe during a cut: once the links count as cut,
+// only their return is to be found out.
+func TestLinksThatAreCutAreNotCompared(t *testing.T) {
+	withFleet(t, 3, 3, func(fleet *fleet) {
+		fleet.vms[0].network.begin(cutAcceptsInSilence, serverPrefix)
+		fleet.queryFirstVM(plainRequest(http.MethodGet, "look"), 300)
+		compared := fleet.metric(`mastwinch_probes_total{result="answered_elsewhere"}`)
+		assert.Assert(t, compared >= 1 && compared <= 4, "%g probes were compared", compared)
+		assert.Assert(t, fleet.metric(`mastwinch_probes_total{result="unanswered"}`) >= 3)
+	})
+}
