--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -33,10 +33,11 @@
 
 // NewGatewayCommand returns the command line of mw-gateway.
 func NewGatewayCommand() *cli.Command {
+	build := buildinfo.Read()
 	return &cli.Command{
 		Name:                  "mw-gateway",
 		Usage:                 "serve callers' requests on the platform",
-		Version:               buildinfo.Read().String(),
+		Version:               build.String(),
 		EnableShellCompletion: true,
 		Flags: []cli.Flag{
 			&cli.StringFlag{
@@ -46,11 +47,11 @@
 			&cli.StringFlag{Name: flagConfig, Aliases: []string{"c"}, Usage: "read tuning settings from `FILE`"},
 			&cli.BoolFlag{Name: flagCheck, Usage: "validate the settings and exit"},
 		},
-		Action: runGateway,
+		Action: func(ctx context.Context, command *cli.Command) error { return runGateway(ctx, command, build) },
 	}
 }
 
-func runGateway(ctx context.Context, command *cli.Command) error {
+func runGateway(ctx context.Context, command *cli.Command, build buildinfo.Info) error {
 	// SIGHUP is handled until the process exits, also during shutdown: its default action terminates the process.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
@@ -77,7 +78,6 @@
 	output := logging.New(os.Stdout, tuning.Logging.MaxQueuedLines)
 	defer output.Close()
 	logger := newJSONLogger(output, tuning.Logging.Level).With("vm", site.VM)
-	build := buildinfo.Read()
 	logger.Info("starting", "revision", build.Revision, "build", build.ID, "go", build.GoVersion)
 	sockets := network.New(tuning.Network)
 	clock, err := clock.New(clock.Boottime)
