--- a/review/_cases2/forgotten.go
+++ b/review/_cases2/forgotten.go
@@ -10,8 +10,8 @@
 func forgottenConnections(record string, trouble bool) int {
 	const (
 		servers    = 4
-		calm       = 10 * time.Second
-		forgetEnd  = calm + 52*time.Second
+		calm       = 18 * time.Second
+		forgetEnd  = calm + 44*time.Second
 		forgetFor  = 5 * time.Second
 		pause      = 500 * time.Millisecond
 		killAt     = forgetEnd + 2*time.Second + forgetFor
