--- a/review/_cases2/world.go
+++ b/review/_cases2/world.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -75,9 +76,19 @@
 	server := &http.Server{Handler: world.store}
 	go func() { _ = server.Serve(listener) }()
 	world.closers = append(world.closers, func() { _ = server.Close() })
+	go world.closeOnSignal()
 	return world, nil
 }
 
+// closeOnSignal ends all processes and exits when this process is told to end.
+func (world *world) closeOnSignal() {
+	ending := make(chan os.Signal, 1)
+	signal.Notify(ending, os.Interrupt, syscall.SIGTERM)
+	<-ending
+	world.close()
+	os.Exit(2)
+}
+
 // log writes a line to the record, with the seconds since the start.
 func (world *world) log(format string, args ...any) {
 	world.mu.Lock()
