--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -49,7 +49,7 @@
 // Target is a service that gets a fraction of the requests of a route.
 type Target struct {
 	Service string
-	Weight  int
+	Weight  float64
 }
 
 // Repeatable reports whether a request may run again after an attempt whose outcome is unknown.
@@ -60,11 +60,11 @@
 // Target returns the name of the service for a uniformly distributed number from zero up to, but
 // not including, one.
 func (route *Route) Target(fraction float64) string {
-	totalWeight := 0
+	totalWeight := 0.0
 	for _, target := range route.Targets {
 		totalWeight += target.Weight
 	}
-	remaining := int(fraction * float64(totalWeight))
+	remaining := fraction * totalWeight
 	for _, target := range route.Targets {
 		remaining -= target.Weight
 		if remaining < 0 {
