platform: a bound that can't be used costs itself and not the VM

All VMs refuse the file with one line in the log.

Cause: the file was decoded and checked as a whole, so that one field cost all others; and nothing but that line told that no process could start any more.

Ruled out: that the four int64 fields are all. A start with each field in turn as a fraction, zero, null, absent or of another type also ended for grace_s, revoke_ms, budget_window_s and memory_mb, which fractions alone don't mend.

Change: fields are read one by one. One that can't be used is ignored, logged as an error and counted (mastwinch_settings_ignored); a bound keeps the value in force, or a cautious default at a start; a missing one has a default.

--- a/internal/cmd/gatewaycmd.go
+++ b/internal/cmd/gatewaycmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -13,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/mastwinch/mastwinch/internal/buildinfo"
+	"github.com/mastwinch/mastwinch/internal/call"
 	"github.com/mastwinch/mastwinch/internal/clock"
 	"github.com/mastwinch/mastwinch/internal/epoch"
 	"github.com/mastwinch/mastwinch/internal/gateway"
@@ -58,7 +58,7 @@
 	if command.String(flagSite) == "" {
 		return &exitError{code: exitUsage, err: errors.New("--site is required")}
 	}
-	site, err := platform.LoadSettings(command.String(flagSite))
+	site, err := platform.LoadSettings(command.String(flagSite), gateway.UnreadBounds())
 	if err != nil {
 		return &exitError{code: exitUsage, err: err}
 	}
@@ -69,6 +69,9 @@
 		}
 	}
 	if command.Bool(flagCheck) {
+		if len(site.Ignored) > 0 {
+			return &exitError{code: exitUsage, err: ignoredError(site.Ignored)}
+		}
 		_, err := command.Root().Writer.Write([]byte("settings are good\n"))
 		return errors.Wrap(err, "check")
 	}
@@ -98,14 +101,23 @@
 	}
 	reloadCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	go reloadSite(reloadCtx, hangups, command.String(flagSite), process, logger)
+	go reloadSite(reloadCtx, hangups, command.String(flagSite), process)
 	return process.Run(ctx)
 }
 
+// ignoredError returns the error for fields of the settings file that a process would ignore.
+func ignoredError(fields []call.FieldError) error {
+	var all error
+	for _, field := range fields {
+		all = errors.Join(all, errors.Wrap(&field, "settings file"))
+	}
+	return all
+}
+
 // reloadSite reloads the site file on SIGHUP and when its modification time has
 // changed, until ctx is cancelled. After an error the previous settings stay in force.
 func reloadSite(
-	ctx context.Context, hangups <-chan os.Signal, file string, process *gateway.Gateway, logger *slog.Logger,
+	ctx context.Context, hangups <-chan os.Signal, file string, process *gateway.Gateway,
 ) {
 	ticker := time.NewTicker(sitePollInterval)
 	defer ticker.Stop()
@@ -121,9 +133,9 @@
 			}
 		}
 		modified = modificationTime(file)
-		site, err := platform.LoadSettings(file)
+		site, err := platform.LoadSettings(file, process.Bounds())
 		if err != nil {
-			logger.Error("reloading the settings failed; keeping the previous ones", "error", err)
+			process.RejectSettings(err)
 			continue
 		}
 		process.Reload(site)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,12 +69,14 @@
 	settings Settings
 	site     Site
 	// bounds are those of the settings file at its last reload.
-	bounds  atomic.Pointer[Bounds]
-	codec   Codec
-	network network.Network
-	logger  *slog.Logger
-	clock   *clock.Clock
-	now     func() time.Time
+	bounds atomic.Pointer[Bounds]
+	// settingsState is the result of that reload. It is never nil.
+	settingsState atomic.Pointer[settingsState]
+	codec         Codec
+	network       network.Network
+	logger        *slog.Logger
+	clock         *clock.Clock
+	now           func() time.Time
 
 	// started is the time at which the process started.
 	started time.Time
@@ -178,6 +179,8 @@
 	gateway.reservations = reservation.New(baseContext, settings.Reservation.WithMaxTTL(site.Bounds.HoldMax), orders, gateway.upstream, logger, now)
 	gateway.metrics = newMetrics(gateway)
 	gateway.bounds.Store(&site.Bounds)
+	gateway.settingsState.Store(&settingsState{ignored: site.Ignored})
+	gateway.logIgnored(site)
 	transport := network.NewTransport(hostNetwork)
 	maxDelay := func() time.Duration { return gateway.bounds.Load().Known() }
 	feedSettings := settings.Feed
@@ -315,16 +318,6 @@
 	}
 }
 
-// Reload applies the settings file as it is now. Bounds take effect at once; all other changes need
-// a restart, and whether there are any is logged.
-func (gateway *Gateway) Reload(site Site) {
-	bounds := site.Bounds
-	gateway.bounds.Store(&bounds)
-	gateway.updateRetryLimits()
-	site.Bounds = gateway.site.Bounds
-	gateway.logger.Info("settings read again", "bounds", bounds, "needs_restart", !reflect.DeepEqual(site, gateway.site))
-}
-
 // retryAfter returns after how long a refused caller may retry.
 func (gateway *Gateway) retryAfter() time.Duration {
 	return randomBetween(gateway.settings.Request.RetryAfterMin, gateway.settings.Request.RetryAfterMax)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -144,6 +144,7 @@
 	)
 	registerOpenings(metrics.registry, gateway)
 	registerTunnels(metrics.registry, gateway)
+	registerSettings(metrics.registry, gateway)
 	return metrics
 }
 
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/mastwinch/mastwinch/internal/call"
+)
 
 // Site describes the VM's place in the deployment, as given by its settings file.
 type Site struct {
@@ -29,6 +33,8 @@
 	// MemoryBytes is the memory that the process may use, or zero if it is not configured.
 	MemoryBytes int64
 	Bounds      Bounds
+	// Ignored are the fields of the settings file that can't be used. The VM serves without them.
+	Ignored []call.FieldError
 }
 
 // Bounds are the limits that the operator requires the system to keep.
@@ -54,6 +60,33 @@
 	HoldMax time.Duration
 }
 
+// Bounds of a VM whose settings file does not have them.
+const (
+	// defaultGrace is the time that process managers commonly wait.
+	defaultGrace  = 10 * time.Second
+	defaultRevoke = 3 * time.Second
+	// defaultRetryRatio and defaultRetrySlack are low, so that retries do not add to an overload.
+	defaultRetryRatio  = 0.1
+	defaultRetrySlack  = 10
+	defaultRetryWindow = 10 * time.Second
+)
+
+// DefaultBounds returns the bounds of a VM whose settings file has none. Bounds that are zero are not limited.
+func DefaultBounds() Bounds {
+	return Bounds{
+		Grace: defaultGrace, Revoke: defaultRevoke,
+		RetryRatio: defaultRetryRatio, RetrySlack: defaultRetrySlack, RetryWindow: defaultRetryWindow,
+	}
+}
+
+// UnreadBounds returns the bounds at the start of a process, used in place of those that its settings file has but that
+// can't be used. Keys that may have been revoked are then refused.
+func UnreadBounds() Bounds {
+	bounds := DefaultBounds()
+	bounds.RevokeFailClosed = true
+	return bounds
+}
+
 // Known returns the longest time until any statement of the operator must have reached
 // this VM.
 func (bounds Bounds) Known() time.Duration {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -25,6 +25,8 @@
 	Quarantined []QuarantinedStatus `json:"kept,omitempty"`
 	// OverShares has the organisations furthest over their shares of the servers.
 	OverShares []OverShareStatus `json:"over_shares,omitempty"`
+	// SettingsProblems says what is wrong with the settings file as it is now.
+	SettingsProblems []string `json:"settings_problems,omitempty"`
 }
 
 // QuarantinedStatus is a quarantined request: servers crash while processing it.
@@ -43,7 +45,7 @@
 	status := Status{
 		VM: gateway.site.VM, Members: members, Coordinators: gateway.exchange.Coordinators(),
 		Epoch: int64(current), Servers: gateway.pool.Status(),
-		OverShares: gateway.overShares(),
+		OverShares: gateway.overShares(), SettingsProblems: gateway.settingsState.Load().problems(),
 	}
 	if rose := gateway.epochs.IncreasedAt(); !rose.IsZero() {
 		status.EpochSeconds = now.Sub(rose).Seconds()
