gateway: a block without an event is no progress of a stream

Cause: each block that a blank line ends counted as an event. The first one started the answer, and each restarted the server's time for the next.

Ruled out: lines and events without end (they end in time, as measured from outside; "data without end in one event" holds before, too). Found beside it: blank lines, retry times, IDs without data and one event repeated over and over do the same.

Change: streamProgress, a value without clock or network, decides what is done with each block.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -18,11 +18,14 @@
 // ErrTooLong is returned for an event of more than MaxBytes.
 var ErrTooLong = errors.New("event exceeds the maximum size")
 
-// Event is one server-sent event.
+// Event is a block of fields and comments of the stream.
 type Event struct {
 	// ID is the value of the id field, or empty.
 	ID string
-	// Raw is the event as received, including the blank line at its end.
+	// HasData is whether the block has a data field. One without is no event by the standard of server-sent events: it is a
+	// comment, or sets the ID or the retry time.
+	HasData bool
+	// Raw is the block as received, including the blank line at its end.
 	Raw []byte
 }
 
@@ -36,8 +39,8 @@
 	return &Reader{buffered: bufio.NewReader(source)}
 }
 
-// Next returns the next complete event. It returns io.EOF if the stream ended
-// after a complete event, and ErrPartial if it ended within one.
+// Next returns the next complete block. It returns io.EOF if the stream ended
+// after a complete block, and ErrPartial if it ended within one.
 func (reader *Reader) Next() (Event, error) {
 	event := Event{}
 	lineStart := 0
@@ -59,8 +62,12 @@
 		if len(content) == 0 {
 			return event, nil
 		}
-		if value, found := bytes.CutPrefix(content, []byte("id:")); found {
+		name, value, _ := bytes.Cut(content, []byte(":"))
+		switch string(name) {
+		case "id":
 			event.ID = string(bytes.TrimPrefix(value, []byte(" ")))
+		case "data":
+			event.HasData = true
 		}
 	}
 }
--- a/internal/events/events_test.go
+++ b/internal/events/events_test.go
@@ -33,14 +33,17 @@
 		wantErr error
 	}{
 		"no event":  {wantErr: io.EOF},
-		"one event": {stream: "id: 1\ndata: a\n\n", want: []events.Event{{ID: "1", Raw: []byte("id: 1\ndata: a\n\n")}}, wantErr: io.EOF},
+		"one event": {stream: "id: 1\ndata: a\n\n", want: []events.Event{{ID: "1", HasData: true, Raw: []byte("id: 1\ndata: a\n\n")}}, wantErr: io.EOF},
 		"two events with carriage returns": {
 			stream:  "id:1\r\ndata: a\r\n\r\nid:2\r\n\r\n",
-			want:    []events.Event{{ID: "1", Raw: []byte("id:1\r\ndata: a\r\n\r\n")}, {ID: "2", Raw: []byte("id:2\r\n\r\n")}},
+			want:    []events.Event{{ID: "1", HasData: true, Raw: []byte("id:1\r\ndata: a\r\n\r\n")}, {ID: "2", Raw: []byte("id:2\r\n\r\n")}},
 			wantErr: io.EOF,
 		},
 		"without an ID":             {stream: ": ping\n\n", want: []events.Event{{Raw: []byte(": ping\n\n")}}, wantErr: io.EOF},
-		"a long line":               {stream: long, want: []events.Event{{ID: "1", Raw: []byte(long)}}, wantErr: io.EOF},
+		"data without a colon":      {stream: "data\n\n", want: []events.Event{{HasData: true, Raw: []byte("data\n\n")}}, wantErr: io.EOF},
+		"comment of the word":       {stream: ": data: x\n\n", want: []events.Event{{Raw: []byte(": data: x\n\n")}}, wantErr: io.EOF},
+		"a field that begins alike": {stream: "database: x\n\n", want: []events.Event{{Raw: []byte("database: x\n\n")}}, wantErr: io.EOF},
+		"a long line":               {stream: long, want: []events.Event{{ID: "1", HasData: true, Raw: []byte(long)}}, wantErr: io.EOF},
 		"cut within an event":       {stream: "id: 1\n\nid: 2\nda", want: []events.Event{{ID: "1", Raw: []byte("id: 1\n\n")}}, wantErr: events.ErrPartial},
 		"cut before the blank line": {stream: "id: 1\ndata: a\n", wantErr: events.ErrPartial},
 		"too long":                  {stream: strings.Repeat("x", events.MaxBytes+1), wantErr: events.ErrTooLong},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -226,6 +226,8 @@
 	// watchdog cancels the attempt when the server sends nothing for too long. It is nil if the
 	// attempt has no such limit.
 	watchdog *time.Timer
+	// expiresAt is when it does so. It is set when the watchdog is restarted.
+	expiresAt time.Time
 	// responseTimeout is how long the server may take until the first event of a stream, or until
 	// the end of a plain response.
 	responseTimeout time.Duration
@@ -238,6 +240,7 @@
 // time from now on.
 func (activeAttempt *activeAttempt) restartWatchdog(timeout time.Duration) {
 	if activeAttempt.watchdog != nil {
+		activeAttempt.expiresAt = time.Now().Add(timeout)
 		activeAttempt.watchdog.Reset(timeout)
 	}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,40 +16,53 @@
 func (forwarder *forwarder) relay(ctx context.Context, activeAttempt *activeAttempt) result {
 	reader := events.NewReader(activeAttempt.response)
 	streamTimeout := forwarder.gateway.settings.Request.streamTimeout(forwarder.route.InterTokenObjective)
-	first := true
+	progress := newStreamProgress(forwarder.lastEvent)
 	for {
-		event, err := reader.Next()
-		if endedEarly(err, first) && !activeAttempt.response.StatesEnd() {
+		block, err := reader.Next()
+		if endedEarly(err, !progress.started) && !activeAttempt.response.StatesEnd() {
 			err = activeAttempt.response.Unfinished()
 		}
 		if errors.Is(err, io.EOF) {
-			return forwarder.finishStream(activeAttempt)
+			return forwarder.finishStream(activeAttempt, progress.takeHeld())
 		}
 		if err != nil {
-			return forwarder.streamErrorResult(ctx, err, !first, activeAttempt.callerStalled)
+			return forwarder.streamErrorResult(ctx, err, progress.started, activeAttempt.callerStalled)
 		}
-		if first {
-			first = false
-			forwarder.receivedEvent.Store(true)
-			activeAttempt.activeRequest.FinishPrefill()
-			forwarder.recordBegun()
-			forwarder.recordFirstEvent(activeAttempt)
+		wasStarted := progress.started
+		use := progress.use(block)
+		if progress.started && !wasStarted {
+			forwarder.recordStarted(activeAttempt)
 		}
-		activeAttempt.activeRequest.RecordEvent()
-		if !isNewEvent(event.ID, forwarder.lastEvent) {
+		switch use {
+		case blockExcess:
+			return result{kind: resultUncertain, status: http.StatusOK, receivedEvent: progress.started, err: errors.WithStack(errNoProgress)}
+		case blockHeld, blockDropped:
+			continue
+		case blockRepeated:
+			activeAttempt.activeRequest.RecordEvent()
 			activeAttempt.restartWatchdog(streamTimeout)
 			continue
+		case blockComment:
+			err = forwarder.passComment(activeAttempt, block.Raw)
+		case blockPassed:
+			activeAttempt.activeRequest.RecordEvent()
+			err = forwarder.passEvent(activeAttempt, progress.takeHeld(), block)
+			activeAttempt.restartWatchdog(streamTimeout)
 		}
-		// The server is not read while the caller is not reading, so a pause must not count
-		// against it.
-		activeAttempt.stopWatchdog()
-		if err := forwarder.passEvent(activeAttempt, event); err != nil {
+		if err != nil {
 			return result{kind: resultTruncated, err: errors.Wrap(err, "write to the caller")}
 		}
-		activeAttempt.restartWatchdog(streamTimeout)
 	}
 }
 
+// recordStarted records that an attempt had its first event.
+func (forwarder *forwarder) recordStarted(activeAttempt *activeAttempt) {
+	forwarder.receivedEvent.Store(true)
+	activeAttempt.activeRequest.FinishPrefill()
+	forwarder.recordBegun()
+	forwarder.recordFirstEvent(activeAttempt)
+}
+
 // endedEarly reports whether a stream ended inside an event, or before the first one, as when a server crashes that begins it.
 func endedEarly(err error, first bool) bool {
 	return errors.Is(err, events.ErrPartial) || (first && errors.Is(err, io.EOF))
@@ -82,9 +94,12 @@
 	return broken
 }
 
-// finishStream completes the response. It writes the header if the stream had no events.
-func (forwarder *forwarder) finishStream(activeAttempt *activeAttempt) result {
+// finishStream completes the response. It writes the header if the stream had no events, and what was held for the next one.
+func (forwarder *forwarder) finishStream(activeAttempt *activeAttempt, held []byte) result {
 	forwarder.startResponse(activeAttempt)
+	if len(held) > 0 {
+		_ = forwarder.write(activeAttempt, held) // the caller may have disconnected
+	}
 	return result{kind: resultCompleted, status: http.StatusOK}
 }
 
@@ -108,37 +123,47 @@
 	stalledWriteThreshold = time.Second
 )
 
-// passEvent writes one event to the caller and flushes it.
-func (forwarder *forwarder) passEvent(activeAttempt *activeAttempt, event events.Event) error {
+// passEvent writes one event to the caller, after the blocks that were held for it.
+func (forwarder *forwarder) passEvent(activeAttempt *activeAttempt, held []byte, event events.Event) error {
 	startedAt := forwarder.gateway.now()
-	forwarder.setWriteDeadline()
-	forwarder.startResponse(activeAttempt)
-	if _, err := forwarder.writer.Write(event.Raw); err != nil {
-		return errors.WithStack(err)
-	}
-	if err := http.NewResponseController(forwarder.writer).Flush(); err != nil {
-		return errors.WithStack(err)
+	if err := forwarder.write(activeAttempt, append(held, event.Raw...)); err != nil {
+		return err
 	}
 	if event.ID != "" {
 		forwarder.lastEvent = event.ID
 	}
 	now := forwarder.gateway.now()
-	if now.Sub(startedAt) > slowWriteThreshold {
-		activeAttempt.activeRequest.ResetEventTimer()
-	}
-	activeAttempt.callerStalled = activeAttempt.callerStalled || now.Sub(startedAt) > stalledWriteThreshold
 	forwarder.timings.passEvent(forwarder.arrivedAt, now)
 	forwarder.gateway.metrics.eventDelay.Observe(now.Sub(startedAt).Seconds())
 	return nil
 }
 
-// isNewEvent reports whether an event comes after the last one that the caller received. IDs
-// increase; an ID that is not a number is always taken as new.
-func isNewEvent(id, last string) bool {
-	number, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return true
+// passComment writes a block that is no event to the caller. The server's time for its next event runs on, but for the time of
+// the write.
+func (forwarder *forwarder) passComment(activeAttempt *activeAttempt, raw []byte) error {
+	remaining := time.Until(activeAttempt.expiresAt)
+	err := forwarder.write(activeAttempt, raw)
+	activeAttempt.restartWatchdog(remaining)
+	return err
+}
+
+// write writes to the caller, after the header if it was not written, and flushes it. The server is not read while the caller is not
+// reading, so that a pause must not count against it: the watchdog is stopped.
+func (forwarder *forwarder) write(activeAttempt *activeAttempt, data []byte) error {
+	startedAt := forwarder.gateway.now()
+	activeAttempt.stopWatchdog()
+	forwarder.setWriteDeadline()
+	forwarder.startResponse(activeAttempt)
+	if _, err := forwarder.writer.Write(data); err != nil { //nolint:gosec // a server's bytes are passed on unchanged
+		return errors.WithStack(err)
 	}
-	lastNumber, err := strconv.ParseInt(last, 10, 64)
-	return err != nil || number > lastNumber
+	if err := http.NewResponseController(forwarder.writer).Flush(); err != nil {
+		return errors.WithStack(err)
+	}
+	took := forwarder.gateway.now().Sub(startedAt)
+	if took > slowWriteThreshold {
+		activeAttempt.activeRequest.ResetEventTimer()
+	}
+	activeAttempt.callerStalled = activeAttempt.callerStalled || took > stalledWriteThreshold
+	return nil
 }
