quarantine: a call of the store without an answer ends and is made again

What callers saw: none was seen to meet it. A connection to the store that goes silent, or an answer of it without end, while a VM reads the quarantined requests at its start, leaves the VM without them for as long as it lives: requests that crash servers are sent on after a restart of all VMs. The same holds for the write of a new entry.

Cause: these calls had no time limit; all others of the store have one. Found by playing bytes without end on the paths that were not played from outside.

Change: quarantine.store_time (2 s), after which the call is made again as after any other failure.

--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -57,7 +57,7 @@
 // entries again would cost three lost servers each.
 func (tracker *Tracker) load(ctx context.Context) {
 	for ctx.Err() == nil {
-		entries, err := tracker.store.List(ctx)
+		entries, err := tracker.list(ctx)
 		if err == nil {
 			tracker.ApplyEntries(entries)
 			return
@@ -67,10 +67,24 @@
 	}
 }
 
+// list reads the entries of the store within StoreTimeout.
+func (tracker *Tracker) list(ctx context.Context) ([]Entry, error) {
+	bounded, cancel := context.WithTimeout(ctx, tracker.settings.StoreTimeout)
+	defer cancel()
+	return tracker.store.List(bounded) //nolint:wrapcheck // callers log it
+}
+
+// put writes an entry to the store within StoreTimeout.
+func (tracker *Tracker) put(ctx context.Context, entry Entry) error {
+	bounded, cancel := context.WithTimeout(ctx, tracker.settings.StoreTimeout)
+	defer cancel()
+	return tracker.store.Put(bounded, entry) //nolint:wrapcheck // callers log it
+}
+
 // storeEntry writes an entry to the store, and retries until ctx is done.
 func (tracker *Tracker) storeEntry(ctx context.Context, entry Entry) {
 	for ctx.Err() == nil {
-		err := tracker.store.Put(ctx, entry)
+		err := tracker.put(ctx, entry)
 		if err == nil {
 			return
 		}
@@ -87,9 +101,9 @@
 	if len(entries) == 0 || !wait.For(ctx, rand.N(tracker.settings.RewriteSpread)) { //nolint:gosec // not security-sensitive
 		return
 	}
-	stored, err := tracker.store.List(ctx)
+	stored, err := tracker.list(ctx)
 	for err != nil && wait.For(ctx, tracker.settings.RetryDelay) {
-		stored, err = tracker.store.List(ctx)
+		stored, err = tracker.list(ctx)
 	}
 	times := make(map[fingerprint.Fingerprint]int, len(stored))
 	for _, entry := range stored {
--- a/internal/quarantine/settings.go
+++ b/internal/quarantine/settings.go
@@ -62,6 +62,8 @@
 	// RewriteSpread is the period over which the VMs spread their checks of a store that was
 	// restored from an older state.
 	RewriteSpread time.Duration `yaml:"rewrite" validate:"min=10ms"`
+	// StoreTimeout is the timeout of a call to the store.
+	StoreTimeout time.Duration `yaml:"store_time" validate:"min=10ms"`
 	// RetryDelay is the delay after a failed store operation.
 	RetryDelay time.Duration `yaml:"retry" validate:"min=10ms"`
 }
@@ -91,6 +93,7 @@
 		RepublishTime:    2 * time.Second,
 		BegunInterval:    250 * time.Millisecond,
 		ListTTL:          1600 * time.Millisecond,
+		StoreTimeout:     2 * time.Second,
 		RetryDelay:       500 * time.Millisecond,
 	}
 }
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -111,13 +111,13 @@
 	*quarantine.Tracker
 
 	settings  quarantine.Settings
-	store     *store
+	store     quarantine.Store
 	publisher *publisher
 	// next is the number of the last lost server.
 	next int
 }
 
-func withFixture(t *testing.T, store *store, test func(t *testing.T, fixture *fixture)) {
+func withFixture(t *testing.T, store quarantine.Store, test func(t *testing.T, fixture *fixture)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		fixture := &fixture{settings: quarantine.DefaultSettings(), store: store, publisher: &publisher{evaluates: true}}
