backend: a frame without end is refused, and bytes after the last one delay nothing

A server in trouble that sends one frame without end had it read into memory until the request's deadline. One that goes on sending after its last frame, a byte at a time, held a ready answer back until then.

Cause: the decoder of frames had no bound, and the rest of a body was read without one in time, for the sake of reusing the connection.

Status lines, fields, chunks, trailers and chunk extensions were bounded by net/http or by the limit of a call already.

--- a/internal/backend/httpbackend.go
+++ b/internal/backend/httpbackend.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -25,6 +24,10 @@
 	maxCallBody      = 16 << 20
 	maxErrorBody     = 64 << 10
 	frameBufferBytes = 4 << 10
+	// maxFrameBytes bounds a frame, and what may stand before it.
+	maxFrameBytes = 256 << 10
+	// drainTime is how long a server may take for the end of a response whose content is known.
+	drainTime = 50 * time.Millisecond
 )
 
 var (
@@ -60,8 +63,10 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: idleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-		DisableKeepAlives:   disableKeepAlives,
+
+		MaxResponseHeaderBytes: network.MaxHeadBytes,
+		DisableCompression:     true,
+		DisableKeepAlives:      disableKeepAlives,
 	}}
 }
 
@@ -274,54 +279,11 @@
 	return response, errors.Wrapf(err, "backend server %s", address)
 }
 
-// closeBody reads the rest of the body, up to a limit, and closes it, so that the
+// closeBody reads the rest of the body, up to a limit and for up to drainTime, and closes it, so that the
 // connection can be reused.
 func closeBody(response *http.Response) {
+	timer := time.AfterFunc(drainTime, func() { _ = response.Body.Close() }) // unblocks the read
+	defer timer.Stop()
 	_, _ = io.CopyN(io.Discard, response.Body, maxErrorBody)
 	_ = response.Body.Close()
 }
-
-// httpStream decodes frames from lines of JSON.
-type httpStream struct {
-	response *http.Response
-	decoder  *json.Decoder
-}
-
-func newHTTPStream(response *http.Response) *httpStream {
-	return &httpStream{
-		response: response,
-		decoder:  json.NewDecoder(bufio.NewReaderSize(response.Body, frameBufferBytes)),
-	}
-}
-
-// Next implements Stream.
-func (httpstream *httpStream) Next() (Frame, error) {
-	var frame Frame
-	err := httpstream.decoder.Decode(&frame)
-	if err == nil && frame.End != EndNone {
-		// Reading to the end of the body allows the connection to be reused.
-		_, _ = io.CopyN(io.Discard, httpstream.response.Body, maxErrorBody)
-	}
-	return frame, errors.Wrap(err, "read stream")
-}
-
-// Organisation implements Stream.
-func (httpstream *httpStream) Organisation() string {
-	return httpstream.response.Header.Get(HeaderOrganisation)
-}
-
-// Request implements Stream.
-func (httpstream *httpStream) Request() string {
-	return httpstream.response.Header.Get(HeaderRequest)
-}
-
-// TimeLeft implements Stream.
-func (httpstream *httpStream) TimeLeft() time.Duration {
-	milliseconds, _ := strconv.ParseInt(httpstream.response.Header.Get(HeaderTimeLeft), 10, 64)
-	return time.Duration(milliseconds) * time.Millisecond
-}
-
-// Close implements Stream.
-func (httpstream *httpStream) Close() {
-	_ = httpstream.response.Body.Close()
-}
