network: heads and pages of VMs and of the store have a bound and say so

- a page of the store or of a VM beyond its limit was cut there and failed as a page that can't be decoded: the error names the limit now;

--- a/internal/feed/codec.go
+++ b/internal/feed/codec.go
@@ -48,10 +48,13 @@
 		return follower.Page{}, errors.Wrap(err, "feed")
 	}
 	defer func() { _ = response.Body.Close() }() // the body has been read
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxPageBytes))
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxPageBytes+1))
 	if err != nil {
 		return follower.Page{}, errors.Wrap(err, "feed")
 	}
+	if len(data) > maxPageBytes {
+		return follower.Page{}, errors.Newf("feed: page exceeds %d bytes", maxPageBytes)
+	}
 	if response.StatusCode == http.StatusServiceUnavailable {
 		return follower.Page{}, errNoContent
 	}
--- a/internal/reservation/reservation_test.go
+++ b/internal/reservation/reservation_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,6 +32,8 @@
 	late         behaviour = "executes reserve commands late, without a reply"
 	unreachable  behaviour = "unreachable"
 	afterLate    behaviour = "replies after a late response to an earlier request"
+	endless      behaviour = "replies without end"
+	endlessSlow  behaviour = "replies without end, a byte at a time"
 )
 
 // testTicket is the ticket of all tests.
@@ -74,13 +78,31 @@
 	default:
 		engine.set(command.ID, ttl)
 	}
-	if behaviour == afterLate {
+	switch behaviour {
+	case afterLate:
 		respondAfterLate(writer)
 		return
+	case endless:
+		respondWithoutEnd(writer, strings.Repeat(" ", 1<<10), time.Millisecond)
+		return
+	case endlessSlow:
+		respondWithoutEnd(writer, " ", 50*time.Millisecond)
+		return
+	default:
 	}
 	_, _ = writer.Write([]byte(`{"free": 1}`))
 }
 
+// respondWithoutEnd sends a reply that goes on until its connection is closed.
+func respondWithoutEnd(writer http.ResponseWriter, part string, interval time.Duration) {
+	_, err := io.WriteString(writer, `{"free": 1`)
+	for err == nil {
+		_, err = io.WriteString(writer, part)
+		_ = http.NewResponseController(writer).Flush()
+		time.Sleep(interval)
+	}
+}
+
 // respondAfterLate sends a refusal of an earlier request and then the reply to a command.
 func respondAfterLate(writer http.ResponseWriter) {
 	conn, buffered, err := http.NewResponseController(writer).Hijack()
@@ -169,10 +191,12 @@
 		behaviours []behaviour
 		wantErr    string
 	}{
-		"all have free memory": {behaviours: []behaviour{normal, normal, normal}},
-		"one is full":          {behaviours: []behaviour{normal, full, normal}, wantErr: "i-1: not_free"},
-		"one does not reply":   {behaviours: []behaviour{normal, normal, unresponsive}, wantErr: "i-2"},
-		"one is unreachable":   {behaviours: []behaviour{unreachable, normal}, wantErr: "i-0"},
+		"all have free memory":            {behaviours: []behaviour{normal, normal, normal}},
+		"one is full":                     {behaviours: []behaviour{normal, full, normal}, wantErr: "i-1: not_free"},
+		"one does not reply":              {behaviours: []behaviour{normal, normal, unresponsive}, wantErr: "i-2"},
+		"one replies without end, fast":   {behaviours: []behaviour{normal, endless}, wantErr: "i-1"},
+		"one replies without end, slowly": {behaviours: []behaviour{normal, endlessSlow}, wantErr: "i-1"},
+		"one is unreachable":              {behaviours: []behaviour{unreachable, normal}, wantErr: "i-0"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/tunnel/handshake.go
+++ b/internal/tunnel/handshake.go
@@ -3,10 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"io"
+	"math"
 	"net"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastwinch/mastwinch/internal/network"
 )
 
 // connect opens a tunnel through another VM, which with endTold must be one that tells how the server's side ends.
@@ -51,7 +55,8 @@
 	if err := request.Write(conn); err != nil {
 		return nil, errors.Wrapf(err, "request tunnel of VM at %s", peer)
 	}
-	reader := bufio.NewReader(conn)
+	head := &io.LimitedReader{R: conn, N: network.MaxHeadBytes}
+	reader := bufio.NewReader(head)
 	response, err := http.ReadResponse(reader, request) //nolint:bodyclose // the response to CONNECT has no body; the caller closes conn
 	if err != nil {
 		return nil, errors.Wrapf(err, "request tunnel of VM at %s", peer)
@@ -65,5 +70,6 @@
 	if response.Header.Get(headerFrames) != framesVersion {
 		return unframedConn{Conn: conn}, nil
 	}
+	head.N = math.MaxInt64
 	return newFramedConn(conn, reader), nil
 }
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/reachability"
 	"github.com/mastwinch/mastwinch/internal/tunnel"
 )
@@ -26,10 +27,7 @@
 // maxSkippedBytes bounds the body of a response that is skipped.
 const maxSkippedBytes = 1 << 20
 
-// maxHeadBytes bounds the status line and the header of a response, give or take what is buffered.
-const maxHeadBytes = 64 << 10
-
-// errHeadTooLong is returned for a response whose head exceeds maxHeadBytes.
+// errHeadTooLong is returned for a response whose head exceeds network.MaxHeadBytes, give or take what is buffered.
 var errHeadTooLong = errors.New("head of the response is too long")
 
 // maxInlineBytes is the size up to which a write to a socket does not block. A larger
@@ -88,7 +86,7 @@
 
 // Read implements io.Reader. It reads from the network.
 func (connection *connection) Read(buffer []byte) (int, error) {
-	if connection.inHead && connection.headBytes >= maxHeadBytes {
+	if connection.inHead && connection.headBytes >= network.MaxHeadBytes {
 		return 0, errHeadTooLong
 	}
 	count, err := connection.conn.Read(buffer)
