gateway, upstream: uploads and a small VM's memory beside answers without end

Two paths of bytes without end that were not played from outside: a request of 32 MB that is still being sent to a server that answers without end and reads nothing, and a hundred plain requests at a VM with 4 MiB whose servers all send bodies without end. Both hold on the code as it is, so these tests were green from the start: the connection is closed, no more than max_answers_part is buffered, and the VM serves again once the servers do.

--- a/internal/gateway/endless_stream_test.go
+++ b/internal/gateway/endless_stream_test.go
@@ -15,12 +15,16 @@
 	return func(_ *harness, _ int, writer http.ResponseWriter, request *http.Request) {
 		seal(writer, request)
 		writer.Header().Set("Content-Type", "text/event-stream")
-		_, err := io.WriteString(writer, begin)
-		for err == nil && request.Context().Err() == nil {
-			_, err = io.WriteString(writer, block)
-			_ = http.NewResponseController(writer).Flush()
-			time.Sleep(interval)
-		}
+		_, _ = io.WriteString(writer, begin)
+		writeEndlessly(writer, request, block, interval)
+	}
+}
+
+// writeEndlessly writes the same bytes over and over until the connection is closed.
+func writeEndlessly(writer http.ResponseWriter, request *http.Request, part string, interval time.Duration) {
+	for err := error(nil); err == nil && request.Context().Err() == nil; time.Sleep(interval) {
+		_, err = io.WriteString(writer, part)
+		_ = http.NewResponseController(writer).Flush()
 	}
 }
 
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -108,3 +109,41 @@
 		assert.Equal(t, fleet.metric("mastwinch_answer_bytes"), 0.0)
 	})
 }
+
+// TestAnswersWithoutEndStayWithinMemory has a hundred callers at a small VM whose servers send bodies without end. The VM must buffer
+// no more of them than its share of memory for responses, end all requests, and serve again once the servers do.
+func TestAnswersWithoutEndStayWithinMemory(t *testing.T) {
+	const maxBytes = 0.2 * smallMemoryBytes
+	withSmallFleet(t, func(fleet *fleet) {
+		var sound atomic.Bool
+		for _, server := range fleet.servers {
+			server.script = func(harness *harness, nth int, writer http.ResponseWriter, request *http.Request) {
+				if sound.Load() {
+					responses(http.StatusOK, "fine")(harness, nth, writer, request)
+					return
+				}
+				seal(writer, request)
+				writeEndlessly(writer, request, strings.Repeat("x", 4<<10), 10*time.Millisecond)
+			}
+		}
+		var callers sync.WaitGroup
+		for range 100 {
+			callers.Go(func() {
+				got := fleet.query(plainRequest(http.MethodGet, "open"))
+				assert.Check(t, got.status >= http.StatusInternalServerError, "%d", got.status)
+			})
+		}
+		peak := 0.0
+		for range 50 {
+			time.Sleep(20 * time.Millisecond)
+			peak = max(peak, fleet.metric("mastwinch_answer_bytes"))
+		}
+		callers.Wait()
+		assert.Check(t, peak > 0 && peak <= maxBytes, "%v bytes buffered", peak)
+		assert.Equal(t, fleet.metric("mastwinch_answer_bytes"), 0.0)
+		sound.Store(true)
+		time.Sleep(15 * time.Second) // servers that failed so often get no requests at first
+		got := fleet.query(plainRequest(http.MethodGet, "open"))
+		assert.Equal(t, got.status, http.StatusOK, got.body)
+	})
+}
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -37,3 +37,26 @@
 		})
 	}
 }
+
+// TestAnswerWithoutEndEndsAnUpload checks that a server that answers without end, and doesn't read the request, holds neither the
+// request nor its connection.
+func TestAnswerWithoutEndEndsAnUpload(t *testing.T) {
+	for name, begin := range map[string]string{
+		"status line": "HTTP/1.1 200 ",
+		"field":       "HTTP/1.1 200 OK\r\nA: ",
+	} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan struct{})
+			server := newServer(t, func(conn net.Conn, _ *bufio.Reader, _ int64) {
+				defer close(closed)
+				_, err := io.WriteString(conn, begin)
+				for err == nil {
+					_, err = io.WriteString(conn, strings.Repeat("0", 1<<10))
+				}
+			})
+			_, err := send(t.Context(), newClient(), server.Address(), "id-0", strings.Repeat("b", 32<<20))
+			assert.Assert(t, err != nil)
+			<-closed
+		})
+	}
+}
