network: a head with an odd status is no answer

Cause: net/http takes any three digits for a status. The response was taken for an answer, and the write of a status below 100 panics in the handler.

Change: network.CheckStatus says what a status is, network.ReadResponse checks each head that is read from a server (streams, plain answers, orders to engines) and the answer to the request for a tunnel; mw-entry checks what it passes on of another entry. Probes take any byte as a sign of life, as before.

--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/mastwinch/mastwinch/internal/ledger"
+	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/relay"
 	"github.com/mastwinch/mastwinch/internal/request"
 )
@@ -151,8 +152,8 @@
 		return false
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode == http.StatusGone {
-		return false // the VM was replaced since it admitted the request
+	if response.StatusCode == http.StatusGone || network.CheckStatus(response) != nil {
+		return false // the VM was replaced since it admitted the request, or another program answers in its place
 	}
 	copyResponse(w, response)
 	return true
--- a/internal/reservation/reservation_test.go
+++ b/internal/reservation/reservation_test.go
@@ -33,6 +33,7 @@
 	unreachable  behaviour = "unreachable"
 	afterLate    behaviour = "replies after a late response to an earlier request"
 	endless      behaviour = "replies without end"
+	oddStatus    behaviour = "replies with a status that no response has"
 	endlessSlow  behaviour = "replies without end, a byte at a time"
 )
 
@@ -85,6 +86,9 @@
 	case endless:
 		respondWithoutEnd(writer, strings.Repeat(" ", 1<<10), time.Millisecond)
 		return
+	case oddStatus:
+		respondWithOddStatus(writer)
+		return
 	case endlessSlow:
 		respondWithoutEnd(writer, " ", 50*time.Millisecond)
 		return
@@ -103,6 +107,17 @@
 	}
 }
 
+// respondWithOddStatus sends a reply that is sound but for its status.
+func respondWithOddStatus(writer http.ResponseWriter) {
+	conn, buffered, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = buffered.WriteString("HTTP/1.1 000 x\r\nContent-Length: 11\r\n\r\n{\"free\": 1}")
+	_ = buffered.Flush()
+	_ = conn.Close()
+}
+
 // respondAfterLate sends a refusal of an earlier request and then the reply to a command.
 func respondAfterLate(writer http.ResponseWriter) {
 	conn, buffered, err := http.NewResponseController(writer).Hijack()
@@ -196,6 +211,7 @@
 		"one does not reply":              {behaviours: []behaviour{normal, normal, unresponsive}, wantErr: "i-2"},
 		"one replies without end, fast":   {behaviours: []behaviour{normal, endless}, wantErr: "i-1"},
 		"one replies without end, slowly": {behaviours: []behaviour{normal, endlessSlow}, wantErr: "i-1"},
+		"one has an odd status":           {behaviours: []behaviour{normal, oddStatus}, wantErr: "i-1"},
 		"one is unreachable":              {behaviours: []behaviour{unreachable, normal}, wantErr: "i-0"},
 	}
 	for name, test := range tests {
--- a/internal/tunnel/handshake.go
+++ b/internal/tunnel/handshake.go
@@ -57,7 +57,7 @@
 	}
 	head := &io.LimitedReader{R: conn, N: network.MaxHeadBytes}
 	reader := bufio.NewReader(head)
-	response, err := http.ReadResponse(reader, request) //nolint:bodyclose // the response to CONNECT has no body; the caller closes conn
+	response, err := network.ReadResponse(reader, request) //nolint:bodyclose // the response to CONNECT has no body; the caller closes conn
 	if err != nil {
 		return nil, errors.Wrapf(err, "request tunnel of VM at %s", peer)
 	}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -191,7 +191,7 @@
 func (connection *connection) readHead(method string) (*http.Response, error) {
 	connection.inHead, connection.headBytes = true, 0
 	defer func() { connection.inHead = false }()
-	return http.ReadResponse(connection.reader, &http.Request{Method: method}) //nolint:wrapcheck // the caller has the address
+	return network.ReadResponse(connection.reader, &http.Request{Method: method}) //nolint:wrapcheck // the caller has the address
 }
 
 // write writes the request, in a goroutine of its own if it is larger than maxInlineBytes.
