panics: a handler that panics is answered, logged and counted

What callers saw: the connection closed without an answer, as with the status 000. The log had it at level debug alone, without the request's ID; there was no line "ended" and nothing in the metrics.

Change: the handlers of mw-gateway (callers, readiness, other VMs) and mw-entry answer 502 "internal_error" where nothing was written and cut the connection where something was; the panic is logged as an error with the request's ID and the stack, counted in mastwinch_panics_total and recorded as the request's end. The soak has an invariant for it, which reads the logs of the VMs.

Before: TestPanicOfARequestIsAnsweredAndCounted and TestPanicsAreAnsweredAndSeen don't hold with the handlers alone (connection closed). After: they hold.

--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/mastwinch/mastwinch/internal/configuration"
+	"github.com/mastwinch/mastwinch/internal/panics"
 	"github.com/mastwinch/mastwinch/internal/request"
 	"github.com/mastwinch/mastwinch/internal/state"
 )
@@ -60,6 +61,7 @@
 // and metrics.
 func (entry *Entry) Handler() http.Handler {
 	router := mux.NewRouter()
+	router.Use(entry.handlePanics)
 	router.HandleFunc("/v1/requests", entry.handleSubmit).Methods(http.MethodPost)
 	router.HandleFunc("/v1/requests/{id}", entry.handleFetch).Methods(http.MethodGet)
 	router.HandleFunc("/v1/requests/{id}", entry.handleCancel).Methods(http.MethodDelete)
@@ -82,6 +84,17 @@
 	return router
 }
 
+// handlePanics returns a handler that handles the panics of next. Nothing is known then of where the request has run.
+func (entry *Entry) handlePanics(next http.Handler) http.Handler {
+	return panics.Handling{
+		RequestID: func(r *http.Request) string { return mux.Vars(r)["id"] },
+		Respond: func(w http.ResponseWriter, _ *http.Request) {
+			writeJSON(w, http.StatusBadGateway, Problem{Error: "internal error"})
+		},
+		Count: entry.metrics.panics.Inc, Logger: entry.logger,
+	}.Handler(next)
+}
+
 func (entry *Entry) handleReady(w http.ResponseWriter, _ *http.Request) {
 	switch {
 	case entry.stopping.Load():
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -19,6 +19,8 @@
 	adopted      prometheus.Counter
 	resumed      prometheus.Counter
 	decisionTime prometheus.Histogram
+	// panics counts handlers that panicked.
+	panics prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer, running func() int, nextOffset func() uint64) *metrics {
@@ -54,6 +56,7 @@
 			Help:      "Time of one routing decision.",
 			Buckets:   prometheus.ExponentialBuckets(1e-6, 4, 8),
 		}),
+		panics: counter("panics_total", "Handlers that panicked, which is a fault of the program."),
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/mastwinch/mastwinch/internal/feed"
 	"github.com/mastwinch/mastwinch/internal/follower"
 	"github.com/mastwinch/mastwinch/internal/network"
+	"github.com/mastwinch/mastwinch/internal/panics"
 	"github.com/mastwinch/mastwinch/internal/placement"
 	"github.com/mastwinch/mastwinch/internal/pool"
 	"github.com/mastwinch/mastwinch/internal/quarantine"
@@ -230,14 +231,14 @@
 func (gateway *Gateway) Run(ctx context.Context) error {
 	defer gateway.cancelBase(errStopping)
 	callerServer := &http.Server{
-		Handler:           http.HandlerFunc(gateway.serve),
+		Handler:           gateway.handlePanics(http.HandlerFunc(gateway.serve)),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         gateway.idle.connStateChanged,
 		ErrorLog:          slog.NewLogLogger(gateway.logger.Handler(), slog.LevelDebug),
 	}
-	readinessServer := &http.Server{Handler: gateway.readyHandler(), ReadHeaderTimeout: headerTimeout}
-	peerServer := &http.Server{Handler: gateway.peerHandler(), ReadHeaderTimeout: headerTimeout}
+	readinessServer := &http.Server{Handler: gateway.handlePanics(gateway.readyHandler()), ReadHeaderTimeout: headerTimeout}
+	peerServer := &http.Server{Handler: gateway.handlePanics(gateway.peerHandler()), ReadHeaderTimeout: headerTimeout}
 	group, groupCtx := errgroup.WithContext(gateway.baseContext)
 	group.Go(func() error { return gateway.listenAndServe(groupCtx, callerServer, gateway.site.Address) })
 	group.Go(func() error { return gateway.listenAndServe(groupCtx, readinessServer, gateway.site.ReadyAddress) })
@@ -272,6 +273,21 @@
 	return err
 }
 
+// handlePanics returns a handler that handles the panics of next. Nothing is known then of where the request has run.
+func (gateway *Gateway) handlePanics(next http.Handler) http.Handler {
+	requestID := func(request *http.Request) string {
+		head, _ := gateway.codec.Head(request) // of an invalid header the ID is read too
+		return head.ID
+	}
+	return panics.Handling{
+		RequestID: requestID,
+		Respond: func(writer http.ResponseWriter, request *http.Request) {
+			gateway.writeOutcome(writer, requestID(request), failure(ReasonPanicked, true, 0), "")
+		},
+		Count: gateway.metrics.panics.Inc, Logger: gateway.logger,
+	}.Handler(next)
+}
+
 // peerHandler returns the handler for requests of other VMs: for tunnels to servers, and for records of the store.
 func (gateway *Gateway) peerHandler() http.Handler {
 	records := feed.Handler(gateway.tails, gateway.epochs, gateway.logger)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -47,6 +47,8 @@
 	beforeStart metastore.Snapshot
 	// addresses has the addresses of the servers by ID.
 	addresses map[string]string
+	// codec is the codec of VMs that are started, or nil for that of the platform.
+	codec gateway.Codec
 	// suspended is the total time for which the VM was suspended, in nanoseconds.
 	suspended atomic.Int64
 
@@ -225,7 +227,11 @@
 	clock := harness.newClock()
 	epochs := epoch.New(clock.Now)
 	store := platform.NewStore(storeAddress, transport, epochs)
-	instance, err := gateway.New(settings, site, platform.Codec{}, platform.EngineCodec{}, gateway.Sources{
+	var codec gateway.Codec = platform.Codec{}
+	if harness.codec != nil {
+		codec = harness.codec
+	}
+	instance, err := gateway.New(settings, site, codec, platform.EngineCodec{}, gateway.Sources{
 		Configuration: platform.NewConfigurationSource(store),
 		Servers:       platform.NewServersSource(store),
 		Registry:      platform.NewMembers(store, logger),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -41,6 +41,8 @@
 	containedWaits prometheus.Counter
 	// probes counts probes of servers by their result.
 	probes *prometheus.CounterVec
+	// panics counts handlers that panicked.
+	panics prometheus.Counter
 }
 
 func newMetrics(gateway *Gateway) *metrics {
@@ -74,9 +76,12 @@
 		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "mastwinch_probes_total", Help: "Probes of servers while this VM's own links were in doubt, by how they came out.",
 		}, []string{labelResult}),
+		panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "mastwinch_panics_total", Help: "Handlers of requests that panicked, which is a fault of the program.",
+		}),
 	}
 	metrics.registry.MustRegister(metrics.requests, metrics.attempts, metrics.notices, metrics.priorities, metrics.firstEvent, metrics.duration,
-		metrics.eventDelay, metrics.containedWaits, metrics.probes, newOverSharesCollector(gateway),
+		metrics.eventDelay, metrics.containedWaits, metrics.probes, metrics.panics, newOverSharesCollector(gateway),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "mastwinch_running_requests", Help: "Requests in progress.",
 		}, func() float64 { return float64(gateway.inFlight.Load()) }),
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -38,6 +38,8 @@
 	ReasonStopping              Reason = "stopping"
 	ReasonCrashesServers        Reason = "crashes_servers"
 	ReasonCallerGone            Reason = "caller_gone"
+	// ReasonPanicked: the handler of the request panicked.
+	ReasonPanicked Reason = "internal_error"
 )
 
 // detail returns what a caller can do beyond what the status implies, or an empty string.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -39,11 +39,18 @@
 	ctx, cancel := gateway.requestContext(incoming.Context(), admitted.deadline)
 	defer cancel()
 	forwarder := newForwarder(gateway, admitted, body, writer)
+	ended := false
+	defer func() {
+		if !ended { // a panic
+			gateway.recordEnd(admitted, failure(ReasonPanicked, true, 0), forwarder)
+		}
+	}()
 	outcome := forwarder.forward(ctx)
 	if !outcome.responseWritten && outcome.reason != ReasonCallerGone {
 		gateway.writeOutcome(writer, admitted.head.ID, outcome, outcome.reason.detail())
 	}
 	gateway.recordEnd(admitted, outcome, forwarder)
+	ended = true
 	if outcome.truncated || outcome.reason == ReasonCallerGone {
 		// Makes net/http abort the connection. Otherwise a caller that still reads would take what it got for the whole response.
 		panic(http.ErrAbortHandler)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -34,6 +34,7 @@
 	InvariantCrashQuarantine        Invariant = "what crashes servers is kept from them"
 	InvariantCutServed              Invariant = "callers of VMs that are cut off from servers are served through others"
 	InvariantRetryAfterShare        Invariant = "who is refused for a share is told when to return"
+	InvariantNoPanic                Invariant = "no handler of a request panics"
 	InvariantRecovery               Invariant = "the system serves again when faults are over"
 )
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -68,6 +68,7 @@
 		observations.runs[run.ID] = append(observations.runs[run.ID], run)
 	}
 	violations := append(observations.check(), environment.checkMemory()...)
+	violations = append(violations, environment.checkPanics()...)
 	return newResult(settings.Seed, plan, outcomes, violations), nil
 }
 
