--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,7 +15,7 @@
 )
 
 // ErrRefused is returned by Dial when no listener has the address.
-var ErrRefused = errors.New("connection refused")
+var ErrRefused = errors.Wrap(syscall.ECONNREFUSED, "memnet")
 
 // packetQueueLength is how many received datagrams a packet connection queues. Further ones are dropped.
 const packetQueueLength = 1024
--- a/internal/tunnel/handshake.go
+++ b/internal/tunnel/handshake.go
@@ -62,7 +62,7 @@
 		return nil, errors.Wrapf(err, "request tunnel of VM at %s", peer)
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, &RefusedError{Peer: peer, Status: response.StatusCode}
+		return nil, &RefusedError{Peer: peer, Status: response.StatusCode, ByServer: response.Header.Get(headerByServer) != ""}
 	}
 	if reader.Buffered() > 0 {
 		return nil, errors.Newf("bytes before the request in a tunnel of VM at %s", peer)
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/reachability"
 )
 
@@ -82,13 +83,16 @@
 func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	defer server.open.Add(-1)
 	mayOpen := server.open.Add(1) <= int64(server.settings.MaxOpen) && server.accepts()
-	conn, status := server.connect(request, mayOpen)
+	conn, status, err := server.connect(request, mayOpen)
 	server.count(status)
 	if conn != nil {
 		server.serve(writer, conn, server.settings.Frames && request.Header.Get(headerFrames) == framesVersion)
 		return
 	}
 	writer.Header().Set("Connection", "close")
+	if network.IsRefused(err) {
+		writer.Header().Set(headerByServer, "1")
+	}
 	writer.WriteHeader(status)
 }
 
@@ -97,21 +101,22 @@
 	return server.settings.Enabled && !server.stopping.Load() && server.links.Verdict() != reachability.Unreachable
 }
 
-// connect opens the connection to the server of a tunnel. The connection is nil unless the status is 200.
-func (server *Server) connect(request *http.Request, mayOpen bool) (net.Conn, int) {
+// connect opens the connection to the server of a tunnel. The connection is nil unless the status is 200. The error is that of the
+// attempt to open it.
+func (server *Server) connect(request *http.Request, mayOpen bool) (net.Conn, int, error) {
 	address := request.Host
 	if !mayOpen {
-		return nil, http.StatusServiceUnavailable
+		return nil, http.StatusServiceUnavailable, nil
 	}
 	if !server.servers.HasAddress(address) {
-		return nil, http.StatusForbidden
+		return nil, http.StatusForbidden, nil
 	}
 	conn, err := server.dial(request.Context(), address)
 	if err != nil {
 		server.logger.Info("no connection for a tunnel", "address", address, "peer", request.RemoteAddr, "error", err)
-		return nil, http.StatusBadGateway
+		return nil, http.StatusBadGateway, err
 	}
-	return conn, http.StatusOK
+	return conn, http.StatusOK, nil
 }
 
 func (server *Server) count(status int) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -114,6 +114,8 @@
 	idle map[string][]*connection
 	// abandonable has the direct connections with a request in flight that may be repeated.
 	abandonable map[*connection]bool
+	// inFlight counts the requests in flight by the address of their server. It has no zeros.
+	inFlight map[string]int
 	// openings counts the attempts to open connections by their result.
 	openings map[OpenResult]int
 	history  *history
@@ -148,6 +150,7 @@
 		history:  newHistory(settings, now),
 		ends:     newEnds(now),
 		idle:     make(map[string][]*connection),
+		inFlight: make(map[string]int),
 		openings: make(map[OpenResult]int),
 	}
 }
@@ -190,10 +193,11 @@
 
 // begin records that a request is sent on a connection.
 func (client *Client) begin(connection *connection, repeatable bool) {
+	connection.outstanding = true
+	client.addInFlight(connection.address, 1)
 	if connection.isTunnelled() {
 		return
 	}
-	connection.outstanding = true
 	client.links.Began()
 	if repeatable {
 		client.mu.Lock()
@@ -208,6 +212,10 @@
 		return
 	}
 	connection.outstanding = false
+	client.addInFlight(connection.address, -1)
+	if connection.isTunnelled() {
+		return
+	}
 	client.links.Ended()
 	client.mu.Lock()
 	defer client.mu.Unlock()
@@ -233,12 +241,16 @@
 	if err != nil {
 		return nil, err
 	}
+	return client.newConnection(address, dialled), nil
+}
+
+func (client *Client) newConnection(address string, dialled tunnel.Connection) *connection {
 	opened := &connection{
 		address: address, conn: dialled.Conn, via: dialled.Via, reusableUntil: dialled.ReusableUntil, endUntold: dialled.EndUntold, links: client.links,
 		carried: newCarried(),
 	}
 	opened.reader = bufio.NewReaderSize(opened, readBufferSize)
-	return opened, nil
+	return opened
 }
 
 // abandonIfCut closes the direct connections whose requests may be repeated if the VM's own links count as cut and no server
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -74,7 +74,7 @@
 	// inHead says that the head of a response is being read, and headBytes how much was received since.
 	inHead    bool
 	headBytes int
-	// outstanding says that a request was sent on a direct connection whose response has not ended.
+	// outstanding says that a request was sent on it whose response has not ended.
 	outstanding bool
 	// heard says that a byte arrived on it.
 	heard bool
--- a/internal/upstream/open.go
+++ b/internal/upstream/open.go
@@ -56,10 +56,15 @@
 		client.links.Failed(address)
 	case OpenCancelled:
 	}
+	client.count(result)
+	return dialled, err
+}
+
+// count counts an attempt to open a connection.
+func (client *Client) count(result OpenResult) {
 	client.mu.Lock()
 	defer client.mu.Unlock()
 	client.openings[result]++
-	return dialled, err
 }
 
 func openResult(ctx context.Context, err error) OpenResult {
