quarantine: only a server that is known to have ended speaks against a request

No server had crashed.

Cause: that an answer was lost, that a connection was lost and that a server ended were taken for one; losses of ten minutes were held against successes with a half-life of five seconds, so a rare request could never clear itself; and an entry in the store was in force at once after the loss of all VMs.

Change: after a lost connection a VM looks at the server's port (upstream.HasEnded); the list of servers proves an end too, by a newer start. The proof is told with the loss, and only proven losses count for a verdict; unproven ones contain a request, as before. Since the first of the losses all other tries are held against them, over the same time. Stored entries are on probation at once unless another VM has them in force; a success, or a server that answers after all, lifts them everywhere. mw-entry does the same.

Tests that lose servers now say that these ended. The setting quarantine.good_half is gone, quarantine.proof is new.

--- a/internal/backend/httpbackend.go
+++ b/internal/backend/httpbackend.go
@@ -70,6 +70,16 @@
 	}}
 }
 
+// HasEnded reports whether the process at an address is known to have ended: its port refuses connections.
+func (*HTTPBackend) HasEnded(ctx context.Context, address string) bool {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close() // nothing was sent on it
+	}
+	return network.IsRefused(err)
+}
+
 // Generate implements Engine.
 func (httpbackend *HTTPBackend) Generate(ctx context.Context, address string, dispatch Dispatch) (Stream, error) {
 	response, err := httpbackend.dispatch(ctx, address, "/v1/streams", dispatch) //nolint:bodyclose // the stream closes it
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -112,7 +112,7 @@
 	var status *backend.StatusError
 	return result{
 		kind: resultUncertain, reason: request.ReasonEngineFailed, server: server.ID,
-		connectionLost: !errors.As(err, &status), err: err,
+		connectionLost: !errors.As(err, &status), address: server.Address, err: err,
 	}
 }
 
@@ -233,7 +233,7 @@
 	}
 	return nil, &result{
 		kind: resultUncertain, reason: request.ReasonEngineFailed, server: source.server.ID,
-		connectionLost: true, receivedToken: forwarder.buffer.Next() > source.from, err: lossErr,
+		connectionLost: true, address: source.server.Address, receivedToken: forwarder.buffer.Next() > source.from, err: lossErr,
 	}
 }
 
--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -409,5 +409,8 @@
 // Release implements backend.Engine.
 func (*node) Release(context.Context, string, string) error { return nil }
 
+// HasEnded implements Backends.
+func (*node) HasEnded(context.Context, string) bool { return false }
+
 // Load implements backend.Engine.
 func (*node) Load(context.Context, string) (backend.Load, error) { return backend.Load{}, nil }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,6 +47,8 @@
 type Backends interface {
 	backend.Engine
 	backend.Service
+	// HasEnded reports whether the process at an address is known to have ended: its port refuses connections.
+	HasEnded(ctx context.Context, address string) bool
 }
 
 // Proposer appends records to the replicated log.
--- a/internal/entry/forwarder.go
+++ b/internal/entry/forwarder.go
@@ -248,7 +248,22 @@
 	// connectionLost reports that the connection to the server broke and could not be re-established;
 	// receivedToken reports that tokens of this attempt were received before.
 	connectionLost, receivedToken bool
-	err                           error
+	// address is that of the server if the connection was lost.
+	address string
+	err     error
+}
+
+// endCheckTimeout is how long the port of a server may take to accept or refuse a connection.
+const endCheckTimeout = 300 * time.Millisecond
+
+// checkEnded finds out whether the process of a server ended, after a connection to it was lost.
+func (entry *Entry) checkEnded(server, address string) {
+	ctx, cancel := context.WithTimeout(entry.baseContext, endCheckTimeout)
+	defer cancel()
+	if entry.backends.HasEnded(ctx, address) {
+		entry.logger.Info("server ended", "server", server)
+		entry.quarantine.RecordEnd(server)
+	}
 }
 
 // handleResult handles the result of an attempt. It returns the outcome of the request,
@@ -268,6 +283,7 @@
 	}
 	if result.connectionLost {
 		entry.quarantine.RecordLoss(quarantine.Loss{Fingerprint: forwarder.fingerprint, Server: result.server, HadEvent: result.receivedToken})
+		entry.background.Go(func() { entry.checkEnded(result.server, result.address) })
 	}
 	ejected := entry.fleet.RecordFailure(result.server)
 	entry.logger.Warn("attempt failed", "request_id", forwarder.request.ID, "attempt", forwarder.attempts-1,
--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -32,6 +32,7 @@
 			PerSecond:    report.PerSecond,
 			Organisation: uint64(report.Organisation),
 			Parts:        encodeFingerprints(report.Parts),
+			Ended:        report.Ended,
 		})
 	}
 	return sendings
@@ -58,6 +59,7 @@
 			Organisation: fairshare.Organisation(sending.GetOrganisation()),
 			Fingerprint:  fingerprint.Fingerprint(sending.GetFingerprint()),
 			Parts:        decodeFingerprints(sending.GetParts()),
+			Ended:        sending.GetEnded(),
 		})
 	}
 	return reports
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -223,6 +224,11 @@
 	return gateway.links.Verdict() == reachability.Unreachable
 }
 
+// failedAddress returns the address of the server that failed.
+func (*forwarder) failedAddress(plan placement.Plan, result result) string {
+	return cmp.Or(result.failedServer, plan.Server.Address)
+}
+
 // recordFailure reports a failed attempt to the pool and the quarantine, and logs it.
 func (forwarder *forwarder) recordFailure(plan placement.Plan, result result) {
 	gateway := forwarder.gateway
@@ -237,6 +243,7 @@
 	case result.lostThroughVM:
 		gateway.pool.PublishLossThroughVM(failedServer, forwarder.fingerprints, phaseOf(loss))
 		gateway.quarantine.RecordLoss(loss)
+		gateway.endChecks.start(failedServer, forwarder.failedAddress(plan, result), forwarder.allowedDataCentres)
 	case result.serverNotAtFault:
 	case gateway.linksFailed(result): // and not the servers
 	case result.serverClosed:
@@ -244,6 +251,7 @@
 	case result.connectionLost:
 		suspect = gateway.pool.RecordConnectionLoss(failedServer, forwarder.fingerprints, phaseOf(loss))
 		gateway.quarantine.RecordLoss(loss)
+		gateway.endChecks.start(failedServer, forwarder.failedAddress(plan, result), forwarder.allowedDataCentres)
 	default:
 		suspect = gateway.pool.RecordFailure(failedServer)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,7 @@
 	idle          *idleConnections
 	retryDetector *retryDetector
 	quarantine    *quarantine.Tracker
+	endChecks     *endChecks
 	epochs        *epoch.Watch
 
 	// inFlight counts requests in flight.
@@ -171,6 +172,7 @@
 		cancelBase:     cancelBase,
 		budgets:        make(map[string]*retrybudget.Budget),
 	}
+	gateway.endChecks = newEndChecks(gateway)
 	gateway.links = reachability.NewMonitor(settings.Reachability, logger, now)
 	gateway.tunnels = tunnel.NewDialer(settings.Tunnel, gateway.links, hostNetwork, exchange, logger, now)
 	gateway.upstream = upstream.New(settings.Upstream, hostNetwork, notices{gateway}, gateway.links, gateway.tunnels, now)
@@ -200,7 +202,7 @@
 	gateway.directory = follower.New(
 		sources.Servers.WithLog(
 			viaPeers(sources.Servers.Name, sources.Servers.Log, settings.Directory.ResponseTimeout)),
-		gateway.pool, settings.Directory.WithMinSettleTime(entryExpiry(site)), sources.Epochs, logger, now)
+		serverList{Pool: gateway.pool, gateway: gateway}, settings.Directory.WithMinSettleTime(entryExpiry(site)), sources.Epochs, logger, now)
 	gateway.tails = map[string]*follower.Tail{
 		sources.Configuration.Name: gateway.configuration.Tail(),
 		sources.Servers.Name:       gateway.directory.Tail(),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -41,6 +41,8 @@
 	containedWaits prometheus.Counter
 	// probes counts probes of servers by their result.
 	probes *prometheus.CounterVec
+	// endChecks counts checks whether a server's process ended, by their result.
+	endChecks *prometheus.CounterVec
 	// panics counts handlers that panicked.
 	panics prometheus.Counter
 }
@@ -76,12 +78,15 @@
 		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "mastwinch_probes_total", Help: "Probes of servers while this VM's own links were in doubt, by how they came out.",
 		}, []string{labelResult}),
+		endChecks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mastwinch_end_checks_total", Help: "Checks whether a server's process ended, after a connection to it was lost, by what came out.",
+		}, []string{labelResult}),
 		panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "mastwinch_panics_total", Help: "Handlers of requests that panicked, which is a fault of the program.",
 		}),
 	}
 	metrics.registry.MustRegister(metrics.requests, metrics.attempts, metrics.notices, metrics.priorities, metrics.firstEvent, metrics.duration,
-		metrics.eventDelay, metrics.containedWaits, metrics.probes, metrics.panics, newOverSharesCollector(gateway),
+		metrics.eventDelay, metrics.containedWaits, metrics.probes, metrics.endChecks, metrics.panics, newOverSharesCollector(gateway),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "mastwinch_running_requests", Help: "Requests in progress.",
 		}, func() float64 { return float64(gateway.inFlight.Load()) }),
@@ -153,6 +158,15 @@
 	return metrics
 }
 
+// recordEndCheck counts a check whether a server's process ended.
+func (metrics *metrics) recordEndCheck(ended bool) {
+	result := "not_ended"
+	if ended {
+		result = "ended"
+	}
+	metrics.endChecks.WithLabelValues(result).Inc()
+}
+
 // registerOpenings registers the counters of connections to servers that failed to open.
 func registerOpenings(registry *prometheus.Registry, gateway *Gateway) {
 	for _, result := range []upstream.OpenResult{upstream.OpenRefused, upstream.OpenTimedOut, upstream.OpenCancelled} {
--- a/internal/gateway/peersink.go
+++ b/internal/gateway/peersink.go
@@ -40,10 +40,7 @@
 func (peerSink peerSink) OwnReports() []pool.Report {
 	reports := peerSink.Pool.OwnReports()
 	for _, loss := range peerSink.quarantine.RecentLosses() {
-		reports = append(reports, pool.Report{
-			Server: loss.Server, Phase: phaseOf(loss), Health: healthOf(loss),
-			Fingerprint: loss.Fingerprint, Parts: loss.Parts, Age: peerSink.now().Sub(loss.At),
-		})
+		reports = append(reports, lossReport(loss, peerSink.now()))
 	}
 	return append(reports, peerSink.OwnLimitReports(peerSink.isCoordinator())...)
 }
@@ -66,13 +63,21 @@
 	case pool.HealthConnectionLost, pool.HealthLostThroughVM:
 		peerSink.quarantine.RecordRemoteLoss(quarantine.Loss{
 			Fingerprint: report.Fingerprint, Server: report.Server, HadEvent: report.Phase == pool.PhaseDecode, Parts: report.Parts,
-			ThroughVM: report.Health == pool.HealthLostThroughVM,
+			ThroughVM: report.Health == pool.HealthLostThroughVM, Ended: report.Ended,
 		}, report.Age)
 	case pool.HealthUnreported, pool.HealthFailed, pool.HealthClosed, pool.HealthUnreportedMemory, pool.HealthDraining, pool.HealthBackoff,
 		pool.HealthRateLimited, pool.HealthNoRateLimit, pool.HealthReceiverBackoff:
 	}
 }
 
+// lossReport returns the report of a loss that was reported before.
+func lossReport(loss quarantine.Loss, now time.Time) pool.Report {
+	return pool.Report{
+		Server: loss.Server, Phase: phaseOf(loss), Health: healthOf(loss), Fingerprint: loss.Fingerprint, Parts: loss.Parts,
+		Age: max(now.Sub(loss.At), time.Millisecond), Ended: loss.Ended,
+	}
+}
+
 // phaseOf returns the phase of a request when the connection to its server was lost.
 func phaseOf(loss quarantine.Loss) pool.Phase {
 	if loss.HadEvent {
--- a/internal/pool/active_request.go
+++ b/internal/pool/active_request.go
@@ -63,6 +63,8 @@
 	// Parts has the fingerprints of the parts that its prompt may share with others, with
 	// HealthConnectionLost or HealthLostThroughVM before the first event.
 	Parts []fingerprint.Fingerprint
+	// Ended is set with HealthConnectionLost and HealthLostThroughVM if the server's process is known to have ended.
+	Ended bool
 }
 
 // Health is the outcome of one request for a server, or a notice from the server.
--- a/internal/pool/listener.go
+++ b/internal/pool/listener.go
@@ -67,6 +67,15 @@
 	pool.sourceRegainedAt = pool.now()
 }
 
+// TakeRestarted returns the IDs of the servers that were listed with a newer start since the last call. Their processes have ended.
+func (pool *Pool) TakeRestarted() []string {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	restarted := pool.restarted
+	pool.restarted = nil
+	return restarted
+}
+
 // apply applies a change of a list entry. A fresh entry was written just now. Others may be old, so
 // the remaining time of their cold start counts from when it was first received.
 func (pool *Pool) apply(change follower.Change[directory.Entry], fresh bool) {
@@ -87,6 +96,7 @@
 			return // delayed entry of an earlier start
 		case entry.ID != previous.entry.ID:
 			previous.replaced = true
+			pool.restarted = append(pool.restarted, previous.entry.ID)
 			pool.logger.Info("server restarted", "server", previous.entry.ID, "as", entry.ID)
 		}
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -34,7 +34,9 @@
 	byService map[string][]*server
 	// sourceLost is set while the source of the list is unavailable, and sourceRegainedAt is when
 	// it last became available again.
-	sourceLost       bool
+	sourceLost bool
+	// restarted has the IDs of servers for TakeRestarted.
+	restarted        []string
 	sourceRegainedAt time.Time
 	// evacuated has the data centres that the operator has evacuated.
 	evacuated []string
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -35,9 +35,10 @@
 // that began with it, which can arrive for an attempt that was in flight when the quarantine began.
 func (tracker *Tracker) lift(request fingerprint.Fingerprint, at time.Time) {
 	entry, found := tracker.entries.Peek(request)
-	if !found || !entry.Until.After(tracker.now()) {
+	if !found || (!entry.Until.After(tracker.now()) && !tracker.restored[request]) {
 		return
 	}
+	delete(tracker.restored, request)
 	lifted := Entry{Fingerprint: request, Times: entry.Times + 1, Until: at}
 	tracker.addEntry(lifted)
 	tracker.found = append(tracker.found, lifted)
@@ -45,9 +46,14 @@
 	tracker.signalChange()
 }
 
+// isNewerThan reports whether an entry replaces another one of the same request.
+func (entry Entry) isNewerThan(known Entry) bool {
+	return entry.Times > known.Times || (entry.Times == known.Times && entry.Until.After(known.Until))
+}
+
 // addEntry adds an entry, unless the known entry of the request is as new or newer.
 func (tracker *Tracker) addEntry(entry Entry) {
-	if known, found := tracker.entries.Peek(entry.Fingerprint); found && known.Times >= entry.Times {
+	if known, found := tracker.entries.Peek(entry.Fingerprint); found && !entry.isNewerThan(known) {
 		return
 	}
 	tracker.entries.Add(entry.Fingerprint, entry)
@@ -62,7 +68,23 @@
 	}
 }
 
-// ApplyEntries adds entries reported by another VM or read from the store. Times too far in the
+// applyStored adds the entries that were read from the store at the start of this VM. They are on probation at once: if they are still in
+// force, other VMs say so, and if no other VM knows, nobody can tell any more whether they were right.
+func (tracker *Tracker) applyStored(entries []Entry) {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	now := tracker.now()
+	for _, entry := range entries {
+		if entry.Until.After(now) {
+			entry.Until = now
+			tracker.addEntry(entry)
+			tracker.restored[entry.Fingerprint] = true
+			tracker.logger.Info("stored entry is on probation", "fingerprint", entry.Fingerprint, "times", entry.Times)
+		}
+	}
+}
+
+// ApplyEntries adds entries reported by another VM. Times too far in the
 // future are limited to Settings.TimeMax, and expired entries of unknown requests are ignored.
 func (tracker *Tracker) ApplyEntries(entries []Entry) {
 	tracker.mu.Lock()
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -12,8 +11,10 @@
 // ten or more on a busy engine, and one of them or none is the cause. It is identified by these
 // rules:
 //
+//   - Only a server whose process is known to have ended was lost. A connection that ended, or an
+//     answer that did not come, says nothing by itself.
 //   - A request that crashes servers does so each time. A request that succeeded elsewhere is
-//     not the cause, unless more servers are lost under it than respond.
+//     not the cause, unless more servers are lost under it than respond in the same time.
 //   - Servers that are lost without the request at the same moment, as in a wave of crashes or
 //     when a VM loses its connections, indicate another cause.
 //   - Of the requests on one server the cause is the one that was on the most lost servers,
@@ -31,10 +32,18 @@
 	at     time.Time
 	// requests has the requests in flight on the server, each once.
 	requests []*suspect
+	// ended is set once the server's process is known to have ended. Until then nothing is known but that connections were
+	// lost.
+	ended bool
 	// refuted is set if the server responded soon after, so it was not lost.
 	refuted bool
 }
 
+// isProven reports whether the server is known to have crashed.
+func (crash *crash) isProven() bool {
+	return crash.ended && !crash.refuted
+}
+
 // suspect is a request that was in flight on servers when they were lost, or a part of the prompts of
 // such requests.
 type suspect struct {
@@ -47,6 +56,8 @@
 	hadEvent bool
 	// successes counts the successes, and is nil for none and for a part.
 	successes *successes
+	// successesBefore has the number of successes before each of the crashes, where there were any.
+	successesBefore map[*crash]int
 	// entry is the last entry of the request or part, or nil.
 	entry *Entry
 	// isPart is set for a part.
@@ -57,21 +68,19 @@
 	begunAt time.Time
 }
 
-// successes is a count of a request's successes with exponential decay.
+// successes counts a request's successes.
 type successes struct {
-	count float64
-	at    time.Time
-}
-
-// add counts one more success.
-func (successes *successes) add(now time.Time, half time.Duration) {
-	successes.count = 1 + successes.current(now, half)
-	successes.at = now
+	count int
+	// at is the time of the last one.
+	at time.Time
 }
 
-// current returns the decayed count.
-func (successes *successes) current(now time.Time, half time.Duration) float64 {
-	return successes.count * math.Exp2(-now.Sub(successes.at).Seconds()/half.Seconds())
+// successesSince returns the number of successes since a crash under the request.
+func (suspect *suspect) successesSince(crash *crash) int {
+	if suspect.successes == nil {
+		return 0
+	}
+	return suspect.successes.count - suspect.successesBefore[crash]
 }
 
 // wasOn reports whether the request was in flight on the server of a crash.
@@ -130,12 +139,9 @@
 	if !request.isKnownCause() && len(request.crashes) < evidence.settings.Limit {
 		return false // the case of almost all requests when many servers are lost at once
 	}
-	if evidence.isCleared(request) {
-		return false
-	}
 	switch {
 	case request.successes != nil:
-		return evidence.countBlamed(request, evidence.unexplainedCrashes) >= evidence.settings.CertainLimit
+		return evidence.crashesUsually(request, evidence.blamed(request, evidence.unexplainedCrashes, request.has), evidence.settings.CertainLimit)
 	case request.isKnownCause():
 		return evidence.countMoments(evidence.crashesOnProbation(request)) > 0
 	case request.isPart && !request.hadEvent:
@@ -144,11 +150,19 @@
 		return evidence.countBlamed(request, evidence.unexplainedCrashes) >= evidence.settings.CertainLimit
 	default:
 		// A wave of crashes cannot hide the request permanently.
-		return evidence.countBlamed(request, evidence.unexplainedCrashes) >= evidence.settings.Limit ||
-			evidence.countBlamed(request, allCrashes) >= evidence.settings.CertainLimit
+		return evidence.crashesUsually(request, evidence.blamed(request, evidence.unexplainedCrashes, request.has), evidence.settings.Limit) ||
+			evidence.crashesUsually(request, evidence.blamed(request, allCrashes, request.has), evidence.settings.CertainLimit)
 	}
 }
 
+// wouldBeHarmful reports whether a request counts as the cause of the crashes under it, had it never been in quarantine.
+func (evidence evidence) wouldBeHarmful(request *suspect) bool {
+	entry := request.entry
+	request.entry = nil
+	defer func() { request.entry = entry }()
+	return evidence.isHarmful(request)
+}
+
 // crashesOnProbation returns the crashes under a request after its quarantine that no wave
 // explains. Other requests on the server don't matter, since this one was found to be a cause
 // before, unless one of them was too.
@@ -158,13 +172,36 @@
 	})
 }
 
-// isCleared reports whether a request has at least as many successes as crashes.
-func (evidence evidence) isCleared(request *suspect) bool {
-	if request.successes == nil {
-		return false
+// crashesUsually reports whether servers crashed at so many moments under a request, and in the same time fewer of its tries ended in any
+// other way. All are counted since the first of these crashes, so that neither how rare the request is nor how long it was harmless
+// before decides.
+func (evidence evidence) crashesUsually(request *suspect, crashes []*crash, limit int) bool {
+	moments := evidence.moments(crashes)
+	for index, first := range moments {
+		count := len(moments) - index
+		if count < limit {
+			return false
+		}
+		if request.successesSince(first)+evidence.unprovenSince(request, first) < count {
+			return true
+		}
+	}
+	return false
+}
+
+// unprovenSince returns the number of moments since a crash at which answers of the request were lost and nothing shows that the
+// server ended.
+func (evidence evidence) unprovenSince(request *suspect, first *crash) int {
+	count := 0
+	var last time.Time
+	for _, lost := range request.crashes {
+		if lost.at.Before(first.at) || lost.ended || (count > 0 && lost.at.Sub(last) <= evidence.settings.Moment) {
+			continue
+		}
+		count++
+		last = lost.at
 	}
-	decayedCount := request.successes.current(evidence.now, evidence.settings.SuccessHalfLife)
-	return decayedCount >= float64(evidence.countMoments(request.crashes))
+	return count
 }
 
 // isCertain reports whether servers were lost under a part at so many moments that parts which are
@@ -207,8 +244,8 @@
 }
 
 // isContained reports whether so many servers were lost under a request or part that only one request
-// with it may be in flight, until a response begins or it is quarantined. Losses count at once, since
-// the next ones may follow within milliseconds. Those under a part with which responses began before
+// with it may be in flight, until a response begins or it is quarantined. Losses count at once and
+// without proof that the servers ended, since the next ones may follow within milliseconds. Those under a part with which responses began before
 // count by moments, since such a part is on most servers when VMs lose their connections.
 func (evidence evidence) isContained(request *suspect) bool {
 	switch {
@@ -250,25 +287,28 @@
 func (evidence evidence) inWave(request *suspect, lost *crash) bool {
 	moment := evidence.settings.Moment
 	return slices.ContainsFunc(between(evidence.crashes, lost.at.Add(-moment), lost.at.Add(moment)), func(other *crash) bool {
-		return !other.refuted && !request.wasOn(other)
+		return other.isProven() && !request.wasOn(other)
 	})
 }
 
-// countMoments returns the number of distinct moments of crashes. Crashes within Settings.Moment of
-// each other are one moment. Those more recent than Settings.EvaluationDelay are left out so far.
+// countMoments returns the number of distinct moments of crashes.
 func (evidence evidence) countMoments(crashes []*crash) int {
+	return len(evidence.moments(crashes))
+}
+
+// moments returns the first of the proven crashes of each moment. Crashes within Settings.Moment of each other are one moment. Those
+// more recent than Settings.EvaluationDelay are left out so far.
+func (evidence evidence) moments(crashes []*crash) []*crash {
 	latest := evidence.now.Add(-evidence.settings.EvaluationDelay)
-	moments := 0
-	var last time.Time
+	var moments []*crash
 	for _, crash := range crashes {
 		if crash.at.After(latest) {
 			break
 		}
-		if crash.refuted || (moments > 0 && crash.at.Sub(last) <= evidence.settings.Moment) {
+		if !crash.isProven() || (len(moments) > 0 && crash.at.Sub(moments[len(moments)-1].at) <= evidence.settings.Moment) {
 			continue
 		}
-		moments++
-		last = crash.at
+		moments = append(moments, crash)
 	}
 	return moments
 }
--- a/internal/quarantine/observation.go
+++ b/internal/quarantine/observation.go
@@ -12,8 +12,35 @@
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	loss = loss.at(tracker.now())
+	lost := tracker.addLoss(loss)
+	loss.Ended = lost.ended
 	tracker.own = append(tracker.recentLosses(), loss)
-	tracker.addLoss(loss)
+}
+
+// RecordEnd records that the process of a server is known to have ended just now, which proves its losses within Settings.ProofTime. It
+// returns those that this VM observed and that are to be reported with this proof.
+func (tracker *Tracker) RecordEnd(server string) []Loss {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	now := tracker.now()
+	proven := false
+	for _, lost := range between(tracker.crashes, now.Add(-tracker.settings.ProofTime), now) {
+		if lost.server == server && !lost.ended {
+			lost.ended, proven = true, true
+		}
+	}
+	if proven {
+		tracker.signalChange()
+	}
+	tracker.own = tracker.recentLosses()
+	var losses []Loss
+	for index := range tracker.own {
+		if loss := &tracker.own[index]; loss.Server == server && !loss.Ended {
+			loss.Ended = true
+			losses = append(losses, *loss)
+		}
+	}
+	return losses
 }
 
 // at returns the loss with its time, and with the parts that count.
@@ -52,36 +79,80 @@
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	now := tracker.now()
+	count := tracker.successesOf(request, now)
+	count.count++
+	count.at = now
+	tracker.lift(request, now)
+	for _, lost := range between(tracker.crashes, now.Add(-tracker.settings.RefutationWindow), now.Add(-tracker.settings.EvaluationDelay)) {
+		if lost.server == server && !lost.refuted {
+			lost.refuted = true
+			tracker.reconsider(lost, now)
+		}
+	}
+}
+
+// successesOf returns the count of a request's successes, which it adds if there is none.
+func (tracker *Tracker) successesOf(request fingerprint.Fingerprint, now time.Time) *successes {
 	count, found := tracker.successes.Get(request)
+	suspect, isSuspect := tracker.suspects.Peek(request)
 	if !found {
 		count = &successes{at: now}
+		if isSuspect && suspect.successes != nil {
+			count = suspect.successes // its crashes refer to this count
+		}
 		tracker.successes.Add(request, count)
 	}
-	count.add(now, tracker.settings.SuccessHalfLife)
-	if suspect, found := tracker.suspects.Peek(request); found {
+	if isSuspect {
 		suspect.successes = count
 	}
-	tracker.lift(request, now)
-	for _, lost := range between(tracker.crashes, now.Add(-tracker.settings.RefutationWindow), now.Add(-tracker.settings.EvaluationDelay)) {
-		lost.refuted = lost.refuted || lost.server == server
+	return count
+}
+
+// reconsider lifts the quarantines that rest on a crash which did not happen.
+func (tracker *Tracker) reconsider(refuted *crash, now time.Time) {
+	evidence := evidence{crashes: tracker.crashes, now: now, settings: tracker.settings}
+	for _, suspect := range refuted.requests {
+		if suspect.entry == nil || !suspect.entry.Until.After(now) || refuted.at.After(suspect.entry.startedAt(tracker.settings)) {
+			continue
+		}
+		if !evidence.wouldBeHarmful(suspect) {
+			tracker.lift(suspect.fingerprint, now)
+		}
 	}
 }
 
-// addLoss adds a loss. It may be reported repeatedly.
-func (tracker *Tracker) addLoss(loss Loss) {
+// addLoss adds a loss, and returns the crash that it belongs to. It may be reported repeatedly.
+func (tracker *Tracker) addLoss(loss Loss) *crash {
 	tracker.dropOld()
 	lost := tracker.crashFor(loss)
+	if loss.Ended && !lost.ended {
+		lost.ended = true
+		tracker.signalChange()
+	}
 	known := tracker.suspect(loss.Fingerprint, false)
 	known.hadEvent = known.hadEvent || loss.HadEvent
 	for _, part := range loss.Parts {
 		tracker.addPartLoss(known, tracker.suspect(part, true), lost)
 	}
 	if known.wasOn(lost) {
-		return
+		return lost
 	}
 	tracker.addTo(lost, known)
-	known.crashes = insertCrash(known.crashes, lost)
+	known.addCrash(lost)
 	tracker.signalChange()
+	return lost
+}
+
+// addCrash adds a crash under the request, and the number of successes before it.
+func (suspect *suspect) addCrash(lost *crash) {
+	suspect.crashes = insertCrash(suspect.crashes, lost)
+	if suspect.successes == nil {
+		return
+	}
+	if suspect.successesBefore == nil {
+		suspect.successesBefore = make(map[*crash]int)
+	}
+	suspect.successesBefore[lost] = suspect.successes.count
 }
 
 // addTo adds a request or part to those of a crash.
@@ -161,6 +232,7 @@
 		tracker.losses -= len(dropped.requests)
 		for _, suspect := range dropped.requests {
 			suspect.crashes = slices.DeleteFunc(suspect.crashes, func(crash *crash) bool { return crash == dropped })
+			delete(suspect.successesBefore, dropped)
 		}
 		drop++
 	}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -50,6 +50,7 @@
 // losePrompt records the loss of the current server under a request with the given parts.
 func (fixture *fixture) losePrompt(request fingerprint.Fingerprint, parts ...fingerprint.Fingerprint) {
 	fixture.RecordLoss(quarantine.Loss{Fingerprint: request, Server: fmt.Sprintf("s%d", fixture.next), Parts: parts})
+	fixture.RecordEnd(fmt.Sprintf("s%d", fixture.next))
 }
 
 // quarantined returns those fingerprints that are in quarantine.
@@ -117,6 +118,7 @@
 					Fingerprint: fingerprint.Fingerprint(10_000 + fixture.next), Server: fmt.Sprintf("s%d", fixture.next), HadEvent: true,
 					Parts: []fingerprint.Fingerprint{firstPart},
 				})
+				fixture.RecordEnd(fmt.Sprintf("s%d", fixture.next))
 				time.Sleep(step)
 			}
 		}},
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -59,7 +59,7 @@
 	for ctx.Err() == nil {
 		entries, err := tracker.list(ctx)
 		if err == nil {
-			tracker.ApplyEntries(entries)
+			tracker.applyStored(entries)
 			return
 		}
 		tracker.logger.Warn("cannot read entries from the store; retrying", "error", err)
--- a/internal/quarantine/settings.go
+++ b/internal/quarantine/settings.go
@@ -37,10 +37,9 @@
 	TimeMax time.Duration `yaml:"time_max" validate:"gtefield=Time"`
 	// HistoryTime is for how long losses count and successes are remembered.
 	HistoryTime time.Duration `yaml:"memory" validate:"min=1s"`
-	// SuccessHalfLife is the half-life of a success. A request with as many successes as losses is
-	// not the cause: a request that makes up much of the traffic is on each lost server, and
-	// succeeds on all others.
-	SuccessHalfLife time.Duration `yaml:"good_half" validate:"min=100ms"`
+	// ProofTime is how long after a loss it may become known that the server's process ended. It must be longer than servers
+	// take to restart and to be listed anew.
+	ProofTime time.Duration `yaml:"proof" validate:"min=100ms"`
 	// MaxSuspects, MaxCrashes, MaxLosses, MaxSuccesses, MaxBegun and MaxEntries are the largest numbers of
 	// requests and parts on lost servers, lost servers, requests and parts of all lost servers together,
 	// succeeded requests, parts with which a response began, and entries that are remembered.
@@ -81,7 +80,7 @@
 		Time:             10 * time.Minute,
 		TimeMax:          160 * time.Minute,
 		HistoryTime:      10 * time.Minute,
-		SuccessHalfLife:  5 * time.Second,
+		ProofTime:        10 * time.Second,
 		RewriteSpread:    10 * time.Second,
 		MaxSuspects:      4096,
 		MaxCrashes:       1024,
--- a/internal/quarantine/simulation_internal_test.go
+++ b/internal/quarantine/simulation_internal_test.go
@@ -235,6 +235,7 @@
 			simulation.hit++
 		}
 	}
+	simulation.tracker.RecordEnd(simulation.name(number))
 	server.start++
 	simulation.evaluateAt = simulation.now.Add(simulation.tracker.settings.EvaluationDelay)
 	for _, run := range lost {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -42,6 +42,8 @@
 	own []Loss
 	// entries has the requests that are in quarantine or lately were, the last added last.
 	entries *simplelru.LRU[fingerprint.Fingerprint, Entry]
+	// restored has the requests whose entries were read from the store, where they are in force until they are lifted.
+	restored map[fingerprint.Fingerprint]bool
 	// found has the new entries that are not published and stored so far.
 	found []Entry
 	// watches has the callbacks for the start of a request's quarantine.
@@ -86,6 +88,8 @@
 	Parts []fingerprint.Fingerprint
 	// ThroughVM is set if the connection led through another VM.
 	ThroughVM bool
+	// Ended is set if the server's process is known to have ended.
+	Ended bool
 	// At is when the server was lost.
 	At time.Time
 }
@@ -105,6 +109,7 @@
 		lists:     make(map[string]suspectList),
 		reported:  make(map[fingerprint.Fingerprint]time.Time),
 		inFlight:  make(map[fingerprint.Fingerprint]int),
+		restored:  make(map[fingerprint.Fingerprint]bool),
 		watches:   make(map[fingerprint.Fingerprint]map[*watch]bool),
 		changed:   make(chan struct{}, 1),
 	}
@@ -162,15 +167,17 @@
 		message = "part of prompts quarantined"
 	}
 	tracker.logger.Warn(message, "fingerprint", added.Fingerprint, "times", times,
-		"lost", serverIDs(suspect.crashes), "until", added.Until)
+		"lost", provenServers(suspect.crashes), "until", added.Until)
 	tracker.found = append(tracker.found, added)
 }
 
-// serverIDs returns the IDs of the servers that were lost.
-func serverIDs(crashes []*crash) []string {
+// provenServers returns the IDs of the servers that are known to have crashed.
+func provenServers(crashes []*crash) []string {
 	ids := make([]string, 0, len(crashes))
 	for _, crash := range crashes {
-		ids = append(ids, crash.server)
+		if crash.isProven() {
+			ids = append(ids, crash.server)
+		}
 	}
 	return ids
 }
