cmd: explain shows what stands behind a refusal as crashes_servers

The verdict rests on losses at any VM, minutes before; the story of the refused request had none of them.

--- a/internal/cmd/explaincmd.go
+++ b/internal/cmd/explaincmd.go
@@ -48,39 +48,67 @@
 	}
 }
 
-// explain prints the lines of the request with the given ID, marked with an asterisk, and lines of its VMs that belong to
-// no request: those about one of its servers and those about no server, from lookback before its first line to its last.
-func explain(output io.Writer, id string, lines []logread.Line) error {
-	vms := make(map[string]bool)
-	var first, last time.Time
+// story is what is known of a request from its lines.
+type story struct {
+	id string
+	// vms has the VMs that logged the lines, and first and last the times of the first and last one.
+	vms         map[string]bool
+	first, last time.Time
+	// servers has the servers that the lines name.
+	servers map[string]bool
+	// verdict is why the request was refused, if isRefused.
+	verdict   verdict
+	isRefused bool
+}
+
+// newStory returns the story of the request with the given ID, and false if no line belongs to it.
+func newStory(id string, lines []logread.Line) (story, bool) {
+	found := story{id: id, vms: make(map[string]bool), servers: serversOf(id, lines)}
 	for _, line := range lines {
 		if line.Request != id {
 			continue
 		}
-		if len(vms) == 0 || line.Timestamp.Before(first) {
-			first = line.Timestamp
+		if len(found.vms) == 0 || line.Timestamp.Before(found.first) {
+			found.first = line.Timestamp
 		}
-		if line.Timestamp.After(last) {
-			last = line.Timestamp
+		if line.Timestamp.After(found.last) {
+			found.last = line.Timestamp
 		}
-		vms[line.VM] = true
+		found.vms[line.VM] = true
+	}
+	found.verdict, found.isRefused = newVerdict(id, lines)
+	return found, len(found.vms) > 0
+}
+
+// marker returns what a line is marked with, and false if it is not part of the story.
+func (story story) marker(line logread.Line) (string, bool) {
+	if line.Request == story.id {
+		return "*", true
 	}
-	if len(vms) == 0 {
+	if story.isRefused && story.verdict.explains(line) {
+		return "!", true
+	}
+	isNear := !line.Timestamp.Before(story.first.Add(-lookback)) && !line.Timestamp.After(story.last)
+	if line.Request != "" || !story.vms[line.VM] || !isNear {
+		return "", false
+	}
+	server, namesServer := line.Fields[keyServer].(string)
+	return " ", !namesServer || story.servers[server]
+}
+
+// explain prints the lines of the request with the given ID, marked with an asterisk, and lines of its VMs that belong to
+// no request: those about one of its servers and those about no server, from lookback before its first line to its last. Of a request
+// that was refused since servers crash under it, it prints the lines of all VMs about the verdict too, marked with an exclamation mark.
+func explain(output io.Writer, id string, lines []logread.Line) error {
+	story, found := newStory(id, lines)
+	if !found {
 		return &exitError{code: exitFailed, err: errors.Newf("no line belongs to request %q", id)}
 	}
-	servers := serversOf(id, lines)
-	selected := slices.DeleteFunc(lines, func(line logread.Line) bool {
-		isContext := line.Request == "" && vms[line.VM] && !line.Timestamp.Before(first.Add(-lookback)) && !line.Timestamp.After(last)
-		server, namesServer := line.Fields[keyServer].(string)
-		return line.Request != id && (!isContext || namesServer && !servers[server])
-	})
-	slices.SortStableFunc(selected, func(a, b logread.Line) int { return cmp.Or(a.Timestamp.Compare(b.Timestamp), cmp.Compare(a.VM, b.VM)) })
-	for _, line := range selected {
-		marker := " "
-		if line.Request == id {
-			marker = "*"
+	slices.SortStableFunc(lines, func(a, b logread.Line) int { return cmp.Or(a.Timestamp.Compare(b.Timestamp), cmp.Compare(a.VM, b.VM)) })
+	for _, line := range lines {
+		if marker, isPart := story.marker(line); isPart {
+			fmt.Fprintf(output, "%s %+9.3fs %s  %s%s\n", marker, line.Timestamp.Sub(story.first).Seconds(), line.VM, line.Message, formatFields(line))
 		}
-		fmt.Fprintf(output, "%s %+9.3fs %s  %s%s\n", marker, line.Timestamp.Sub(first).Seconds(), line.VM, line.Message, formatFields(line))
 	}
 	return nil
 }
