--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -25,13 +25,16 @@
 
 // disruptAnswers disturbs the answers of all servers.
 func (environment *environment) disruptAnswers(ctx context.Context, event Event) {
-	if event.Kind == KindVMCutAnswers {
+	switch event.Kind {
+	case KindVMCutAnswers:
 		environment.cutAnswers(ctx, event)
-		return
+	case KindLostAnswers:
+		environment.loseAnswers(ctx, event)
+	default:
+		environment.setAllFaults(platformserver.Faults{Refused: lateCopiesRefused, RefusalStatuses: refusalStatuses(), LateCopies: true})
+		wait.For(ctx, event.For)
+		environment.setAllFaults(platformserver.Faults{})
 	}
-	environment.setAllFaults(platformserver.Faults{Refused: lateCopiesRefused, RefusalStatuses: refusalStatuses(), LateCopies: true})
-	wait.For(ctx, event.For)
-	environment.setAllFaults(platformserver.Faults{})
 }
 
 // cutAnswers cuts a VM off from all servers, whose answers state no length and are partly reset, and kills the other VMs in turn.
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -163,6 +163,9 @@
 	if crashingPrefixOf(outcome.ID) == crashingIDPrefix {
 		return "/" + outcome.Route + "/" + crashingIDPrefix
 	}
+	if strings.HasPrefix(outcome.ID, pollIDPrefix) {
+		return "/" + outcome.Route + "/" + pollIDPrefix
+	}
 	return "/" + outcome.Route + "/x%2Fy?id=" + outcome.ID
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/mastwinch/mastwinch/internal/gateway"
 	"github.com/mastwinch/mastwinch/internal/standin/platformserver"
 )
 
@@ -33,6 +34,7 @@
 	InvariantMemoryReleased         Invariant = "memory of engines is given back"
 	InvariantCrashQuarantine        Invariant = "what crashes servers is kept from them"
 	InvariantCutServed              Invariant = "callers of VMs that are cut off from servers are served through others"
+	InvariantHarmlessServed         Invariant = "no harmless request is refused as one that crashes servers"
 	InvariantRetryAfterShare        Invariant = "who is refused for a share is told when to return"
 	InvariantNoPanic                Invariant = "no handler of a request panics"
 	InvariantRecovery               Invariant = "the system serves again when faults are over"
@@ -130,6 +132,9 @@
 	if outcome.Status == http.StatusOK && !strings.HasPrefix(outcome.WantBody, outcome.Body) {
 		add(InvariantCompleteResponse, "%s: the body is not a prefix of the expected response", describe)
 	}
+	if crashingPrefixOf(outcome.ID) == "" && strings.Contains(outcome.Body, string(gateway.ReasonCrashesServers)) {
+		add(InvariantHarmlessServed, "%s", describe)
+	}
 	if outcome.wronglyRejected() {
 		add(InvariantValidAccepted, "%s", describe)
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -85,6 +85,10 @@
 			test.outcome.RetryAfter = time.Second
 			test.observations.runs = nil
 		}},
+		"harmless request refused as one that crashes servers": {route: routeSafe, change: func(test fixture) {
+			test.outcome.Status, test.outcome.Body = http.StatusServiceUnavailable, `{"error":"crashes_servers"}`
+			test.observations.runs = nil
+		}, want: []Invariant{InvariantHarmlessServed}},
 		"path changed": {route: routeStream, change: func(test fixture) {
 			test.observations.runs["r"][0].Target = "/chat/x/y"
 		}, want: []Invariant{InvariantUnalteredRequest}},
--- a/internal/soak/environment.go
+++ b/internal/soak/environment.go
@@ -122,7 +122,9 @@
 	crashing *outcomeLog
 	// crowding holds the outcomes of the organisation that crowds.
 	crowding *outcomeLog
-	closers  []func()
+	// polls holds the outcomes of polls.
+	polls   *outcomeLog
+	closers []func()
 }
 
 func (environment *environment) ip(group, number int) string {
@@ -134,7 +136,7 @@
 func newEnvironment(ctx context.Context, settings Settings) (*environment, error) {
 	environment := &environment{
 		settings: settings, store: metastore.New(), record: &platformserver.Record{},
-		fleet: platformserver.NewFleet(), log: &faultLog{}, crashing: &outcomeLog{}, crowding: &outcomeLog{},
+		fleet: platformserver.NewFleet(), log: &faultLog{}, crashing: &outcomeLog{}, crowding: &outcomeLog{}, polls: &outcomeLog{},
 	}
 	environment.operator = newOperator(environment.store)
 	environment.operator.twoDataCentres = extraKind(settings.Seed) == KindEvacuate
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -104,7 +104,7 @@
 		environment.disruptStore(ctx, event)
 	case KindConfigure, KindRevoke, KindEvacuate:
 		environment.runOperatorAction(ctx, event)
-	case KindVMCutAnswers, KindLateCopies:
+	case KindVMCutAnswers, KindLateCopies, KindLostAnswers:
 		slack = restartSlack
 		environment.disruptAnswers(ctx, event)
 	case KindServerKill, KindServerLeave, KindServerSays, KindBadEntry:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -49,6 +49,7 @@
 	KindVMCutAnswers Kind = "vm_cut_answers" // connections of a VM to all servers are reset, answers state no length, and the other VMs are killed in turn
 	KindVMUpdate     Kind = "vm_update"      // the first VM is cut off, answers state no length, and VMs of an older build are restarted with the newer one in turn
 	KindLateCopies   Kind = "late_copies"    // servers refuse requests with several statuses and send each refusal once more, late
+	KindLostAnswers  Kind = "lost_answers"   // callers poll, servers lose answers, send bytes that are none and forget connections, and then all VMs are killed
 	KindServerRest   Kind = "server_rest"    // refuses requests and requests backoff each time
 	KindServerSays   Kind = "server_says"    // drains and advertises it in responses only, as the store is unavailable
 	KindStoreOlder   Kind = "store_older"    // store rollback: restored from an older copy; writers write their records again
@@ -163,6 +164,10 @@
 	// seeds.
 	firstUpdateSeed    = 800
 	updateSeedInterval = 20
+	// firstLostAnswersSeed is the first seed in whose runs the answers of polls are lost, and lostAnswersSeedInterval the distance between
+	// such seeds.
+	firstLostAnswersSeed    = 6000
+	lostAnswersSeedInterval = 5
 	// extraEvents is the number of events of an extra kind in a run, except of the kinds that NewPlan names, of which there is one.
 	extraEvents = 3
 	// followUpFraction is the fraction of store faults that get the longest duration and
@@ -219,7 +224,7 @@
 		event := draw(kind, longestFault)
 		event.For = longestFault
 		events = append(events, event)
-	case KindVMCutAnswers, KindLateCopies:
+	case KindVMCutAnswers, KindLateCopies, KindLostAnswers:
 		event := draw(kind, longestFault)
 		event.For = cutDuration
 		events = append(events, event)
@@ -260,6 +265,9 @@
 // extraKind returns the kind that the run of a seed has in addition to the drawn ones, or an empty string.
 func extraKind(seed uint64) Kind {
 	number := seed % extraSeedInterval
+	if seed >= firstLostAnswersSeed && seed%lostAnswersSeedInterval == 3 {
+		return KindLostAnswers
+	}
 	if seed >= firstUpdateSeed && seed%updateSeedInterval == 6 {
 		return KindVMUpdate
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -60,7 +60,7 @@
 	outcomes, faultFreeFrom := environment.runLoad(ctx, plan, start.Add(settings.Length-faultFreeTime))
 	wait.For(ctx, boundMemoryRelease)
 	observations := &observations{
-		outcomes: append(outcomes, environment.crowding.all()...), crashing: environment.crashing.all(), runs: make(map[string][]platformserver.Run), log: environment.log, operator: environment.operator,
+		outcomes: slices.Concat(outcomes, environment.crowding.all(), environment.polls.all()), crashing: environment.crashing.all(), runs: make(map[string][]platformserver.Run), log: environment.log, operator: environment.operator,
 		arrivals:      environment.record.Arrivals(),
 		faultFreeFrom: faultFreeFrom, incarnation: environment.incarnation, down: environment.down,
 	}
--- a/internal/standin/platformserver/listener.go
+++ b/internal/standin/platformserver/listener.go
@@ -55,6 +55,32 @@
 	mu       sync.Mutex
 	// due is sent before the next bytes.
 	due []byte
+	// forgotten is whether the connection is reset when the next bytes arrive.
+	forgotten bool
+}
+
+// Read implements net.Conn.
+func (serverconn *serverConn) Read(buffer []byte) (int, error) {
+	count, err := serverconn.Conn.Read(buffer)
+	serverconn.mu.Lock()
+	forgotten := serverconn.forgotten
+	serverconn.mu.Unlock()
+	if count > 0 && forgotten {
+		serverconn.reset()
+		return 0, net.ErrClosed
+	}
+	return count, err //nolint:wrapcheck // the error is that of the connection
+}
+
+// forgetConnection makes the server reset the connection of a request when the next one comes.
+func forgetConnection(request *http.Request) {
+	conn, ok := request.Context().Value(connKey{}).(*serverConn)
+	if !ok {
+		return
+	}
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.forgotten = true
 }
 
 // Write implements net.Conn.
--- a/internal/standin/platformserver/plain.go
+++ b/internal/standin/platformserver/plain.go
@@ -62,7 +62,13 @@
 		plain.replyUnframed(writer, reply, drawnFaults)
 		return
 	}
+	if drawnFaults.forgotten {
+		forgetConnection(request)
+	}
 	switch {
+	case drawnFaults.garbled:
+		sendNoResponse(writer)
+		return
 	case drawnFaults.lost:
 		panic(http.ErrAbortHandler)
 	case drawnFaults.errors:
@@ -81,6 +87,19 @@
 	}
 }
 
+// noResponse are bytes that are no response: their status is none.
+const noResponse = "HTTP/1.1 000 \x00\r\n\r\n"
+
+// sendNoResponse sends noResponse and closes the connection.
+func sendNoResponse(writer http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(conn, noResponse) // fails only if the client has disconnected
+	_ = conn.Close()                        // it may be closed already
+}
+
 // unframedPause is the pause between the two parts of an unframed response.
 const unframedPause = 40 * time.Millisecond
 
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -60,6 +60,10 @@
 	// Unframed responses state no length and end with their connection. Those of plain services are sent in two parts.
 	// They are reset where they are cut off, which needs a Listener.
 	Unframed float64
+	// Garbled requests run and get bytes that are no response, and the connections of Forgotten ones are reset when the next
+	// request comes, which needs a Listener.
+	Garbled   float64
+	Forgotten float64
 	// Hang makes the server respond to no request, and Slowdown multiplies its
 	// processing times if above one.
 	Hang     bool
@@ -150,7 +154,7 @@
 
 // requestFaults has the faults that affect one request.
 type requestFaults struct {
-	errors, refused, lost, cut, extra, hang, unframed bool
+	errors, refused, lost, cut, extra, hang, unframed, garbled, forgotten bool
 	// refusalStatus is the status of a refusal, and lateCopy whether it is sent once more, late.
 	refusalStatus int
 	lateCopy      bool
@@ -165,7 +169,7 @@
 	drawn := requestFaults{
 		errors: occurs(faults.Errors), refused: occurs(faults.Refused), lost: occurs(faults.LostResponses),
 		cut: occurs(faults.Truncated), extra: occurs(faults.ExtraResponses), hang: faults.Hang,
-		unframed: occurs(faults.Unframed), refusalStatus: http.StatusServiceUnavailable, lateCopy: faults.LateCopies,
+		unframed: occurs(faults.Unframed), garbled: occurs(faults.Garbled), forgotten: occurs(faults.Forgotten), refusalStatus: http.StatusServiceUnavailable, lateCopy: faults.LateCopies,
 	}
 	if count := len(faults.RefusalStatuses); count > 0 {
 		drawn.refusalStatus = faults.RefusalStatuses[server.random.IntN(count)]
