tunnel: no request is sent on a link that lets nothing through

Cause: the own link was the last resort also while it counts as unreachable. Where connections can't be opened that costs nothing; here they open, the request is sent and lost. Its being outstanding then turned the verdict to doubtful (the servers may be full), the next request went to the own link first, and so on: the verdict changed 182 times in 12 s.

Ruled out: the choice of VMs. As designed the old one is not asked for answers that state no length.

Change: while the links are unreachable and connections can be opened, only probes use the own link. A request without another way waits, and is refused as not run when its time is over, as where all other VMs are cut off.

Before: TestRequestIsNotSentOnALinkThatIsCut, 40 of 40 requests of each of four kinds with 502; TestRequestWaitsForALinkThatIsCut, 0 of 10 of each served. After: 40 of 40 with 503 as not run, nothing at a server; 10 of 10 served once the link is back.

TestCutThatHangsIsSeenWithinASecond failed once with the other tests of the package.

--- a/internal/gateway/two_versions_test.go
+++ b/internal/gateway/two_versions_test.go
@@ -119,3 +119,40 @@
 		assert.Equal(t, len(fleet.requests()), 1)
 	})
 }
+
+// TestRequestIsNotSentOnALinkThatIsCut guards against requests that are sent on the VM's own link, which accepts connections and resets
+// them, where only a VM of an older version is left and can't be used: they ended as "may have run" though no server saw them. They wait
+// for a way within their time instead, and are then refused as not run.
+func TestRequestIsNotSentOnALinkThatIsCut(t *testing.T) {
+	for name, kind := range kindsOfAnswers() {
+		t.Run(name, func(t *testing.T) {
+			withTwoVersions(t, 2, func(fleet *fleet) {
+				before := fleet.query(kind.request)
+				assert.Equal(t, before.body, kind.whole)
+				fleet.vms[0].network.begin(cutAcceptsAndResets, serverPrefix)
+				time.AfterFunc(25*time.Second, fleet.vms[0].network.end)
+				fleet.queryFirstVM(plainRequest(http.MethodGet, "look"), queriesPerKind) // until the VM sees the cut
+				ran := len(fleet.requests())
+				got := fleet.queryFirstVM(kind.request, queriesPerKind)
+				assert.Equal(t, len(fleet.requests()), ran)
+				assert.Equal(t, countStatus(got, http.StatusServiceUnavailable), queriesPerKind, "%d 502", countStatus(got, http.StatusBadGateway))
+			})
+		})
+	}
+}
+
+// TestRequestWaitsForALinkThatIsCut checks that such a request is served when the link returns within its time.
+func TestRequestWaitsForALinkThatIsCut(t *testing.T) {
+	for name, kind := range kindsOfAnswers() {
+		t.Run(name, func(t *testing.T) {
+			withTwoVersions(t, 2, func(fleet *fleet) {
+				fleet.query(kind.request)
+				fleet.vms[0].network.begin(cutAcceptsAndResets, serverPrefix)
+				fleet.queryFirstVM(plainRequest(http.MethodGet, "look"), queriesPerKind) // until the VM sees the cut
+				time.AfterFunc(600*time.Millisecond, fleet.vms[0].network.end)
+				got := fleet.queryFirstVM(kind.request, 10)
+				assert.Equal(t, countServed(got), 10)
+			})
+		})
+	}
+}
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -79,7 +79,8 @@
 }
 
 // Dial opens a connection to a server, over a way that meets the requirements. direct opens a connection over the VM's own
-// link, and records the result of that itself, except when a tunnel is faster.
+// link, and records the result of that itself, except when a tunnel is faster. It is not used while something accepts connections on
+// that link and lets no byte through: a request sent there would be lost.
 func (dialer *Dialer) Dial(
 	ctx context.Context, address string, requirements Requirements, direct func(ctx context.Context) (net.Conn, error),
 ) (Connection, error) {
@@ -90,10 +91,11 @@
 	}
 	own := way{open: direct, headStart: dialer.settings.HeadStart, lastResort: verdict == reachability.Unreachable}
 	ways := dialer.tunnels(address, requirements)
-	if own.lastResort {
-		ways = append(ways, own)
-	} else {
+	switch {
+	case !own.lastResort:
 		ways = slices.Insert(ways, 0, own)
+	case dialer.links.CannotOpen():
+		ways = append(ways, own) // fails before anything is sent, unless the link is back
 	}
 	return dialer.open(ctx, address, ways)
 }
