quarantine: successes older than the history count no more

A request that was harmless ten minutes ago and before, and is lost now, got all of its old successes back with the next one. Found by reading the change anew; later losses were weighed right, so no verdict is known to have been wrong.

--- a/internal/quarantine/observation.go
+++ b/internal/quarantine/observation.go
@@ -91,11 +91,11 @@
 	}
 }
 
-// successesOf returns the count of a request's successes, which it adds if there is none.
+// successesOf returns the count of a request's successes, which it adds if there is none within Settings.HistoryTime.
 func (tracker *Tracker) successesOf(request fingerprint.Fingerprint, now time.Time) *successes {
 	count, found := tracker.successes.Get(request)
 	suspect, isSuspect := tracker.suspects.Peek(request)
-	if !found {
+	if !found || now.Sub(count.at) >= tracker.settings.HistoryTime {
 		count = &successes{at: now}
 		if isSuspect && suspect.successes != nil {
 			count = suspect.successes // its crashes refer to this count
