--- a/internal/panics/panics_test.go
+++ b/internal/panics/panics_test.go
@@ -66,6 +66,7 @@
 				assert.Equal(t, response.StatusCode, test.wantStatus)
 				assert.Assert(t, complete(response))
 			}
+			server.Close() // waits for the handler, which may still be at work when its caller has seen the end
 			assert.Equal(t, count, test.wantCount)
 			assert.Equal(t, strings.Contains(logged.String(), "level=ERROR") && strings.Contains(logged.String(), "request-7"), test.wantCount > 0)
 		})
