exchange: the address of a VM is free once it has stopped

Traced: the connection is closed in a goroutine of its own when the context ends; that unblocks the reads, so Run may return before the close is done.

Change: Run closes the connection too before it returns, which waits for a close that is under way. TestAddressIsFreeOnceRunHasReturned has a connection whose close takes its time; 5 of 5 with the race detector after. It was not run without the change in its final form: a first form, in virtual time, hung.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -266,7 +266,9 @@
 		exchange.refreshIntroductions(ctx)
 		return nil
 	})
-	return group.Wait()
+	err := group.Wait()
+	_ = exchange.conn.Close() // also where the close above is under way: the address is free once Run has returned
+	return err
 }
 
 // sendChanges sends pending reports to the coordinators, after waiting BatchDelay for more of them.
