--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -224,9 +224,10 @@
 	return gateway.links.Verdict() == reachability.Unreachable
 }
 
-// failedAddress returns the address of the server that failed.
-func (*forwarder) failedAddress(plan placement.Plan, result result) string {
-	return cmp.Or(result.failedServer, plan.Server.Address)
+// recordLoss reports the loss of a server at an address to the quarantine, and checks whether the server has ended.
+func (forwarder *forwarder) recordLoss(loss quarantine.Loss, address string) {
+	forwarder.gateway.quarantine.RecordLoss(loss)
+	forwarder.gateway.endChecks.start(loss.Server, address, forwarder.allowedDataCentres)
 }
 
 // recordFailure reports a failed attempt to the pool and the quarantine, and logs it.
@@ -242,16 +243,14 @@
 	switch {
 	case result.lostThroughVM:
 		gateway.pool.PublishLossThroughVM(failedServer, forwarder.fingerprints, phaseOf(loss))
-		gateway.quarantine.RecordLoss(loss)
-		gateway.endChecks.start(failedServer, forwarder.failedAddress(plan, result), forwarder.allowedDataCentres)
+		forwarder.recordLoss(loss, cmp.Or(result.failedServer, plan.Server.Address))
 	case result.serverNotAtFault:
 	case gateway.linksFailed(result): // and not the servers
 	case result.serverClosed:
 		gateway.pool.MarkClosed(failedServer)
 	case result.connectionLost:
 		suspect = gateway.pool.RecordConnectionLoss(failedServer, forwarder.fingerprints, phaseOf(loss))
-		gateway.quarantine.RecordLoss(loss)
-		gateway.endChecks.start(failedServer, forwarder.failedAddress(plan, result), forwarder.allowedDataCentres)
+		forwarder.recordLoss(loss, cmp.Or(result.failedServer, plan.Server.Address))
 	default:
 		suspect = gateway.pool.RecordFailure(failedServer)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -16,7 +16,7 @@
 func (forwarder *forwarder) relay(ctx context.Context, activeAttempt *activeAttempt) result {
 	reader := events.NewReader(activeAttempt.response)
 	streamTimeout := forwarder.gateway.settings.Request.streamTimeout(forwarder.route.InterTokenObjective)
-	progress := newStreamProgress(forwarder.lastEvent)
+	progress := newStreamProgress()
 	for {
 		block, err := reader.Next()
 		if endedEarly(err, !progress.started) && !activeAttempt.response.StatesEnd() {
@@ -29,7 +29,7 @@
 			return forwarder.streamErrorResult(ctx, err, progress.started, activeAttempt.callerStalled)
 		}
 		wasStarted := progress.started
-		use := progress.use(block)
+		use := progress.use(block, forwarder.lastEvent)
 		if progress.started && !wasStarted {
 			forwarder.recordStarted(activeAttempt)
 		}
@@ -154,7 +154,7 @@
 	activeAttempt.stopWatchdog()
 	forwarder.setWriteDeadline()
 	forwarder.startResponse(activeAttempt)
-	if _, err := forwarder.writer.Write(data); err != nil { //nolint:gosec // a server's bytes are passed on unchanged
+	if _, err := forwarder.writer.Write(data); err != nil {
 		return errors.WithStack(err)
 	}
 	if err := http.NewResponseController(forwarder.writer).Flush(); err != nil {
--- a/internal/gateway/streamprogress.go
+++ b/internal/gateway/streamprogress.go
@@ -37,8 +37,6 @@
 // streamProgress decides what is done with the blocks of a stream of one attempt. Only an event with an ID above all before it is
 // progress; an ID that is not a number counts as one.
 type streamProgress struct {
-	// lastPassed is the ID of the last event that the caller received of any attempt, or empty.
-	lastPassed string
 	// highest is the highest ID of this attempt.
 	highest int64
 	// started is whether this attempt had an event.
@@ -49,20 +47,17 @@
 	held []byte
 }
 
-func newStreamProgress(lastPassed string) *streamProgress {
-	return &streamProgress{lastPassed: lastPassed, highest: math.MinInt64}
+func newStreamProgress() *streamProgress {
+	return &streamProgress{highest: math.MinInt64}
 }
 
-// use returns what is done with the next block.
-func (progress *streamProgress) use(block events.Event) blockUse {
+// use returns what is done with the next block, where lastEvent is the ID of the last event that the caller received of any attempt.
+func (progress *streamProgress) use(block events.Event, lastEvent string) blockUse {
 	if progress.advances(block) {
 		progress.started, progress.idleBytes = true, 0
-		if !isNewEvent(block.ID, progress.lastPassed) {
+		if !isNewEvent(block.ID, lastEvent) {
 			return blockRepeated
 		}
-		if block.ID != "" {
-			progress.lastPassed = block.ID
-		}
 		return blockPassed
 	}
 	progress.idleBytes += len(block.Raw)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -34,10 +34,10 @@
 	byService map[string][]*server
 	// sourceLost is set while the source of the list is unavailable, and sourceRegainedAt is when
 	// it last became available again.
-	sourceLost bool
-	// restarted has the IDs of servers for TakeRestarted.
-	restarted        []string
+	sourceLost       bool
 	sourceRegainedAt time.Time
+	// restarted has the IDs of servers for TakeRestarted.
+	restarted []string
 	// evacuated has the data centres that the operator has evacuated.
 	evacuated []string
 	// own has the attempts of this VM's requests in flight, by ID.
--- a/internal/upstream/ended.go
+++ b/internal/upstream/ended.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/mastwinch/mastwinch/internal/network"
-	"github.com/mastwinch/mastwinch/internal/reachability"
 	"github.com/mastwinch/mastwinch/internal/tunnel"
 	"github.com/mastwinch/mastwinch/internal/wait"
 )
@@ -50,18 +49,13 @@
 // dialToLook is dial for a connection that no request waits for. A failure says nothing of the VM's own links: a server is asked that
 // may be gone.
 func (client *Client) dialToLook(ctx context.Context, address string, requirements tunnel.Requirements) (tunnel.Connection, error) {
-	direct := func(ctx context.Context) (net.Conn, error) {
+	return client.dialWith(ctx, address, requirements, func(ctx context.Context) (net.Conn, error) {
 		conn, err := client.history.dial(ctx, client.dialer, address)
 		if err == nil {
 			client.count(OpenSucceeded)
 		}
 		return conn, err
-	}
-	if client.tunnels == nil || client.links.Verdict() == reachability.Reachable {
-		conn, err := direct(ctx)
-		return tunnel.Connection{Conn: conn}, err
-	}
-	return client.tunnels.Dial(ctx, address, requirements, direct) //nolint:wrapcheck // the caller looks for a refusal only
+	})
 }
 
 // hasOpen reports whether a connection to a server is open: one with a request in flight, or an idle one that is quiet.
