quarantine: a server lost at the same moment explains a loss before it is proven

What callers would see: a harmless request refused as crashes_servers.

Cause, suspected by reading and not shown by a trace: since only servers that are proven to have ended counted as a wave, and the proof of one may come later than that of another, so that a request looked alone on a lost server for a moment. For a verdict the request's own losses must still be proven.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -283,11 +283,12 @@
 	return without(request.crashes, func(crash *crash) bool { return evidence.inWave(request, crash) })
 }
 
-// inWave reports whether a server without the request was lost at the same moment.
+// inWave reports whether a server without the request was lost at the same moment, proven or not: the proof of one may come
+// later than that of another.
 func (evidence evidence) inWave(request *suspect, lost *crash) bool {
 	moment := evidence.settings.Moment
 	return slices.ContainsFunc(between(evidence.crashes, lost.at.Add(-moment), lost.at.Add(moment)), func(other *crash) bool {
-		return other.isProven() && !request.wasOn(other)
+		return !other.refuted && !request.wasOn(other)
 	})
 }
 
