upstream: the look whether a server ended disturbs nothing

What callers would see: of prompts with a part that crashes servers, more reach servers than before, where many servers crash at once; and requests lost in a cut that accepts connections.

Cause: while the links are in doubt the look went through other VMs, where the refused connections count as evidence that their own links are cut, so that their losses counted for nothing; several crashes at once kept the look from proving any of them; and a connection that opened was kept, so that the next request was sent on it, also in a cut that accepts connections and resets them.

Change: a connection that was lost on the own link is looked at there, as the loss was recorded only since that link was not cut; another VM is asked only where the connection led through one. What opens is closed. endConfirmTime and the data centres of a look are gone.

--- a/internal/gateway/endchecks.go
+++ b/internal/gateway/endchecks.go
@@ -29,25 +29,32 @@
 	return &endChecks{gateway: gateway, again: make(map[string]bool)}
 }
 
-// start checks a server in the background. dataCentres are those through whose VMs connections to it may lead.
-func (endchecks *endChecks) start(server, address string, dataCentres []string) {
+// lostServer is a server to which a connection was lost.
+type lostServer struct {
+	id, address string
+	// overOwnLink is whether the connection led over the VM's own link, which was not cut before.
+	overOwnLink bool
+}
+
+// start checks a server in the background.
+func (endchecks *endChecks) start(server lostServer) {
 	endchecks.mu.Lock()
 	defer endchecks.mu.Unlock()
-	if _, running := endchecks.again[server]; running {
-		endchecks.again[server] = true
+	if _, running := endchecks.again[server.id]; running {
+		endchecks.again[server.id] = true
 		return
 	}
-	endchecks.again[server] = false
-	go endchecks.run(server, address, dataCentres)
+	endchecks.again[server.id] = false
+	go endchecks.run(server)
 }
 
 // run checks a server until it has ended or no connection was lost during the last check.
-func (endchecks *endChecks) run(server, address string, dataCentres []string) {
+func (endchecks *endChecks) run(server lostServer) {
 	ctx := endchecks.gateway.baseContext
 	for {
-		ended := endchecks.check(ctx, server, address, dataCentres)
+		ended := endchecks.check(ctx, server)
 		isOver := !wait.For(ctx, endCheckInterval)
-		if endchecks.finish(server, ended || isOver) {
+		if endchecks.finish(server.id, ended || isOver) {
 			return
 		}
 	}
@@ -67,14 +74,14 @@
 }
 
 // check reports whether the process of a server has ended. If so it records and publishes that.
-func (endchecks *endChecks) check(ctx context.Context, server, address string, dataCentres []string) bool {
+func (endchecks *endChecks) check(ctx context.Context, server lostServer) bool {
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
 	gateway := endchecks.gateway
-	ended := gateway.upstream.HasEnded(ctx, address, dataCentres)
+	ended := gateway.upstream.HasEnded(ctx, server.address, server.overOwnLink)
 	gateway.metrics.recordEndCheck(ended)
 	if ended {
-		gateway.recordServerEnd(server, "refuses connections")
+		gateway.recordServerEnd(server.id, "refuses connections")
 	}
 	return ended
 }
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -227,7 +227,7 @@
 // recordLoss reports the loss of a server at an address to the quarantine, and checks whether the server has ended.
 func (forwarder *forwarder) recordLoss(loss quarantine.Loss, address string) {
 	forwarder.gateway.quarantine.RecordLoss(loss)
-	forwarder.gateway.endChecks.start(loss.Server, address, forwarder.allowedDataCentres)
+	forwarder.gateway.endChecks.start(lostServer{id: loss.Server, address: address, overOwnLink: !loss.ThroughVM})
 }
 
 // recordFailure reports a failed attempt to the pool and the quarantine, and logs it.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -114,6 +114,8 @@
 	idle map[string][]*connection
 	// abandonable has the direct connections with a request in flight that may be repeated.
 	abandonable map[*connection]bool
+	// closed is set once no connection is kept any more.
+	closed bool
 	// inFlight counts the requests in flight by the address of their server. It has no zeros.
 	inFlight map[string]int
 	// openings counts the attempts to open connections by their result.
@@ -241,16 +243,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return client.newConnection(address, dialled), nil
-}
-
-func (client *Client) newConnection(address string, dialled tunnel.Connection) *connection {
 	opened := &connection{
 		address: address, conn: dialled.Conn, via: dialled.Via, reusableUntil: dialled.ReusableUntil, endUntold: dialled.EndUntold, links: client.links,
 		carried: newCarried(),
 	}
 	opened.reader = bufio.NewReaderSize(opened, readBufferSize)
-	return opened
+	return opened, nil
 }
 
 // abandonIfCut closes the direct connections whose requests may be repeated if the VM's own links count as cut and no server
--- a/internal/upstream/ended.go
+++ b/internal/upstream/ended.go
@@ -5,33 +5,30 @@
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mastwinch/mastwinch/internal/network"
 	"github.com/mastwinch/mastwinch/internal/tunnel"
-	"github.com/mastwinch/mastwinch/internal/wait"
 )
 
-const (
-	// endPollInterval is the interval at which HasEnded looks for connections that are still open.
-	endPollInterval = 5 * time.Millisecond
-	// endConfirmTime is how long after a refusal it may show that other servers refuse connections too.
-	endConfirmTime = 50 * time.Millisecond
-)
+// endPollInterval is the interval at which HasEnded looks for connections that are still open.
+const endPollInterval = 5 * time.Millisecond
 
 // HasEnded reports whether the process of a server has ended: its port refuses a new connection, and all connections of this client to
-// it have ended. A full server refuses new ones too, but keeps those that it has. Where the VM's own links are cut so that connections
-// are refused, other servers seem to refuse them too. A connection that opens is kept for a later request. dataCentres are those through
-// whose VMs the connection may lead. It reports false for all that it can't find out until ctx ends.
-func (client *Client) HasEnded(ctx context.Context, address string, dataCentres []string) bool {
-	dialled, err := client.dialToLook(ctx, address, tunnel.Requirements{DataCentres: dataCentres})
-	if err == nil {
-		client.release(client.newConnection(address, dialled), 0)
-		return false
+// it have ended. A full server refuses new ones too, but keeps those that it has. With ownLink the VM's own link is used, which must not
+// have been cut before the connection was lost; otherwise another VM is asked. A connection that opens is closed: in a cut that accepts
+// connections the next request would be lost on it. It reports false for all that it can't find out until ctx ends.
+func (client *Client) HasEnded(ctx context.Context, address string, ownLink bool) bool {
+	look := client.lookThroughVM
+	if ownLink {
+		look = client.look
 	}
-	refusedThere := tunnel.IsRefusedByServer(err)
-	if !network.IsRefused(err) && !refusedThere {
+	conn, err := look(ctx, address)
+	if err == nil {
+		closeConn(conn)
 		return false
 	}
-	if !refusedThere && (!wait.For(ctx, endConfirmTime) || client.links.CannotOpen()) {
+	if !network.IsRefused(err) && !tunnel.IsRefusedByServer(err) {
 		return false
 	}
 	ticker := time.NewTicker(endPollInterval)
@@ -46,16 +43,25 @@
 	return true
 }
 
-// dialToLook is dial for a connection that no request waits for. A failure says nothing of the VM's own links: a server is asked that
+// look is DialDirect for a connection that no request waits for. A failure says nothing of the VM's own links: a server is asked that
 // may be gone.
-func (client *Client) dialToLook(ctx context.Context, address string, requirements tunnel.Requirements) (tunnel.Connection, error) {
-	return client.dialWith(ctx, address, requirements, func(ctx context.Context) (net.Conn, error) {
-		conn, err := client.history.dial(ctx, client.dialer, address)
-		if err == nil {
-			client.count(OpenSucceeded)
-		}
-		return conn, err
-	})
+func (client *Client) look(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := client.history.dial(ctx, client.dialer, address)
+	if err == nil {
+		client.count(OpenSucceeded)
+	}
+	return conn, err
+}
+
+// errNoTunnels is returned by a client without tunnels.
+var errNoTunnels = errors.New("other VMs can't be asked")
+
+// lookThroughVM is look through another VM.
+func (client *Client) lookThroughVM(ctx context.Context, address string) (net.Conn, error) {
+	if client.tunnels == nil {
+		return nil, errNoTunnels
+	}
+	return client.tunnels.DialThrough(ctx, address, nil) //nolint:wrapcheck // the caller looks for a refusal only
 }
 
 // hasOpen reports whether a connection to a server is open: one with a request in flight, or an idle one that is quiet.
--- a/internal/upstream/open.go
+++ b/internal/upstream/open.go
@@ -37,13 +37,7 @@
 
 // dial opens a connection to a server, directly or through another VM that meets the requirements.
 func (client *Client) dial(ctx context.Context, address string, requirements tunnel.Requirements) (tunnel.Connection, error) {
-	return client.dialWith(ctx, address, requirements, func(ctx context.Context) (net.Conn, error) { return client.DialDirect(ctx, address) })
-}
-
-// dialWith is dial with direct for the VM's own link.
-func (client *Client) dialWith(
-	ctx context.Context, address string, requirements tunnel.Requirements, direct func(ctx context.Context) (net.Conn, error),
-) (tunnel.Connection, error) {
+	direct := func(ctx context.Context) (net.Conn, error) { return client.DialDirect(ctx, address) }
 	if client.tunnels == nil {
 		conn, err := direct(ctx)
 		return tunnel.Connection{Conn: conn}, err
